Project: Lay out the build, the interfaces and the shared types

Cause: an empty tree, and work that is to go on side by side needs fixed interfaces first. Change: CMake libraries per concern, one script, formatter and linter for the Qt style, core types, the log writer, and the public headers that admission, routing, retries and the transport are to meet. Conclusion: the modules can be written in parallel against these headers.

--- /dev/null
+++ b/include/stairspur/admission/AdmissionController.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include <stairspur/admission/LoadReport.h>
+#include <stairspur/core/Identifiers.h>
+#include <stairspur/core/Level.h>
+#include <stairspur/core/Outcome.h>
+#include <stairspur/core/Random.h>
+#include <stairspur/core/Time.h>
+
+/// The gate's decisions: who runs, who waits, who is refused. Pure: time and randomness are handed in.
+namespace stairspur::admission {
+
+struct AdmissionSettings
+{
+    std::uint32_t maxQueue = 256;
+    std::uint32_t coldLimit = 4; ///< Limit of a backend server that has just started.
+    std::uint32_t reportedSlots =
+            16; ///< Upper bound of the limit, as the backend server reports it.
+    Duration retryAfterBase{100'000}; ///< Retry-After of the mildest overload.
+    Duration retryAfterMax{10'000'000};
+};
+
+/// A call that asks for a place.
+struct CallOffer
+{
+    CallId id = 0;
+    Level level;
+    TimePoint deadline;
+};
+
+/// A call that the controller has given up on. It gets its final answer at once.
+struct Refusal
+{
+    CallId id = 0;
+    Reason reason = Reason::None;
+    Duration retryAfter{0};
+};
+
+/// What the gate has to do now.
+struct Progress
+{
+    std::vector<CallId> dispatch; ///< Send these to the backend server.
+    std::vector<Refusal> refuse;  ///< Answer these `not-run`: none of them has been dispatched.
+};
+
+/// How a dispatched call ended, as far as the limit learns from it.
+enum class Completion {
+    Succeeded,
+    Failed, ///< An answer that tells of trouble, such as 5xx.
+    Shed,   ///< The backend server refused for overload.
+    TimedOut,
+    Cancelled, ///< Says nothing about the backend server.
+};
+
+class AdmissionController
+{
+public:
+    explicit AdmissionController(const AdmissionSettings &settings);
+    ~AdmissionController();
+    AdmissionController(const AdmissionController &) = delete;
+    AdmissionController(AdmissionController &&) noexcept;
+    auto operator=(const AdmissionController &) -> AdmissionController & = delete;
+    auto operator=(AdmissionController &&) noexcept -> AdmissionController &;
+
+    /// Takes a call. It is among `dispatch` or `refuse`, or else it waits; lower calls may be refused in its favour.
+    auto offer(const CallOffer &offer, TimePoint now, Random &random) -> Progress;
+
+    /// A dispatched call has ended after `latency` at the backend server.
+    auto didComplete(CallId id, Completion completion, Duration latency, TimePoint now,
+                     Random &random) -> Progress;
+
+    /// The caller is gone: a waiting call is dropped without a refusal. For a dispatched one call didComplete() too,
+    /// once the backend server has let go of it.
+    auto cancel(CallId id, TimePoint now, Random &random) -> Progress;
+
+    /// Refuses what can no longer be served in time. Call every few milliseconds while calls wait.
+    auto didPassTime(TimePoint now, Random &random) -> Progress;
+
+    /// The backend server reports another number of slots.
+    auto setReportedSlots(std::uint32_t slots) -> void;
+
+    /// The greatest floor of the deeper services, by class rank, for the next reports and admissions.
+    auto setDeeperFloors(std::vector<Level> floors) -> void;
+
+    /// Refuses new and waiting calls from now on; running ones end.
+    auto startDraining(TimePoint now, Random &random) -> Progress;
+
+    [[nodiscard]] auto inFlight() const -> std::uint32_t;
+    [[nodiscard]] auto queued() const -> std::uint32_t;
+
+    /// What answers tell the entries. Each report has a greater sequence than the one before.
+    auto report(TimePoint now) -> LoadReport;
+
+private:
+    class State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace stairspur::admission
+
+template <>
+inline constexpr auto stairspur::enumNames<stairspur::admission::Completion> =
+        std::array<std::string_view, 5>{"succeeded", "failed", "shed", "timed-out", "cancelled"};
--- /dev/null
+++ b/include/stairspur/config/Configuration.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <stairspur/core/Level.h>
+#include <stairspur/core/Time.h>
+
+/// The operators' file, read and checked.
+namespace stairspur::config {
+
+struct FailureDomain
+{
+    std::string name;
+    std::string
+            region; ///< Domains of one region are near each other; empty means a region of its own.
+};
+
+/// A priority class. Its rank is its place in the file: the first is the most important.
+struct PriorityClass
+{
+    std::string name;
+    ClassRank rank = 0;
+};
+
+/// What binds one service. Values that the file leaves out have these defaults.
+struct ServiceLimits
+{
+    std::uint32_t maxConcurrency =
+            0; ///< Per upstream; 0 takes the slots that the backend server reports.
+    std::uint32_t maxQueue = 256;       ///< Calls waiting at one gate.
+    Duration defaultTimeout{2'000'000}; ///< For calls that name none.
+    Duration maxTimeout{30'000'000};    ///< Calls that name more get this.
+    std::uint32_t maxRequestBytes = 1U << 20U;
+    std::uint32_t maxAnswerBytes = 8U << 20U;
+};
+
+struct Service
+{
+    std::string name;
+    ServiceLimits limits;
+    bool isIdempotent = true; ///< False: calls carry an Idempotency-Key and run at most once.
+    Duration keyLifetime{600'000'000}; ///< How long a key is remembered.
+};
+
+/// The services that a request of some classes needs, from the entered service downwards.
+struct CallPath
+{
+    std::string name;
+    std::vector<std::string> classes;  ///< Names of classes; empty means all.
+    std::vector<std::string> services; ///< In order: each calls the next.
+};
+
+/// Who may call. The file holds only the SHA-256 of the bearer key.
+struct Caller
+{
+    std::string name;
+    std::string keySha256;            ///< 64 lower-case hexadecimal digits.
+    std::vector<std::string> classes; ///< The first is what a call gets that names none.
+    std::string homeDomain;           ///< Where its keyed calls are bound; empty: chosen by hash.
+};
+
+struct RetryLimits
+{
+    std::uint32_t extraAttempts = 3; ///< Per root request, over its whole call graph.
+    double successShare = 0.1;       ///< Tokens that each success adds to a service's retry bucket.
+    double bucketSize = 10;          ///< Tokens that a bucket holds at most.
+};
+
+/// A whole configuration. Never changed once published: a newer one replaces it.
+struct Configuration
+{
+    std::vector<FailureDomain> domains;
+    std::vector<PriorityClass> classes;
+    std::vector<Service> services;
+    std::vector<CallPath> paths;
+    std::vector<Caller> callers;
+    RetryLimits retry;
+
+    [[nodiscard]] auto findService(std::string_view name) const -> const Service *;
+    [[nodiscard]] auto findClass(std::string_view name) const -> const PriorityClass *;
+    [[nodiscard]] auto findCallerByKeyHash(std::string_view keySha256) const -> const Caller *;
+    [[nodiscard]] auto findDomain(std::string_view name) const -> const FailureDomain *;
+
+    /// Services that a call of class `rank` into `service` goes on to need, by all call paths that hold it.
+    [[nodiscard]] auto deeperServices(std::string_view service, ClassRank rank) const
+            -> std::vector<std::string>;
+};
+
+/// A configuration and its place in the order of versions.
+struct VersionedConfiguration
+{
+    std::uint64_t version = 0;
+    std::string hash; ///< SHA-256 of the whole file.
+    Configuration configuration;
+};
+
+using ConfigurationPtr = std::shared_ptr<const VersionedConfiguration>;
+
+} // namespace stairspur::config
--- /dev/null
+++ b/include/stairspur/retry/RetryPolicy.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+
+#include <stairspur/core/EnumNames.h>
+#include <stairspur/core/Outcome.h>
+#include <stairspur/core/Time.h>
+
+namespace stairspur::retry {
+
+/// What is known when an attempt ended without a whole answer.
+struct AttemptEnd
+{
+    Outcome outcome = Outcome::Unknown;
+    Reason reason = Reason::None;
+    bool wasDispatched =
+            false; ///< It may have reached a backend server, so another one counts as a retry.
+    bool isIdempotent = false;    ///< The call may run more than once.
+    std::uint32_t budget = 0;     ///< Extra attempts left for this call.
+    bool hasServiceToken = false; ///< The service's bucket has a token.
+    Duration remaining{0};        ///< Until the deadline.
+    Duration expectedLatency{0};  ///< Of another attempt.
+};
+
+enum class RetryDecision {
+    Elsewhere, ///< Send to another upstream; costs nothing, since nothing was dispatched.
+    Retry,     ///< Send again; costs one of the budget and one token.
+    GiveUp,    ///< Answer the caller now.
+};
+
+/// Non-idempotent calls are sent again only after a proven `not-run`.
+auto decideRetry(const AttemptEnd &end) -> RetryDecision;
+
+} // namespace stairspur::retry
+
+template <>
+inline constexpr auto stairspur::enumNames<stairspur::retry::RetryDecision> =
+        std::array<std::string_view, 3>{"elsewhere", "retry", "give-up"};
--- /dev/null
+++ b/include/stairspur/transport/CallMessages.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include <stairspur/admission/LoadReport.h>
+#include <stairspur/core/Identifiers.h>
+#include <stairspur/core/Level.h>
+#include <stairspur/core/Outcome.h>
+#include <stairspur/core/Time.h>
+#include <stairspur/transport/HeaderList.h>
+
+/// What an entry and a gate tell each other about one call.
+namespace stairspur::transport {
+
+struct CallRequest
+{
+    std::string service;
+    std::string className;
+    Level level;
+    RootId root;
+    Duration remaining{0};         ///< Until the deadline, as the sender sees it when it sends.
+    std::uint32_t retryBudget = 0; ///< Extra attempts for everything below this call.
+    std::string idempotencyKey;    ///< Empty: the call may run more than once.
+    std::string caller;            ///< Name of the caller, as the configuration knows it.
+    std::string method;
+    std::string target;
+    HeaderList headers; ///< End-to-end headers only.
+    std::string body;
+};
+
+struct CallAnswer
+{
+    Outcome outcome = Outcome::Unknown;
+    Reason reason = Reason::None;
+    bool wasDispatched =
+            false; ///< The call, or an earlier attempt at it, may have reached a backend server.
+    std::uint32_t unspentBudget = 0; ///< What is left of CallRequest::retryBudget.
+    Duration retryAfter{0};          ///< When to come back, for refusals.
+    std::uint32_t status = 0; ///< The backend server's, when the outcome is `answered` or `failed`.
+    HeaderList headers;
+    std::string body;
+    std::optional<admission::LoadReport> report;
+};
+
+} // namespace stairspur::transport
--- /dev/null
+++ b/include/stairspur/transport/HttpClient.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include <stairspur/core/Error.h>
+#include <stairspur/core/Time.h>
+#include <stairspur/transport/Cancellation.h>
+#include <stairspur/transport/HttpMessages.h>
+#include <stairspur/transport/Task.h>
+
+namespace stairspur::transport {
+
+/// How far a request got that has no whole answer.
+enum class HttpFailure {
+    NotConnected, ///< No byte of it was sent: it ran nowhere.
+    TimedOut,
+    Cancelled,
+    Broken, ///< The connection ended, or the answer was malformed or too large.
+};
+
+class HttpClientError : public Error
+{
+public:
+    HttpClientError(HttpFailure failure, const std::string &problem, const std::string &remedy)
+        : Error(problem, remedy)
+        , m_failure(failure)
+    {}
+
+    [[nodiscard]] auto failure() const -> HttpFailure { return m_failure; }
+
+private:
+    HttpFailure m_failure;
+};
+
+struct HttpClientSettings
+{
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0;
+    std::uint32_t maxIdleConnections = 64;
+    std::uint64_t maxAnswerBytes = 8U << 20U;
+    Duration connectTimeout{1'000'000};
+};
+
+/// HTTP/1.1 to one server over kept connections, one request at a time on each.
+///
+/// A kept connection that turns out closed before any byte of the answer came is only replaced by a fresh one when no
+/// byte of the request can have been read: it is probed for its end before use, and never sent twice.
+class HttpClient
+{
+public:
+    HttpClient(asio::io_context &io, HttpClientSettings settings);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient(HttpClient &&) = delete;
+    auto operator=(const HttpClient &) -> HttpClient & = delete;
+    auto operator=(HttpClient &&) -> HttpClient & = delete;
+
+    /// Sends one request and reads its whole answer. Throws HttpClientError. A cancellation closes the connection, which
+    /// tells the server that nobody waits; it may be null.
+    auto send(HttpRequest request, Duration timeout, CancellationPtr cancellation)
+            -> Task<HttpResponse>;
+
+private:
+    class Pool;
+    std::shared_ptr<Pool> m_pool;
+};
+
+} // namespace stairspur::transport
--- /dev/null
+++ b/source/log/Log.cpp
@@ -0,0 +1,246 @@
+#include <stairspur/log/Log.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace stairspur::log {
+
+/// Lines that wait for the writer at most; more are dropped and counted, since logs must not hold up traffic.
+static constexpr auto MaxWaitingLines = std::size_t{20000};
+
+struct WaitingLine
+{
+    Severity severity;
+    std::string text;
+};
+
+/// Hands lines to easylogging++ on a thread of its own.
+class Writer
+{
+public:
+    auto start(const LogSettings &settings) -> void
+    {
+        m_minimum = settings.minimum;
+        m_sample = settings.decisionSample == 0 ? 1 : settings.decisionSample;
+        m_suffix = settings.node.empty() ? std::string() : " node=" + settings.node;
+        configureLibrary();
+        m_isStopping = false;
+        m_thread = std::thread([this] { writeUntilStopped(); });
+    }
+
+    auto stop() -> void
+    {
+        if (!m_thread.joinable())
+            return;
+        {
+            const auto lock = std::scoped_lock(m_mutex);
+            m_isStopping = true;
+        }
+        m_wakeUp.notify_one();
+        m_thread.join();
+    }
+
+    auto push(Severity severity, std::string text) -> void
+    {
+        {
+            const auto lock = std::scoped_lock(m_mutex);
+            if (m_waiting.size() >= MaxWaitingLines) {
+                ++m_dropped;
+                return;
+            }
+            m_waiting.push_back({severity, std::move(text)});
+            if (m_waiting.size() > 1)
+                return; // The writer is awake, or about to be.
+        }
+        m_wakeUp.notify_one();
+    }
+
+    [[nodiscard]] auto isEnabled(Severity severity) const -> bool
+    {
+        return severity >= m_minimum.load();
+    }
+
+    auto isDecisionSampled() -> bool
+    {
+        return m_decisions.fetch_add(1, std::memory_order_relaxed) % m_sample == 0;
+    }
+
+    [[nodiscard]] auto suffix() const -> const std::string & { return m_suffix; }
+
+private:
+    static auto configureLibrary() -> void
+    {
+        auto configuration = el::Configurations();
+        configuration.setToDefault();
+        configuration.setGlobally(el::ConfigurationType::Format,
+                                  "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%levshort %msg");
+        configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+        configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+        configuration.setGlobally(el::ConfigurationType::Enabled, "true");
+        el::Loggers::reconfigureAllLoggers(configuration);
+        el::Helpers::installLogDispatchCallback<StandardErrorDispatch>("standard-error");
+    }
+
+    /// Writes to standard error, which the operators' process manager collects; easylogging++ itself knows only
+    /// standard output and files, and hosts have no disk.
+    class StandardErrorDispatch : public el::LogDispatchCallback
+    {
+    protected:
+        auto handle(const el::LogDispatchData *data) -> void override
+        {
+            const auto *message = data->logMessage();
+            auto text = message->logger()->logBuilder()->build(message, true);
+            std::fwrite(text.data(), 1, text.size(), stderr);
+        }
+    };
+
+    auto writeUntilStopped() -> void
+    {
+        auto lock = std::unique_lock(m_mutex);
+        while (true) {
+            m_wakeUp.wait(lock, [this] { return m_isStopping || !m_waiting.empty(); });
+            if (m_waiting.empty())
+                return;
+            auto lines = std::move(m_waiting);
+            m_waiting.clear();
+            const auto dropped = std::exchange(m_dropped, 0);
+            lock.unlock();
+            for (const auto &it : lines)
+                writeLine(it);
+            if (dropped > 0)
+                writeLine({Severity::Warning,
+                           "event=log-dropped lines=" + std::to_string(dropped) + m_suffix});
+            lock.lock();
+        }
+    }
+
+    static auto writeLine(const WaitingLine &line) -> void
+    {
+        switch (line.severity) {
+        case Severity::Debug:
+            LOG(DEBUG) << line.text;
+            return;
+        case Severity::Info:
+            LOG(INFO) << line.text;
+            return;
+        case Severity::Warning:
+            LOG(WARNING) << line.text;
+            return;
+        case Severity::Error:
+            LOG(ERROR) << line.text;
+            return;
+        }
+    }
+
+    std::atomic<Severity> m_minimum = Severity::Info;
+    std::atomic<std::uint32_t> m_sample = 1;
+    std::atomic<std::uint64_t> m_decisions = 0;
+    std::string m_suffix;
+    std::mutex m_mutex;
+    std::condition_variable m_wakeUp;
+    std::vector<WaitingLine> m_waiting;
+    std::uint64_t m_dropped = 0;
+    bool m_isStopping = false;
+    std::thread m_thread;
+};
+
+static auto writer() -> Writer &
+{
+    static auto instance = Writer();
+    return instance;
+}
+
+auto start(const LogSettings &settings) -> void
+{
+    writer().start(settings);
+}
+
+auto stop() -> void
+{
+    writer().stop();
+}
+
+auto isEnabled(Severity severity) -> bool
+{
+    return writer().isEnabled(severity);
+}
+
+auto isDecisionSampled() -> bool
+{
+    return writer().isDecisionSampled();
+}
+
+Line::Line(Severity severity, std::string_view event)
+    : m_severity(severity)
+    , m_isEnabled(log::isEnabled(severity))
+{
+    add("event", event);
+}
+
+Line::~Line()
+{
+    if (m_isEnabled)
+        writer().push(m_severity, std::move(m_text) + writer().suffix());
+}
+
+static auto needsQuotes(std::string_view value) -> bool
+{
+    if (value.empty())
+        return true;
+    for (const auto it : value) {
+        if (it <= ' ' || it == '"' || it == '=' || it == '\\' || it == '\x7f')
+            return true;
+    }
+    return false;
+}
+
+static auto appendQuoted(std::string &text, std::string_view value) -> void
+{
+    static constexpr auto Digits = std::string_view("0123456789abcdef");
+    text.push_back('"');
+    for (const auto it : value) {
+        const auto byte = static_cast<unsigned char>(it);
+        if (it == '"' || it == '\\') {
+            text.push_back('\\');
+            text.push_back(it);
+        } else if (byte < ' ' || byte == 0x7f) {
+            text += "\\x";
+            text.push_back(Digits[byte >> 4]);
+            text.push_back(Digits[byte & 0xf]);
+        } else {
+            text.push_back(it);
+        }
+    }
+    text.push_back('"');
+}
+
+auto Line::add(std::string_view key, std::string_view value) -> Line &
+{
+    if (!m_isEnabled)
+        return *this;
+    if (!m_text.empty())
+        m_text.push_back(' ');
+    m_text.append(key).push_back('=');
+    if (needsQuotes(value))
+        appendQuoted(m_text, value);
+    else
+        m_text.append(value);
+    return *this;
+}
+
+auto Line::add(std::string_view key, double value) -> Line &
+{
+    static constexpr auto BufferSize = 32;
+    char buf[BufferSize];
+    const auto n = std::snprintf(buf, sizeof buf, "%.6g", value);
+    return add(key, std::string_view(buf, static_cast<std::size_t>(n)));
+}
+
+} // namespace stairspur::log
--- /dev/null
+++ b/source/main/main.cpp
@@ -0,0 +1,7 @@
+#include <cstdio>
+
+auto main() -> int
+{
+    std::puts("stairspur 0.1.0");
+    return 0;
+}
