Config: Read, check and split the operators' file

An operator applies one complete file and must learn every fault of it at once, each with its place and its remedy. Weighed: stopping at the first fault (one round trip for each of them), and a schema language (one more thing to learn, and no cycles or references in it).

--- /dev/null
+++ b/source/config/FindingList.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <toml++/toml.h>
+
+#include <stairspur/config/Finding.h>
+
+namespace stairspur::config {
+
+/// Collects what is wrong with one file.
+class FindingList
+{
+public:
+    explicit FindingList(std::string file)
+        : m_file(std::move(file))
+    {}
+
+    auto add(const toml::source_position &position, std::string problem, std::string remedy)
+            -> void;
+
+    /// Everything collected, in the order of the file.
+    [[nodiscard]] auto take() -> std::vector<Finding>;
+
+private:
+    std::string m_file;
+    std::vector<Finding> m_findings;
+};
+
+} // namespace stairspur::config
--- /dev/null
+++ b/source/config/SectionCodec.cpp
@@ -0,0 +1,99 @@
+#include "SectionCodec.h"
+
+namespace stairspur::config {
+
+static auto readDuration(const nlohmann::json &json, const char *key) -> Duration
+{
+    return Duration(json.at(key).get<Duration::rep>());
+}
+
+auto to_json(nlohmann::json &json, const FailureDomain &domain) -> void
+{
+    json = {{"name", domain.name}, {"region", domain.region}};
+}
+
+auto from_json(const nlohmann::json &json, FailureDomain &domain) -> void
+{
+    json.at("name").get_to(domain.name);
+    json.at("region").get_to(domain.region);
+}
+
+auto to_json(nlohmann::json &json, const ServiceLimits &limits) -> void
+{
+    json = {{"maxConcurrency", limits.maxConcurrency},
+            {"maxQueue", limits.maxQueue},
+            {"defaultTimeout", limits.defaultTimeout.count()},
+            {"maxTimeout", limits.maxTimeout.count()},
+            {"maxRequestBytes", limits.maxRequestBytes},
+            {"maxAnswerBytes", limits.maxAnswerBytes}};
+}
+
+auto from_json(const nlohmann::json &json, ServiceLimits &limits) -> void
+{
+    json.at("maxConcurrency").get_to(limits.maxConcurrency);
+    json.at("maxQueue").get_to(limits.maxQueue);
+    limits.defaultTimeout = readDuration(json, "defaultTimeout");
+    limits.maxTimeout = readDuration(json, "maxTimeout");
+    json.at("maxRequestBytes").get_to(limits.maxRequestBytes);
+    json.at("maxAnswerBytes").get_to(limits.maxAnswerBytes);
+}
+
+auto to_json(nlohmann::json &json, const Service &service) -> void
+{
+    json = {{"name", service.name},
+            {"limits", service.limits},
+            {"idempotent", service.isIdempotent},
+            {"keyLifetime", service.keyLifetime.count()}};
+}
+
+auto from_json(const nlohmann::json &json, Service &service) -> void
+{
+    json.at("name").get_to(service.name);
+    json.at("limits").get_to(service.limits);
+    json.at("idempotent").get_to(service.isIdempotent);
+    service.keyLifetime = readDuration(json, "keyLifetime");
+}
+
+auto to_json(nlohmann::json &json, const CallPath &path) -> void
+{
+    json = {{"name", path.name}, {"classes", path.classes}, {"services", path.services}};
+}
+
+auto from_json(const nlohmann::json &json, CallPath &path) -> void
+{
+    json.at("name").get_to(path.name);
+    json.at("classes").get_to(path.classes);
+    json.at("services").get_to(path.services);
+}
+
+auto to_json(nlohmann::json &json, const Caller &caller) -> void
+{
+    json = {{"name", caller.name},
+            {"keySha256", caller.keySha256},
+            {"classes", caller.classes},
+            {"homeDomain", caller.homeDomain}};
+}
+
+auto from_json(const nlohmann::json &json, Caller &caller) -> void
+{
+    json.at("name").get_to(caller.name);
+    json.at("keySha256").get_to(caller.keySha256);
+    json.at("classes").get_to(caller.classes);
+    json.at("homeDomain").get_to(caller.homeDomain);
+}
+
+auto to_json(nlohmann::json &json, const RetryLimits &retry) -> void
+{
+    json = {{"extraAttempts", retry.extraAttempts},
+            {"successShare", retry.successShare},
+            {"bucketSize", retry.bucketSize}};
+}
+
+auto from_json(const nlohmann::json &json, RetryLimits &retry) -> void
+{
+    json.at("extraAttempts").get_to(retry.extraAttempts);
+    json.at("successShare").get_to(retry.successShare);
+    json.at("bucketSize").get_to(retry.bucketSize);
+}
+
+} // namespace stairspur::config
--- /dev/null
+++ b/source/config/SectionCodec.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <stairspur/config/Configuration.h>
+
+/// How the parts of a configuration stand in CBOR. Durations are whole microseconds, sizes bytes. These functions are
+/// what nlohmann/json looks for by name. Reading throws nlohmann::json::exception on a missing key or a wrong type.
+namespace stairspur::config {
+
+auto to_json(nlohmann::json &json, const FailureDomain &domain) -> void;
+auto from_json(const nlohmann::json &json, FailureDomain &domain) -> void;
+auto to_json(nlohmann::json &json, const ServiceLimits &limits) -> void;
+auto from_json(const nlohmann::json &json, ServiceLimits &limits) -> void;
+auto to_json(nlohmann::json &json, const Service &service) -> void;
+auto from_json(const nlohmann::json &json, Service &service) -> void;
+auto to_json(nlohmann::json &json, const CallPath &path) -> void;
+auto from_json(const nlohmann::json &json, CallPath &path) -> void;
+auto to_json(nlohmann::json &json, const Caller &caller) -> void;
+auto from_json(const nlohmann::json &json, Caller &caller) -> void;
+auto to_json(nlohmann::json &json, const RetryLimits &retry) -> void;
+auto from_json(const nlohmann::json &json, RetryLimits &retry) -> void;
+
+} // namespace stairspur::config
