Transport: Serve and send HTTP/1.1 over kept connections

Cause: the entry takes calls over HTTP, the gate passes them to its backend server, and neither had code for it. Ways weighed: Beast's async_read with a strand and a timer per operation, and one coroutine a connection with one read and one timer. The second was taken: the read goes on while the handler runs, so a caller's leaving is seen at once and bytes of the next request are kept. Change: HeaderList, HttpServer (limits, 400/408/413/431/503 as problem+json, drain, TLS when a certificate is named), HttpClient (pooled connections that are probed for their end before use; nothing is sent twice).

--- /dev/null
+++ b/source/transport/HttpClient.cpp
@@ -0,0 +1,147 @@
+#include <stairspur/transport/HttpClient.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "HttpClientConnection.h"
+
+namespace stairspur::transport {
+
+using ConnectionPtr = std::shared_ptr<HttpClientConnection>;
+
+/// Lets a cancellation close the connection that carries the request, for as long as it does.
+class CancellationGuard
+{
+public:
+    CancellationGuard(CancellationPtr cancellation, const ConnectionPtr &connection)
+        : m_cancellation(std::move(cancellation))
+    {
+        if (!m_cancellation)
+            return;
+        m_cancellation->onCancel([weak = std::weak_ptr(connection)] {
+            if (const auto it = weak.lock())
+                it->giveUp(HttpFailure::Cancelled);
+        });
+    }
+    ~CancellationGuard()
+    {
+        if (m_cancellation && !m_cancellation->isCancelled())
+            m_cancellation->onCancel(nullptr);
+    }
+    CancellationGuard(const CancellationGuard &) = delete;
+    CancellationGuard(CancellationGuard &&) = delete;
+    auto operator=(const CancellationGuard &) -> CancellationGuard & = delete;
+    auto operator=(CancellationGuard &&) -> CancellationGuard & = delete;
+
+private:
+    CancellationPtr m_cancellation;
+};
+
+class HttpClient::Pool : public std::enable_shared_from_this<HttpClient::Pool>
+{
+public:
+    Pool(asio::io_context &io, HttpClientSettings settings)
+        : m_io(io)
+        , m_settings(std::move(settings))
+        , m_endpoint(parseAddress(m_settings.address), m_settings.port)
+        , m_host(m_settings.address + ":" + std::to_string(m_settings.port))
+    {}
+
+    auto send(HttpRequest request, Duration timeout, CancellationPtr cancellation)
+            -> Task<HttpResponse>
+    {
+        const auto self = shared_from_this();
+        const auto deadline = monotonicNow() + timeout;
+        const auto head = makeRequestHead(request, m_host);
+        ensureNotCancelled(cancellation);
+        while (auto connection = takeIdle()) {
+            // Only a request of which no byte was sent goes on to another connection.
+            if (auto response = co_await tryKept(connection, head, request, deadline, cancellation))
+                co_return std::move(*response);
+            ensureNotCancelled(cancellation);
+        }
+        auto connection = std::make_shared<HttpClientConnection>(m_io);
+        const auto guard = CancellationGuard(cancellation, connection);
+        co_await connection->connect(
+                m_endpoint, std::min(deadline - monotonicNow(), m_settings.connectTimeout));
+        co_return co_await exchange(connection, head, request, deadline);
+    }
+
+    auto closeIdle() -> void { m_idle.clear(); }
+
+private:
+    static auto ensureNotCancelled(const CancellationPtr &cancellation) -> void
+    {
+        if (cancellation && cancellation->isCancelled())
+            throw HttpClientError(HttpFailure::NotConnected, "the request was cancelled unsent",
+                                  "send it again if it is still wanted");
+    }
+
+    static auto parseAddress(const std::string &text) -> asio::ip::address
+    {
+        auto ec = boost::system::error_code();
+        auto address = asio::ip::make_address(text, ec);
+        if (ec)
+            throw SettingError("'" + text + "' is no IP number", "name the server's IP number");
+        return address;
+    }
+
+    auto tryKept(const ConnectionPtr &connection, const std::string &head,
+                 const HttpRequest &request, TimePoint deadline, CancellationPtr cancellation)
+            -> Task<std::optional<HttpResponse>>
+    {
+        const auto guard = CancellationGuard(std::move(cancellation), connection);
+        try {
+            co_return co_await exchange(connection, head, request, deadline);
+        } catch (const HttpClientError &error) {
+            if (error.failure() != HttpFailure::NotConnected)
+                throw;
+        }
+        co_return std::nullopt;
+    }
+
+    auto exchange(const ConnectionPtr &connection, const std::string &head,
+                  const HttpRequest &request, TimePoint deadline) -> Task<HttpResponse>
+    {
+        auto response = co_await connection->exchange(head, request, deadline - monotonicNow(),
+                                                      m_settings.maxAnswerBytes);
+        if (connection->mayBeKept() && m_idle.size() < m_settings.maxIdleConnections)
+            m_idle.push_back(connection);
+        co_return response;
+    }
+
+    /// The kept connection that was used last, which is the least likely to have been closed meanwhile.
+    auto takeIdle() -> ConnectionPtr
+    {
+        while (!m_idle.empty()) {
+            auto connection = std::move(m_idle.back());
+            m_idle.pop_back();
+            if (connection->isUsable())
+                return connection;
+        }
+        return nullptr;
+    }
+
+    asio::io_context &m_io;
+    HttpClientSettings m_settings;
+    asio::ip::tcp::endpoint m_endpoint;
+    std::string m_host;
+    std::vector<ConnectionPtr> m_idle;
+};
+
+HttpClient::HttpClient(asio::io_context &io, HttpClientSettings settings)
+    : m_pool(std::make_shared<Pool>(io, std::move(settings)))
+{}
+
+HttpClient::~HttpClient()
+{
+    m_pool->closeIdle();
+}
+
+auto HttpClient::send(HttpRequest request, Duration timeout, CancellationPtr cancellation)
+        -> Task<HttpResponse>
+{
+    return m_pool->send(std::move(request), timeout, std::move(cancellation));
+}
+
+} // namespace stairspur::transport
--- /dev/null
+++ b/source/transport/HttpClientConnection.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <stairspur/transport/HttpClient.h>
+
+#include "HttpWire.h"
+
+namespace stairspur::transport {
+
+/// One connection to the server; carries one request at a time. Closing it is how a request is given up.
+class HttpClientConnection : public std::enable_shared_from_this<HttpClientConnection>
+{
+public:
+    explicit HttpClientConnection(asio::io_context &io)
+        : m_socket(io)
+        , m_timer(io)
+    {}
+
+    /// Whether the server has left this kept connection alone, so that a request may be sent on it.
+    auto isUsable() -> bool
+    {
+        auto byte = char();
+        auto ec = boost::system::error_code();
+        m_socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+        return ec == asio::error::would_block;
+    }
+
+    auto connect(const asio::ip::tcp::endpoint &endpoint, Duration timeout) -> Task<void>
+    {
+        arm(timeout);
+        const auto [ec] =
+                co_await m_socket.async_connect(endpoint, asio::as_tuple(asio::use_awaitable));
+        disarm();
+        if (ec || m_isGivenUp)
+            fail(HttpFailure::NotConnected, ec.message());
+        auto ignored = boost::system::error_code();
+        m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        m_socket.non_blocking(true, ignored);
+    }
+
+    /// Sends `head` and the request's body, and reads the answer.
+    auto exchange(const std::string &head, const HttpRequest &request, Duration timeout,
+                  std::uint64_t maxAnswerBytes) -> Task<HttpResponse>
+    {
+        arm(timeout);
+        const auto buffers =
+                std::array<asio::const_buffer, 2>{asio::buffer(head), asio::buffer(request.body)};
+        const auto [ec, n] =
+                co_await asio::async_write(m_socket, buffers, asio::as_tuple(asio::use_awaitable));
+        if (ec && n == 0)
+            fail(HttpFailure::NotConnected, ec.message());
+        // A server that refuses a large body answers before it has read it all, so an answer is looked for even after a
+        // write that failed (RFC 9112, section 9.6).
+        auto response = co_await readAnswer(request.method, maxAnswerBytes);
+        disarm();
+        co_return response;
+    }
+
+    /// Closes; a request that runs ends with the failure that is given here.
+    auto giveUp(HttpFailure failure) -> void
+    {
+        m_isGivenUp = true;
+        m_failure = failure;
+        auto ec = boost::system::error_code();
+        m_socket.close(ec);
+    }
+
+    [[nodiscard]] auto mayBeKept() const -> bool { return m_mayBeKept && !m_isGivenUp; }
+
+private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    static constexpr auto MaxHeaderBytes = std::uint32_t{64} << 10U;
+    static constexpr auto FirstFinalStatus = 200;
+    static constexpr auto SwitchingProtocols = 101;
+
+    auto readAnswer(const std::string &method, std::uint64_t maxAnswerBytes) -> Task<HttpResponse>
+    {
+        while (true) {
+            m_parser.emplace();
+            m_parser->header_limit(MaxHeaderBytes);
+            m_parser->body_limit(maxAnswerBytes);
+            m_parser->skip(method == "HEAD");
+            const auto [ec, n] = co_await boost::beast::http::async_read(
+                    m_socket, m_buffer, *m_parser, asio::as_tuple(asio::use_awaitable));
+            if (ec)
+                fail(HttpFailure::Broken, ec.message());
+            const auto status = m_parser->get().result_int();
+            if (status == SwitchingProtocols)
+                fail(HttpFailure::Broken, "it switched protocols");
+            // An interim answer is followed by the final one (RFC 9110, section 15.2).
+            if (status >= FirstFinalStatus)
+                break;
+        }
+        // Bytes past the answer belong to no request of ours.
+        m_mayBeKept = m_parser->get().keep_alive() && m_buffer.size() == 0;
+        co_return takeAnswer();
+    }
+
+    auto takeAnswer() -> HttpResponse
+    {
+        auto message = m_parser->release();
+        m_parser.reset();
+        auto response = HttpResponse{
+                .status = message.result_int(), .headers = {}, .body = std::move(message.body())};
+        for (const auto &it : message)
+            response.headers.add(std::string(it.name_string()), std::string(it.value()));
+        return response;
+    }
+
+    auto arm(Duration timeout) -> void
+    {
+        const auto generation = ++m_generation;
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([weak = weak_from_this(), generation](auto ec) {
+            const auto self = weak.lock();
+            // A timer that was already due when it was cancelled must not end the next request.
+            if (!ec && self && self->m_generation == generation)
+                self->giveUp(HttpFailure::TimedOut);
+        });
+    }
+
+    auto disarm() -> void
+    {
+        ++m_generation;
+        m_timer.cancel();
+    }
+
+    [[noreturn]] auto fail(HttpFailure failure, const std::string &why) -> void
+    {
+        disarm();
+        m_mayBeKept = false;
+        if (failure == HttpFailure::NotConnected)
+            throw HttpClientError(failure, "the request could not be sent (" + why + ")",
+                                  "check that the server runs and is reachable");
+        if (m_isGivenUp)
+            failure = m_failure;
+        if (failure == HttpFailure::TimedOut)
+            throw HttpClientError(failure, "the server did not answer in time",
+                                  "check its load, or allow more time");
+        if (failure == HttpFailure::Cancelled)
+            throw HttpClientError(failure, "the request was cancelled",
+                                  "send it again if it is still wanted");
+        throw HttpClientError(failure, "the server's answer is broken (" + why + ")",
+                              "check the server's log");
+    }
+
+    asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+    std::uint64_t m_generation = 0;
+    HttpFailure m_failure = HttpFailure::Broken;
+    bool m_isGivenUp = false;
+    bool m_mayBeKept = false;
+};
+
+} // namespace stairspur::transport
