Retry: Keep one budget per root request

Cause: each hop that retries on its own multiplies the load of a failing chain. Ruled out: a count of retries per hop (grows with the depth), and charging only the second attempts of a call, since the deeper calls of a repeated run are second dispatches too and would come free. Change: the ledger lends shares and never takes back more than it lent, so that a lying answer cannot grow the budget; below a repeat the dispatch itself costs one. Conclusion: the bound dispatches <= calls + B holds by construction of lent and left.

--- a/include/stairspur/retry/RetryPolicy.h
+++ b/include/stairspur/retry/RetryPolicy.h
@@ -28,6 +28,11 @@
     GiveUp,    ///< Answer the caller now.
 };
 
+/// Most upstreams that one call is sent to without having been dispatched, besides the first one. Each such try costs
+/// a round trip of the caller's time (about 2 ms between the failure domains of one region), and its refusal tells the
+/// upstream's floor to the calls that follow. Eight upstreams that refuse are half of a default subset.
+inline constexpr std::uint32_t MaxElsewhereTries = 8;
+
 /// Non-idempotent calls are sent again only after a proven `not-run`.
 auto decideRetry(const AttemptEnd &end) -> RetryDecision;
 
--- /dev/null
+++ b/source/retry/RetryLedger.cpp
@@ -0,0 +1,71 @@
+#include <stairspur/retry/RetryLedger.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace stairspur::retry {
+
+auto RetryLedger::open(CallId call, std::uint32_t budget, bool isRepeat) -> void
+{
+    const auto [it, isNew] = m_accounts.try_emplace(call, Account{budget, 0, isRepeat});
+    assert(isNew && "a call is opened once");
+    static_cast<void>(it);
+    static_cast<void>(isNew);
+}
+
+auto RetryLedger::isOpen(CallId call) const -> bool
+{
+    return m_accounts.contains(call);
+}
+
+auto RetryLedger::isRepeat(CallId call) const -> bool
+{
+    const auto it = m_accounts.find(call);
+    return it != m_accounts.end() && it->second.isRepeat;
+}
+
+auto RetryLedger::left(CallId call) const -> std::uint32_t
+{
+    const auto it = m_accounts.find(call);
+    return it == m_accounts.end() ? 0 : it->second.left;
+}
+
+auto RetryLedger::takeShare(CallId parent) -> std::optional<std::uint32_t>
+{
+    const auto it = m_accounts.find(parent);
+    if (it == m_accounts.end())
+        return std::nullopt;
+    auto &account = it->second;
+    if (account.isRepeat) {
+        if (account.left == 0)
+            return std::nullopt;
+        --account.left;
+    }
+    const auto share = account.left - account.left / 2; // Half, rounded up.
+    account.left -= share;
+    account.taken += share;
+    return share;
+}
+
+auto RetryLedger::giveBack(CallId parent, std::uint32_t unspent) -> void
+{
+    const auto it = m_accounts.find(parent);
+    if (it == m_accounts.end())
+        return;
+    auto &account = it->second;
+    const auto returned = std::min(unspent, account.taken);
+    account.taken -= returned;
+    account.left += returned;
+}
+
+auto RetryLedger::close(CallId call) -> std::uint32_t
+{
+    const auto it = m_accounts.find(call);
+    if (it == m_accounts.end())
+        return 0;
+    const auto left = it->second.left;
+    m_accounts.erase(it);
+    return left;
+}
+
+} // namespace stairspur::retry
