Routing: Choose among upstreams by aged reports and own outcomes

Cause: an entry has to place each call at once, on reports that are old, missing or wrong. Ruled out: the least loaded of all (every entry runs to the same upstream), round robin (blind to load), and trust in health endpoints, which lag. Change: power of two choices over the others' reported load, drawn to the pool's mean as it ages, plus our own calls under way; floors that fall when nobody refreshes them and that answers outrank; tiers from the own failure domain to the rest of the pool before a call is refused; bounded ejection; a rendezvous subset; slow start by share. AttemptResult has a new last member, the call's level.

--- a/include/stairspur/routing/UpstreamPool.h
+++ b/include/stairspur/routing/UpstreamPool.h
@@ -76,6 +76,8 @@
     Reason reason = Reason::None;
     Duration latency{0};
     std::optional<admission::LoadReport> report;
+    std::optional<Level>
+            level; ///< Of the call: what the gate did with it outranks the floors it reports.
 };
 
 /// One service's upstreams, as one entry sees them.
@@ -106,6 +108,9 @@
     /// The lowest level that some reachable upstream admits, for a class: what deeper services tell upwards.
     [[nodiscard]] auto floorFor(ClassRank rank, TimePoint now) const -> Level;
 
+    /// How long a call takes that is answered, smoothed over the answers. Zero before the first one.
+    [[nodiscard]] auto expectedLatency() const -> Duration;
+
     /// The upstreams that this entry keeps links to.
     [[nodiscard]] auto subset() const -> std::vector<NodeId>;
 
--- /dev/null
+++ b/source/routing/CandidateTiers.cpp
@@ -0,0 +1,74 @@
+#include "CandidateTiers.h"
+
+#include <algorithm>
+
+namespace stairspur::routing {
+
+/// A call leaves its own failure domain when it would wait there for more than this part of the time that is left.
+static constexpr auto ComfortableDivisor = 4;
+
+auto CandidateTiers::add(const UpstreamView &view, std::size_t index) -> void
+{
+    ++m_seen;
+    if (view.isDraining(m_now, m_settings.reportHalfLife)) {
+        ++m_draining;
+        return;
+    }
+    if (view.isEjected(m_now))
+        return;
+    const auto floor =
+            view.floors().floorFor(m_request.level.rank(), m_now, m_settings.reportHalfLife);
+    if (floor > m_request.level)
+        m_lowestFloor = std::min(m_lowestFloor.value_or(floor), floor);
+    if (isExcluded(view.upstream().node))
+        return;
+    const auto tier = static_cast<std::size_t>(tierOf(view, floor));
+    m_tiers[tier].push_back(static_cast<std::uint32_t>(index));
+}
+
+auto CandidateTiers::isExcluded(const NodeId &node) const -> bool
+{
+    return std::find(m_request.excluded.begin(), m_request.excluded.end(), node)
+           != m_request.excluded.end();
+}
+
+auto CandidateTiers::tierOf(const UpstreamView &view, Level floor) const -> Tier
+{
+    if (floor <= m_request.level)
+        return admittedTierOf(view);
+    if (view.floors().isFresh(m_now, m_settings.reportHalfLife))
+        return Tier::BelowFloor;
+    return view.isInSubset() ? Tier::OldFloor : Tier::OldFloorWidened;
+}
+
+auto CandidateTiers::admittedTierOf(const UpstreamView &view) const -> Tier
+{
+    const auto isOwnDomain = view.upstream().domain == m_settings.ownDomain;
+    const auto remaining = m_request.deadline - m_now;
+    const auto expected = m_estimate.expectedTime(view);
+    if (expected > remaining)
+        return Tier::TooLate;
+    if (!view.isInSubset())
+        return isOwnDomain ? Tier::WidenedOwn : Tier::WidenedOther;
+    const auto wait = expected - view.outcomes().leastLatency();
+    if (wait <= remaining / ComfortableDivisor)
+        return isOwnDomain ? Tier::OwnDomain : Tier::OtherDomain;
+    return isOwnDomain ? Tier::OwnDomainLate : Tier::OtherDomainLate;
+}
+
+auto CandidateTiers::best() const -> std::optional<Tier>
+{
+    for (std::size_t tier = 0; tier < static_cast<std::size_t>(Tier::BelowFloor); ++tier) {
+        if (!m_tiers[tier].empty())
+            return static_cast<Tier>(tier);
+    }
+    return std::nullopt;
+}
+
+auto CandidateTiers::hasTimely() const -> bool
+{
+    const auto tier = best();
+    return tier && *tier <= Tier::OtherDomainLate;
+}
+
+} // namespace stairspur::routing
--- /dev/null
+++ b/source/routing/PoolState.cpp
@@ -0,0 +1,242 @@
+#include "PoolState.h"
+
+#include <algorithm>
+
+#include "RefusalDelay.h"
+#include "RendezvousSubset.h"
+#include "SlowStart.h"
+
+namespace stairspur::routing {
+
+/// Weight of one answer in the smoothed latency, as a divisor (Jacobson, SIGCOMM 1988).
+static constexpr auto LatencyDivisor = 8;
+
+UpstreamPool::State::State(std::string service, const RoutingSettings &settings)
+    : m_service(std::move(service))
+    , m_settings(settings)
+{
+    m_settings.reportHalfLife = std::max(m_settings.reportHalfLife, Duration{1});
+}
+
+auto UpstreamPool::State::find(const NodeId &node) -> UpstreamView *
+{
+    const auto it = std::lower_bound(
+            m_views.begin(), m_views.end(), node,
+            [](const UpstreamView &view, const NodeId &id) { return view.upstream().node < id; });
+    return it != m_views.end() && it->upstream().node == node ? &*it : nullptr;
+}
+
+auto UpstreamPool::State::setUpstreams(std::span<const Upstream> upstreams, TimePoint now) -> void
+{
+    auto sorted = std::vector<Upstream>(upstreams.begin(), upstreams.end());
+    std::sort(sorted.begin(), sorted.end(),
+              [](const Upstream &a, const Upstream &b) { return a.node < b.node; });
+    auto views = std::vector<UpstreamView>();
+    views.reserve(sorted.size());
+    for (auto &it : sorted) {
+        if (!views.empty() && views.back().upstream().node == it.node)
+            continue;
+        auto *known = find(it.node);
+        if (known == nullptr) {
+            views.emplace_back(std::move(it), now);
+            continue;
+        }
+        known->update(it, now);
+        views.push_back(std::move(*known));
+    }
+    m_views = std::move(views);
+    chooseSubset();
+}
+
+auto UpstreamPool::State::chooseSubset() -> void
+{
+    auto members = std::vector<SubsetMember>();
+    members.reserve(m_views.size());
+    for (const auto &it : m_views) {
+        if (!it.upstream().isDraining)
+            members.push_back({it.upstream().node, it.upstream().domain});
+    }
+    m_subset = rendezvousSubset(
+            {m_service, m_settings.ownNode, m_settings.ownDomain, m_settings.subsetSize}, members);
+    m_subsetIndices.clear();
+    for (std::size_t index = 0; index < m_views.size(); ++index) {
+        const auto &node = m_views[index].upstream().node;
+        const auto isIn = std::binary_search(m_subset.begin(), m_subset.end(), node);
+        m_views[index].setInSubset(isIn);
+        if (isIn)
+            m_subsetIndices.push_back(static_cast<std::uint32_t>(index));
+    }
+}
+
+auto UpstreamPool::State::estimate(TimePoint now) const -> LoadEstimate
+{
+    auto loads = LoadEstimate(now, m_settings.reportHalfLife, m_settings.ejectionBase);
+    for (const auto it : m_subsetIndices)
+        loads.include(m_views[it]);
+    return loads;
+}
+
+auto UpstreamPool::State::choose(const RouteRequest &request, TimePoint now, Random &random)
+        -> RouteDecision
+{
+    const auto loads = estimate(now);
+    auto tiers = CandidateTiers(request, m_settings, now, loads);
+    for (const auto it : m_subsetIndices)
+        tiers.add(m_views[it], it);
+    if (!tiers.hasTimely())
+        widen(tiers);
+    if (const auto tier = tiers.best()) {
+        const auto &members = tiers.members(*tier);
+        const auto &view = m_views[pickOfTwo(members, loads, now, random)];
+        return {view.upstream().node, reasonFor(*tier, view, members.size()), Reason::None,
+                Duration::zero(), static_cast<std::uint32_t>(members.size())};
+    }
+    const auto &refusing = tiers.members(Tier::BelowFloor);
+    if (!refusing.empty() && request.mayProbe && randomUnit(random) < m_settings.probeShare) {
+        const auto &view = m_views[pickOne(refusing, std::nullopt, now, random)];
+        return {view.upstream().node, RouteReason::Probe, Reason::None, Duration::zero(),
+                static_cast<std::uint32_t>(refusing.size())};
+    }
+    return refuse(tiers, request, random);
+}
+
+auto UpstreamPool::State::widen(CandidateTiers &tiers) const -> void
+{
+    for (std::size_t index = 0; index < m_views.size(); ++index) {
+        if (!m_views[index].isInSubset())
+            tiers.add(m_views[index], index);
+    }
+}
+
+auto UpstreamPool::State::reasonFor(Tier tier, const UpstreamView &view,
+                                    std::size_t candidates) const -> RouteReason
+{
+    if (tier == Tier::OldFloor || tier == Tier::OldFloorWidened)
+        return RouteReason::ImportantBypass;
+    if (view.upstream().domain != m_settings.ownDomain)
+        return RouteReason::Spilled;
+    return candidates == 1 ? RouteReason::OnlyCandidate : RouteReason::LessLoaded;
+}
+
+auto UpstreamPool::State::refuse(const CandidateTiers &tiers, const RouteRequest &request,
+                                 Random &random) const -> RouteDecision
+{
+    auto decision = RouteDecision{};
+    decision.candidates = static_cast<std::uint32_t>(tiers.members(Tier::BelowFloor).size());
+    if (const auto floor = tiers.lowestFloor()) {
+        decision.refusal = Reason::BelowFloor;
+        decision.retryAfter = floorDelay(request.level, *floor, m_settings, random);
+        return decision;
+    }
+    const auto isDraining = tiers.hasDraining() && !tiers.hasOtherThanDraining();
+    decision.refusal = isDraining ? Reason::Draining : Reason::NoUpstream;
+    decision.retryAfter = absenceDelay(m_settings, random);
+    return decision;
+}
+
+auto UpstreamPool::State::pickOne(const std::vector<std::uint32_t> &members,
+                                  std::optional<std::uint32_t> skipped, TimePoint now,
+                                  Random &random) const -> std::uint32_t
+{
+    const auto shareOf = [&](std::uint32_t index) {
+        const auto share = slowStartShare(m_views[index].newSince(), now, m_settings.slowStart);
+        return index == skipped ? 0.0 : share;
+    };
+    auto total = 0.0;
+    for (const auto it : members)
+        total += shareOf(it);
+    auto point = randomUnit(random) * total;
+    for (const auto it : members) {
+        point -= shareOf(it);
+        if (point < 0)
+            return it;
+    }
+    // Rounding left a trifle over.
+    return members.back() == skipped ? members.front() : members.back();
+}
+
+auto UpstreamPool::State::pickOfTwo(const std::vector<std::uint32_t> &members,
+                                    const LoadEstimate &loads, TimePoint now, Random &random) const
+        -> std::uint32_t
+{
+    const auto first = pickOne(members, std::nullopt, now, random);
+    if (members.size() == 1)
+        return first;
+    const auto second = pickOne(members, first, now, random);
+    return loads.loadOf(m_views[second]) < loads.loadOf(m_views[first]) ? second : first;
+}
+
+auto UpstreamPool::State::didSend(const NodeId &node) -> void
+{
+    if (auto *view = find(node))
+        view->didSend();
+}
+
+auto UpstreamPool::State::didEnd(const AttemptResult &result, TimePoint now) -> void
+{
+    auto *view = find(result.node);
+    if (view == nullptr)
+        return;
+    view->didEnd(result, now, m_settings.reportHalfLife);
+    if (result.outcome == Outcome::Answered) {
+        const auto isFirst = m_latency == Duration::zero();
+        m_latency = isFirst ? result.latency
+                            : m_latency + (result.latency - m_latency) / LatencyDivisor;
+    }
+    maybeEject(*view, now);
+}
+
+auto UpstreamPool::State::poolRate(TimePoint now) const -> double
+{
+    auto sum = 0.0;
+    auto n = 0U;
+    for (const auto &it : m_views) {
+        if (it.outcomes().attempts() == 0 || it.isEjected(now))
+            continue;
+        sum += it.outcomes().successRate(now, m_settings.ejectionBase);
+        ++n;
+    }
+    return n == 0 ? 1.0 : sum / n;
+}
+
+auto UpstreamPool::State::maybeEject(UpstreamView &view, TimePoint now) -> void
+{
+    // The pool's rate costs a pass over all upstreams: it is at most 1, which judges most attempts.
+    if (!OutlierEjection::isOutlier(view.outcomes(), 1.0, now, m_settings.ejectionBase))
+        return;
+    if (view.isEjected(now)
+        || !OutlierEjection::isOutlier(view.outcomes(), poolRate(now), now,
+                                       m_settings.ejectionBase))
+        return;
+    const auto isEjected = [&](const UpstreamView &it) { return it.isEjected(now); };
+    const auto isUsable = [&](const UpstreamView &it) {
+        return !it.isEjected(now) && !it.isDraining(now, m_settings.reportHalfLife);
+    };
+    const auto ejected = std::count_if(m_views.begin(), m_views.end(), isEjected);
+    const auto usable = std::count_if(m_views.begin(), m_views.end(), isUsable);
+    const auto most = OutlierEjection::maxEjected(m_views.size(), m_settings.maxEjectedShare);
+    if (static_cast<std::size_t>(ejected) >= most || usable <= 1)
+        return;
+    view.eject(now, m_settings.ejectionBase);
+}
+
+auto UpstreamPool::State::didReport(const NodeId &node, const admission::LoadReport &report,
+                                    TimePoint now) -> void
+{
+    if (auto *view = find(node))
+        view->didReport(report, now, m_settings.reportHalfLife);
+}
+
+auto UpstreamPool::State::floorFor(ClassRank rank, TimePoint now) const -> Level
+{
+    auto lowest = ClosedLevel;
+    for (const auto &it : m_views) {
+        const auto isKnown = it.isInSubset() || it.reports().limit() > 0;
+        if (!isKnown || it.isEjected(now) || it.isDraining(now, m_settings.reportHalfLife))
+            continue;
+        lowest = std::min(lowest, it.floors().floorFor(rank, now, m_settings.reportHalfLife));
+    }
+    return lowest;
+}
+
+} // namespace stairspur::routing
--- /dev/null
+++ b/source/routing/UpstreamView.cpp
@@ -0,0 +1,93 @@
+#include "UpstreamView.h"
+
+#include <algorithm>
+
+namespace stairspur::routing {
+
+/// Whether the way that an attempt ended speaks against the upstream. A refusal for overload does not: it is the gate
+/// at work, and its floor and load keep calls away.
+static auto isFault(const AttemptResult &result) -> bool
+{
+    switch (result.reason) {
+    case Reason::LinkLost:
+    case Reason::DamagedAnswer:
+    case Reason::BackendFailed:
+        return true;
+    case Reason::Cancelled:
+        return false;
+    default:
+        return result.outcome == Outcome::Failed || result.outcome == Outcome::Unknown;
+    }
+}
+
+auto UpstreamView::update(const Upstream &upstream, TimePoint now) -> void
+{
+    if (upstream.incarnation > m_upstream.incarnation) {
+        m_reports = {};
+        m_floors = {};
+        m_outcomes = {};
+        m_ejection = {};
+        m_newSince = now;
+    }
+    m_upstream = upstream;
+}
+
+auto UpstreamView::didEnd(const AttemptResult &result, TimePoint now, Duration halfLife) -> void
+{
+    if (m_inFlight > 0)
+        --m_inFlight;
+    if (result.report)
+        didReport(*result.report, now, halfLife);
+    if (isFault(result)) {
+        m_outcomes.didFail(now);
+        return;
+    }
+    if (result.outcome == Outcome::NotRun) {
+        didRefuse(result, now);
+        return;
+    }
+    if (result.outcome != Outcome::Answered)
+        return;
+    m_outcomes.didSucceed(result.latency, now);
+    if (result.level)
+        m_floors.didAdmit(*result.level, now - result.latency, now);
+}
+
+auto UpstreamView::didRefuse(const AttemptResult &result, TimePoint now) -> void
+{
+    if (result.reason == Reason::Draining)
+        m_reports.didRefuseDraining(now);
+    if (result.reason == Reason::Cold)
+        m_newSince = now;
+    if (result.reason == Reason::BelowFloor && result.level)
+        m_floors.didRefuse(*result.level, now);
+}
+
+auto UpstreamView::didReport(const admission::LoadReport &report, TimePoint now, Duration halfLife)
+        -> void
+{
+    if (!m_reports.isNewer(report, now, halfLife))
+        return;
+    m_reports.take(report, m_upstream.slots, m_inFlight, now);
+    m_floors.take(report.floors, now);
+}
+
+auto UpstreamView::eject(TimePoint now, Duration base) -> void
+{
+    m_ejection.eject(now, base);
+    m_outcomes.forgetFailures();
+    m_newSince = m_ejection.until();
+}
+
+auto UpstreamView::isDraining(TimePoint now, Duration halfLife) const -> bool
+{
+    return m_upstream.isDraining || m_reports.isDraining(now, halfLife);
+}
+
+auto UpstreamView::limit() const -> std::uint32_t
+{
+    const auto reported = m_reports.limit();
+    return reported > 0 ? reported : std::max(1U, m_upstream.slots);
+}
+
+} // namespace stairspur::routing
