Node: Spend the retry budget as the ledger asks

Cause: the retry module counts the deeper calls of a repeated run as repeats too; the entry's own arithmetic did not. Ruled out: keeping a reserve of one at the entry, which the module's halving replaces. Change: CallBudget and RetryLedger decide; CallRequest carries isRepeat; a spent budget refuses a deeper call by name. Conclusion: one place holds the arithmetic.

--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -22,11 +22,6 @@
 static constexpr auto FloorInterval = std::chrono::milliseconds(20);
 /// When to come back to a node that has no configuration yet.
 static constexpr auto NoConfigurationRetryAfter = Duration{1'000'000};
-/// Attempts that may be sent elsewhere after a proven not-run. Each costs a round trip, and past a few the service as a
-/// whole refuses.
-static constexpr auto MaxElsewhere = std::uint32_t{3};
-/// Weight of the newest answer in the moving average of latencies.
-static constexpr auto LatencyWeight = 8;
 
 Entry::Entry(transport::asio::io_context &io, const NodeSettings &settings, NodeBoard &board,
              RunningCalls &running, NodeMetrics &metrics, transport::PeerClient &peers,
@@ -80,23 +75,22 @@
 
 auto Entry::route(IncomingCall call, CancellationPtr cancellation) -> Task<CallAnswer>
 {
-    auto attempts = Attempts();
-    attempts.budget = call.request.retryBudget;
+    auto share = ChildShare{Reason::None, call.request.retryBudget, false};
     const auto childId = CallId{m_random()};
     if (call.parent) {
         auto cancelHere = [this, cancellation] {
             transport::asio::post(m_io, [cancellation] { cancellation->cancel(); });
         };
-        const auto share = m_running.addChild(*call.parent, childId, std::move(cancelHere));
-        if (!share)
-            co_return finalRefusal(attempts, Reason::ParentUnknown, Duration::zero());
-        attempts.budget = *share;
+        share = m_running.addChild(*call.parent, childId, std::move(cancelHere));
     }
+    auto attempts = Attempts{.budget = retry::CallBudget(share.budget, share.isRepeat)};
+    if (share.refusal != Reason::None)
+        co_return finalRefusal(attempts, share.refusal, Duration::zero());
     auto &routes = routesFor(call.request.service);
     auto answer = co_await attemptUntilFinal(call, routes, attempts, cancellation);
-    answer.unspentBudget = attempts.budget;
+    answer.unspentBudget = attempts.budget.left();
     if (call.parent)
-        m_running.removeChild(*call.parent, childId, attempts.budget);
+        m_running.removeChild(*call.parent, childId, attempts.budget.left());
     co_return answer;
 }
 
@@ -123,7 +117,7 @@
         if (step == RetryDecision::GiveUp)
             co_return finalRefusal(attempts, attempts.last.reason, attempts.last.retryAfter);
         if (step == RetryDecision::Retry) {
-            --attempts.budget;
+            attempts.budget.trySpend();
             routes.bucket.tryTake();
         }
         attempts.excluded.push_back(*decision.node);
@@ -133,23 +127,25 @@
 auto Entry::attempt(const IncomingCall &call, ServiceRoutes &routes, Attempts &attempts,
                     const NodeId &node, const CancellationPtr &cancellation) -> Task<void>
 {
-    // One of the budget stays here: were the answer lost, all that went with the request would count as spent.
-    const auto reserve = std::min(attempts.budget, std::uint32_t{1});
     const auto start = monotonicNow();
     auto request = call.request;
     request.remaining = call.deadline - start;
-    request.retryBudget = attempts.budget - reserve;
+    const auto share = attempts.budget.startAttempt();
+    request.retryBudget = share.retryBudget;
+    request.isRepeat = share.isRepeat;
     ++attempts.sent;
     routes.pool.didSend(node, start);
     auto answer = co_await m_peers.call(node, std::move(request), cancellation);
     const auto now = monotonicNow();
-    routes.pool.didEnd({node, answer.outcome, answer.reason, now - start, answer.report}, now,
-                       m_random);
-    attempts.budget = reserve + answer.unspentBudget;
+    routes.pool.didEnd(
+            {node, answer.outcome, answer.reason, now - start, answer.report, call.request.level},
+            now, m_random);
+    if (answer.outcome != Outcome::Unknown)
+        attempts.budget.didAnswer(answer.unspentBudget);
     attempts.mayHaveRun =
             attempts.mayHaveRun || answer.wasDispatched || answer.outcome == Outcome::Unknown;
     if (answer.outcome == Outcome::Answered)
-        didSucceed(routes, now - start);
+        routes.bucket.didSucceed();
     attempts.last = std::move(answer);
 }
 
@@ -161,12 +157,13 @@
     end.reason = attempts.last.reason;
     end.wasDispatched = attempts.last.wasDispatched || attempts.last.outcome != Outcome::NotRun;
     end.isIdempotent = call.isIdempotent;
-    end.budget = attempts.budget;
+    end.budget = attempts.budget.left();
     end.hasServiceToken = routes.bucket.tokens() >= 1.0;
     end.remaining = call.deadline - monotonicNow();
-    end.expectedLatency = routes.expectedLatency;
+    end.expectedLatency = routes.pool.expectedLatency();
     const auto decision = retry::decideRetry(end);
-    if (decision == RetryDecision::Elsewhere && attempts.excluded.size() >= MaxElsewhere)
+    if (decision == RetryDecision::Elsewhere
+        && attempts.excluded.size() >= retry::MaxElsewhereTries)
         return RetryDecision::GiveUp;
     return decision;
 }
@@ -188,12 +185,6 @@
     return answer;
 }
 
-auto Entry::didSucceed(ServiceRoutes &routes, Duration latency) -> void
-{
-    routes.bucket.didSucceed();
-    routes.expectedLatency += (latency - routes.expectedLatency) / LatencyWeight;
-}
-
 auto Entry::routesFor(const std::string &service) -> ServiceRoutes &
 {
     const auto it = m_routes.find(service);
@@ -246,7 +237,7 @@
             .add("reason", decision.refusal)
             .add("candidates", decision.candidates)
             .add("attempt", attempts.sent + 1)
-            .add("budget", attempts.budget);
+            .add("budget", attempts.budget.left());
 }
 
 auto Entry::scheduleFloors() -> void
--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -12,6 +12,7 @@
 
 #include <stairspur/core/Random.h>
 #include <stairspur/node/NodeSettings.h>
+#include <stairspur/retry/CallBudget.h>
 #include <stairspur/retry/RetryPolicy.h>
 #include <stairspur/retry/RetryTokenBucket.h>
 #include <stairspur/routing/UpstreamPool.h>
@@ -55,17 +56,16 @@
         routing::UpstreamPool pool;
         retry::RetryTokenBucket bucket;
         std::uint64_t membersGeneration = 0;
-        Duration expectedLatency{0}; ///< Moving average of whole answers.
     };
 
     /// One call on its way: what is left of its budget, and what is known of its attempts.
     struct Attempts
     {
-        std::vector<NodeId> excluded;
-        std::uint32_t budget = 0;
+        std::vector<NodeId> excluded{};
+        retry::CallBudget budget;
         std::uint32_t sent = 0;
         bool mayHaveRun = false;
-        transport::CallAnswer last; ///< Of the latest attempt.
+        transport::CallAnswer last{}; ///< Of the latest attempt.
     };
 
     auto routesFor(const std::string &service) -> ServiceRoutes &;
@@ -80,7 +80,7 @@
             -> transport::CallAnswer;
     [[nodiscard]] auto nextStep(const IncomingCall &call, const ServiceRoutes &routes,
                                 const Attempts &attempts) const -> retry::RetryDecision;
-    auto didSucceed(ServiceRoutes &routes, Duration latency) -> void;
+
     auto logDecision(const IncomingCall &call, const routing::RouteDecision &decision,
                      const Attempts &attempts) -> void;
     auto tellDeeperFloors() -> void;
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -154,9 +154,9 @@
                     CancellationPtr cancellation) -> Task<CallAnswer>
 {
     const auto start = monotonicNow();
-    const auto budget = request.retryBudget;
+
     m_running.open(id, {request.className, request.level, request.root, deadline, request.caller},
-                   budget);
+                   request.retryBudget, request.isRepeat);
     const auto client = m_client; // A newer backend server must not end this call's connections.
     auto answer = CallAnswer();
     auto verdict = BackendVerdict();
--- /dev/null
+++ b/source/node/Node.cpp
@@ -0,0 +1,172 @@
+#include "Node.h"
+
+#include <csignal>
+#include <random>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <stairspur/log/Log.h>
+
+namespace stairspur::node {
+
+namespace asio = transport::asio;
+
+static auto entryServerSettings(const NodeSettings &settings) -> transport::HttpServerSettings
+{
+    auto server = transport::HttpServerSettings();
+    server.address = settings.hostAddress;
+    server.port = settings.entryPort;
+    server.maxConnections = settings.maxConnections;
+    server.maxHeaderBytes = settings.maxHeaderBytes;
+    server.maxBodyBytes = settings.maxBodyBytes;
+    server.requestTimeout = settings.requestTimeout;
+    server.certificateFile = settings.tlsCertificate;
+    server.keyFile = settings.tlsKey;
+    return server;
+}
+
+static auto seed() -> std::uint64_t
+{
+    auto device = std::random_device();
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+Node::Node(const NodeSettings &settings)
+    : m_settings(settings)
+    , m_entryPeers(m_entryThread.io(), peerSettings(settings))
+    , m_peerServer(m_gateThread.io(), settings.hostAddress, settings.peerPort,
+                   peerSettings(settings))
+    , m_entry(m_entryThread.io(), m_settings, m_board, m_running, m_metrics, m_entryPeers, seed())
+    , m_gate(m_gateThread.io(), m_board, m_running, m_metrics, seed())
+    , m_entryServer(m_entryThread.io(), entryServerSettings(settings),
+                    [this](auto request, auto cancellation) {
+                        return m_entry.handle(std::move(request), std::move(cancellation));
+                    })
+    , m_drainTimer(m_control.io())
+{
+    m_controlPlane = std::make_unique<ControlPlane>(m_control.io(), m_settings, m_board, m_metrics,
+                                                    handlers(), seed());
+}
+
+Node::~Node()
+{
+    m_control.stop();
+    m_entryThread.stop();
+    m_gateThread.stop();
+}
+
+auto Node::handlers() -> ControlHandlers
+{
+    auto handlers = ControlHandlers();
+    handlers.startDrain = [this] { startDrain("operator"); };
+    return handlers;
+}
+
+auto Node::start() -> void
+{
+    m_peerServer.setCallHandler(
+            [this](const NodeId &, transport::CallRequest request, auto cancellation) {
+                return m_gate.handle(std::move(request), std::move(cancellation));
+            });
+    m_controlPlane->registerRequests(m_peerServer);
+    m_peerServer.start();
+    m_entryServer.start();
+    m_controlPlane->start();
+    m_entry.start();
+    m_gateThread.start();
+    m_entryThread.start();
+    m_control.start();
+    log::Line(log::Severity::Info, "node-started")
+            .add("domain", m_settings.failureDomain)
+            .add("entry_port", m_entryServer.port())
+            .add("peer_port", m_peerServer.port());
+}
+
+/// The order matters: running calls may still make deeper calls through this host's entry, so the gate empties first.
+auto Node::startDrain(std::string cause) -> void
+{
+    asio::post(m_control.io(), [this, cause = std::move(cause)] {
+        if (std::exchange(m_isDraining, true))
+            return;
+        log::Line(log::Severity::Info, "drain-started").add("cause", cause);
+        m_board.stage.publish(LifeStage::Draining);
+        m_controlPlane->announceDraining();
+        m_drainTimer.expires_after(m_settings.drainTimeout);
+        m_drainTimer.async_wait([this](const boost::system::error_code &ec) {
+            if (!ec)
+                finishDrain(false);
+        });
+        drainGate();
+    });
+}
+
+auto Node::drainGate() -> void
+{
+    asio::post(m_gateThread.io(), [this] {
+        m_gate.drain([this] { asio::post(m_control.io(), [this] { drainEntry(); }); });
+    });
+}
+
+auto Node::drainEntry() -> void
+{
+    m_board.stage.publish(LifeStage::Stopping);
+    asio::post(m_entryThread.io(), [this] {
+        m_entryServer.drain([this] { asio::post(m_control.io(), [this] { drainPeers(); }); });
+    });
+}
+
+auto Node::drainPeers() -> void
+{
+    asio::post(m_gateThread.io(), [this] {
+        m_peerServer.drain([this] { asio::post(m_control.io(), [this] { finishDrain(true); }); });
+    });
+}
+
+auto Node::finishDrain(bool isWhole) -> void
+{
+    if (std::exchange(m_isStopped, true))
+        return;
+    m_drainTimer.cancel();
+    m_controlPlane->leave();
+    log::Line(isWhole ? log::Severity::Info : log::Severity::Warning, "drain-finished")
+            .add("whole", isWhole);
+    m_stopped.set_value(isWhole);
+}
+
+auto Node::waitUntilStopped() -> bool
+{
+    const auto isWhole = m_stopped.get_future().get();
+    m_control.stop();
+    m_entryThread.stop();
+    m_gateThread.stop();
+    return isWhole;
+}
+
+auto runNode(const NodeSettings &settings) -> int
+{
+    static constexpr auto DrainTimedOut = 1;
+    log::start({fromName<log::Severity>(settings.logLevel).value_or(log::Severity::Info),
+                settings.nodeId(), settings.logDecisionSample});
+    auto signals = asio::io_context(1);
+    auto terminate = asio::signal_set(signals, SIGTERM, SIGINT);
+    auto isWhole = true;
+    {
+        auto node = Node(settings);
+        node.start();
+        terminate.async_wait([&node](const boost::system::error_code &ec, int number) {
+            if (!ec)
+                node.startDrain(number == SIGTERM ? "sigterm" : "sigint");
+        });
+        auto signalThread = std::thread([&signals] { signals.run(); });
+        isWhole = node.waitUntilStopped();
+        signals.stop();
+        signalThread.join();
+    }
+    log::stop();
+    return isWhole ? 0 : DrainTimedOut;
+}
+
+} // namespace stairspur::node
--- /dev/null
+++ b/source/node/Node.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <future>
+#include <memory>
+
+#include <stairspur/node/NodeSettings.h>
+#include <stairspur/transport/HttpServer.h>
+#include <stairspur/transport/PeerClient.h>
+#include <stairspur/transport/PeerServer.h>
+
+#include "ControlPlane.h"
+#include "Entry.h"
+#include "Gate.h"
+#include "IoThread.h"
+#include "NodeBoard.h"
+#include "NodeMetrics.h"
+#include "RunningCalls.h"
+
+namespace stairspur::node {
+
+/// The daemon: its threads, and what lives on each.
+class Node
+{
+public:
+    explicit Node(const NodeSettings &settings);
+    ~Node();
+    Node(const Node &) = delete;
+    Node(Node &&) = delete;
+    auto operator=(const Node &) -> Node & = delete;
+    auto operator=(Node &&) -> Node & = delete;
+
+    /// Binds the ports and starts the threads. Throws SettingError when a port cannot be bound.
+    auto start() -> void;
+
+    /// Begins the graceful shutdown; may be called from any thread, and more than once.
+    auto startDrain(std::string cause) -> void;
+
+    /// Waits until the shutdown is done. Whether every running call ended whole within the drain timeout.
+    auto waitUntilStopped() -> bool;
+
+private:
+    auto handlers() -> ControlHandlers;
+    auto drainGate() -> void;
+    auto drainEntry() -> void;
+    auto drainPeers() -> void;
+    auto finishDrain(bool isWhole) -> void;
+
+    NodeSettings m_settings;
+    NodeBoard m_board;
+    NodeMetrics m_metrics;
+    RunningCalls m_running;
+    IoThread m_control{"control"};
+    IoThread m_entryThread{"entry"};
+    IoThread m_gateThread{"gate"};
+    transport::PeerClient m_entryPeers;
+    transport::PeerServer m_peerServer;
+    Entry m_entry;
+    Gate m_gate;
+    transport::HttpServer m_entryServer;
+    std::unique_ptr<ControlPlane> m_controlPlane;
+    transport::asio::steady_timer m_drainTimer;
+    bool m_isDraining = false;
+    bool m_isStopped = false;
+    std::promise<bool> m_stopped;
+};
+
+} // namespace stairspur::node
--- a/source/node/RunningCalls.cpp
+++ b/source/node/RunningCalls.cpp
@@ -2,11 +2,11 @@
 
 namespace stairspur::node {
 
-auto RunningCalls::open(CallId id, RunningCall call, std::uint32_t budget) -> void
+auto RunningCalls::open(CallId id, RunningCall call, std::uint32_t budget, bool isRepeat) -> void
 {
     const auto lock = std::scoped_lock(m_mutex);
     m_records.emplace(id, Record{std::move(call), {}});
-    m_ledger.open(id, budget);
+    m_ledger.open(id, budget, isRepeat);
 }
 
 auto RunningCalls::find(CallId id) const -> std::optional<RunningCall>
@@ -18,15 +18,17 @@
     return it->second.call;
 }
 
-auto RunningCalls::addChild(CallId parent, CallId child, CancelChild cancel)
-        -> std::optional<std::uint32_t>
+auto RunningCalls::addChild(CallId parent, CallId child, CancelChild cancel) -> ChildShare
 {
     const auto lock = std::scoped_lock(m_mutex);
     const auto it = m_records.find(parent);
     if (it == m_records.end())
-        return std::nullopt;
+        return {Reason::ParentUnknown};
+    const auto share = m_ledger.takeShare(parent);
+    if (!share)
+        return {Reason::RetryBudgetSpent};
     it->second.children.emplace(child, std::move(cancel));
-    return m_ledger.takeShare(parent);
+    return {Reason::None, *share, m_ledger.isRepeat(parent)};
 }
 
 auto RunningCalls::removeChild(CallId parent, CallId child, std::uint32_t unspent) -> void
--- a/source/node/RunningCalls.h
+++ b/source/node/RunningCalls.h
@@ -10,6 +10,7 @@
 
 #include <stairspur/core/Identifiers.h>
 #include <stairspur/core/Level.h>
+#include <stairspur/core/Outcome.h>
 #include <stairspur/core/Time.h>
 #include <stairspur/retry/RetryLedger.h>
 
@@ -25,6 +26,14 @@
     std::string caller;
 };
 
+/// What a deeper call gets of its parent's retry budget.
+struct ChildShare
+{
+    Reason refusal = Reason::None; ///< ParentUnknown or RetryBudgetSpent: the call may not start.
+    std::uint32_t budget = 0;
+    bool isRepeat = false;
+};
+
 /// The calls that run at this host's backend server. The gate writes it; the entry asks it when a backend server makes a
 /// deeper call. The one piece of state that both traffic threads share, so it has a lock.
 class RunningCalls
@@ -33,14 +42,14 @@
     using CancelChild = std::function<void()>;
 
     /// A call was dispatched; `budget` extra attempts are left for everything below it.
-    auto open(CallId id, RunningCall call, std::uint32_t budget) -> void;
+    auto open(CallId id, RunningCall call, std::uint32_t budget, bool isRepeat) -> void;
 
     /// The running call, or nothing when it has ended or never ran here.
     [[nodiscard]] auto find(CallId id) const -> std::optional<RunningCall>;
 
-    /// A deeper call of `parent` starts. Returns its share of the budget; nothing when the parent has ended meanwhile.
+    /// A deeper call of `parent` starts and gets its share of the budget, unless the parent has ended meanwhile.
     /// `cancel` is run, from the gate's thread, when the parent ends first.
-    auto addChild(CallId parent, CallId child, CancelChild cancel) -> std::optional<std::uint32_t>;
+    auto addChild(CallId parent, CallId child, CancelChild cancel) -> ChildShare;
 
     /// The deeper call ended with `unspent` of its share left.
     auto removeChild(CallId parent, CallId child, std::uint32_t unspent) -> void;
--- a/tests/node/TestCallIntake.cpp
+++ b/tests/node/TestCallIntake.cpp
@@ -101,7 +101,7 @@
     running.open(0xff,
                  {"orders", makeLevel(1, root.hash()), root, Now + std::chrono::milliseconds(100),
                   "kitchen"},
-                 3);
+                 3, false);
     struct
     {
         const char *wanted;
@@ -127,12 +127,12 @@
 {
     auto running = RunningCalls();
     auto cancelled = 0;
-    running.open(1, {}, 4);
+    running.open(1, {}, 4, false);
     const auto first = running.addChild(1, 10, [&] { ++cancelled; });
     const auto second = running.addChild(1, 11, [&] { ++cancelled; });
-    cr_assert(first && second);
-    running.removeChild(1, 11, *second);
+    cr_assert_eq(first.budget + second.budget, 3);
+    running.removeChild(1, 11, second.budget);
     running.close(1);
     cr_assert_eq(cancelled, 1, "only the child that still runs is cancelled");
-    cr_assert(!running.addChild(1, 12, [] {}));
+    cr_assert(running.addChild(1, 12, [] {}).refusal == Reason::ParentUnknown);
 }
