Config: Test reading, sections and the examples

The hash of a small file is pinned: an encoder of a few lines in another language gave the same digest from the described layout, so that it says more than that the code agrees with itself.

--- /dev/null
+++ b/tests/config/TestSections.cpp
@@ -0,0 +1,138 @@
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+#include <stairspur/config/ConfigurationReader.h>
+#include <stairspur/config/Sections.h>
+#include <stairspur/core/Cbor.h>
+#include <stairspur/core/Hash.h>
+
+#include "ConfigurationTexts.h"
+
+using namespace stairspur;
+using namespace stairspur::config;
+
+static auto readAssociation() -> Configuration
+{
+    return readConfiguration(readRepositoryFile("examples/association.toml"), "association.toml");
+}
+
+/// The names of sections that differ between two configurations.
+static auto changedSections(const Configuration &a, const Configuration &b)
+        -> std::vector<std::string>
+{
+    const auto before = hashesOf(splitIntoSections(a));
+    const auto after = hashesOf(splitIntoSections(b));
+    auto changed = std::vector<std::string>();
+    for (const auto &[name, hash] : after) {
+        const auto it = before.find(name);
+        if (it == before.end() || it->second != hash)
+            changed.push_back(name);
+    }
+    for (const auto &it : before) {
+        if (!after.contains(it.first))
+            changed.push_back(it.first);
+    }
+    return changed;
+}
+
+Test(Sections, joiningWhatWasSplitGivesTheSameMeaning)
+{
+    const auto original = readAssociation();
+    const auto sections = splitIntoSections(original);
+    const auto joined = joinSections(sections);
+    cr_assert(splitIntoSections(joined) == sections);
+    cr_assert_eq(hashOf(splitIntoSections(joined)), hashOf(sections));
+
+    const auto *service = joined.findService("order-intake");
+    cr_assert(service && !service->isIdempotent);
+    cr_assert(service->keyLifetime == std::chrono::minutes(30));
+    cr_assert_eq(service->limits.maxQueue, 330);
+    cr_assert_eq(service->limits.maxAnswerBytes, 256U << 10U);
+    cr_assert_eq(joined.findClass("route-packs")->rank, 2);
+    cr_assert_eq(joined.callers.size(), original.callers.size());
+    const auto *caller = joined.findCallerByKeyHash(sha256Hex("example-courier-key"));
+    cr_assert(caller && caller->classes.front() == "route-packs");
+    cr_assert_eq(caller->homeDomain, "bezigrad");
+    cr_assert_eq(joined.findDomain("domzale")->region, "ljubljana");
+    cr_assert(joined.deeperServices("order-intake", 0).size() == 3);
+    cr_assert_eq(joined.retry.extraAttempts, 3);
+}
+
+Test(Sections, onlyOrdersThatMeanSomethingCount)
+{
+    const auto original = readAssociation();
+    auto reversed = original;
+    std::ranges::reverse(reversed.services);
+    std::ranges::reverse(reversed.domains);
+    std::ranges::reverse(reversed.paths);
+    std::ranges::reverse(reversed.callers);
+    std::ranges::reverse(reversed.paths.front().classes);
+    cr_assert(changedSections(original, reversed).empty());
+
+    auto otherClasses = original;
+    std::ranges::reverse(otherClasses.classes);
+    cr_assert(changedSections(original, otherClasses) == std::vector<std::string>{"classes"});
+}
+
+Test(Sections, aChangeTouchesOneSection)
+{
+    const auto original = readAssociation();
+    auto service = original;
+    service.services.front().limits.maxQueue += 1;
+    cr_assert(changedSections(original, service)
+              == std::vector<std::string>{"service/menu-catalogue"});
+    cr_assert_neq(hashOf(splitIntoSections(service)), hashOf(splitIntoSections(original)));
+
+    auto caller = original;
+    caller.callers.front().homeDomain = "domzale";
+    auto path = original;
+    path.paths.pop_back();
+    auto retry = original;
+    retry.retry.successShare = 0.25;
+    for (const auto &it : {caller, path, retry})
+        cr_assert_eq(changedSections(original, it).size(), 1);
+}
+
+/// The hash is what hosts of any version agree on: a change of it is a change of the protocol.
+Test(Sections, theHashOfASmallFileStaysWhatItIs)
+{
+    const auto sections = splitIntoSections(readConfiguration(smallFile, "f"));
+    cr_assert_eq(hashOf(sections), hashOfHashes(hashesOf(sections)));
+    cr_assert_eq(hashOf(sections),
+                 "12abd8806408641c46295e7833ab3e4381d1afdaebc0c80fa850cbb044cac07c", "%s",
+                 hashOf(sections).c_str());
+}
+
+Test(Sections, whatIsNoConfigurationIsRefused)
+{
+    const auto whole = splitIntoSections(readAssociation());
+    struct
+    {
+        const char *name;
+        const char *section;
+        std::optional<std::string> bytes; ///< Nothing takes the section away.
+    } cases[] = {
+            {"no classes", "classes", std::nullopt},
+            {"no domains", "domains", std::nullopt},
+            {"no retry", "retry", std::nullopt},
+            {"an unknown section", "limits", toCbor(1)},
+            {"no CBOR", "classes", "\xff"},
+            {"an empty section", "retry", ""},
+            {"another type", "domains", toCbor(nlohmann::json::array({1}))},
+            {"a key is missing", "service/order-intake", toCbor({{"name", "order-intake"}})},
+            {"another service", "service/order-intake", whole.at("service/menu-catalogue")},
+            {"too many classes", "classes", toCbor(std::vector<std::string>(33, "c"))},
+            {"a caller of another bucket", "callers/none",
+             toCbor(std::vector<nlohmann::json>{
+                     {{"name", "k"}, {"keySha256", "0"}, {"classes", {"c"}}, {"homeDomain", ""}}})},
+    };
+    for (const auto &it : cases) {
+        auto sections = whole;
+        if (it.bytes)
+            sections[it.section] = *it.bytes;
+        else
+            sections.erase(it.section);
+        cr_assert_throw(joinSections(sections), SectionError, "accepted: %s", it.name);
+    }
+}
