Transport: Carry calls and control requests between nodes over websockets

Cause: entries reach gates on other hosts, and nothing carried calls there. Ways weighed: websocketpp's own asio transport (no sign of when a write is done, so that pieces of bodies can't take turns; a resolver thread; raw pointers to its endpoint in running operations), Beast's websocket, and websocketpp's protocol over our own Boost.Asio sockets. The last was taken. For the frames, nlohmann's tree of values and a plain writer and reader of CBOR; the latter was taken, and its bytes are checked against the former in a test. Change: PeerClient and PeerServer; hello and proof of the secret in both directions; pieces that take turns; hash over id, fields and body; cancels, deadlines, graceful and broken ends; bounded backoff with jitter. Failures found on the way, each with its test: a client with an empty secret took a link for ready that the server refused (its call became unknown; the listening end now proves itself second), and received frames were counted with the wrong end's masking key.

--- /dev/null
+++ b/source/transport/PeerClient.cpp
@@ -0,0 +1,174 @@
+#include <stairspur/transport/PeerClient.h>
+
+#include <algorithm>
+#include <unordered_map>
+
+#include <stairspur/core/Random.h>
+
+#include "PeerClientLink.h"
+
+namespace stairspur::transport {
+
+/// The first rest after a failed connect; doubled with each further one, up to the greatest.
+static constexpr auto FirstBackoff = Duration(50'000);
+static constexpr auto MaxBackoff = Duration(2'000'000);
+static constexpr auto MaxDoublings = 6U;
+
+class PeerClient::Links : public std::enable_shared_from_this<PeerClient::Links>
+{
+public:
+    Links(asio::io_context &io, PeerSettings settings)
+        : m_io(io)
+        , m_settings(std::move(settings))
+        , m_random(std::random_device()())
+    {}
+
+    auto call(NodeId node, CallRequest request, CancellationPtr cancellation) -> Task<CallAnswer>
+    {
+        const auto self = shared_from_this();
+        if (request.body.size() > m_settings.maxBodyBytes)
+            co_return refuse(request, Reason::TooLarge);
+        if (cancellation && cancellation->isCancelled())
+            co_return refuse(request, Reason::Cancelled);
+        const auto link = obtain(node);
+        if (!link)
+            co_return refuse(request, Reason::LinkLost);
+        co_return co_await link->call(std::move(request), std::move(cancellation));
+    }
+
+    auto request(NodeId node, std::string topic, std::string payload, Duration timeout)
+            -> Task<std::string>
+    {
+        const auto self = shared_from_this();
+        const auto link = obtain(node);
+        if (!link)
+            throw PeerError(false, "the link to " + node + " is down",
+                            "check that the node runs and is reachable");
+        co_return co_await link->request(std::move(topic), std::move(payload), timeout);
+    }
+
+    auto release(const NodeId &node) -> void
+    {
+        const auto it = m_entries.find(node);
+        if (it == m_entries.end())
+            return;
+        const auto link = std::move(it->second.link);
+        m_entries.erase(it);
+        if (link)
+            link->release();
+    }
+
+    auto abort() -> void
+    {
+        const auto entries = std::exchange(m_entries, {});
+        for (const auto &[node, entry] : entries) {
+            if (entry.link)
+                entry.link->abort();
+        }
+    }
+
+    [[nodiscard]] auto links() const -> std::uint32_t
+    {
+        return static_cast<std::uint32_t>(
+                std::count_if(m_entries.begin(), m_entries.end(),
+                              [](const auto &it) { return it.second.link != nullptr; }));
+    }
+
+    [[nodiscard]] auto traffic() const -> PeerTraffic { return m_traffic; }
+
+private:
+    struct Entry
+    {
+        std::shared_ptr<PeerClientLink> link;
+        std::uint32_t failures = 0;
+        TimePoint mayConnectAt;
+    };
+
+    static auto refuse(const CallRequest &request, Reason reason) -> CallAnswer
+    {
+        return CallAnswer{
+                .outcome = Outcome::NotRun, .reason = reason, .unspentBudget = request.retryBudget};
+    }
+
+    /// The link to `node`, which may still be connecting; nothing while a failed one rests.
+    auto obtain(const NodeId &node) -> std::shared_ptr<PeerClientLink>
+    {
+        auto &entry = m_entries[node];
+        if (entry.link)
+            return entry.link;
+        if (monotonicNow() < entry.mayConnectAt)
+            return nullptr;
+        auto link = std::make_shared<PeerClientLink>(m_io, node, m_settings, m_traffic);
+        link->setDidClose([weak = weak_from_this(), node, key = link.get()](bool wasReady) {
+            if (const auto self = weak.lock())
+                self->didClose(node, key, wasReady);
+        });
+        entry.link = link;
+        link->start();
+        return link;
+    }
+
+    auto didClose(const NodeId &node, const PeerClientLink *link, bool wasReady) -> void
+    {
+        const auto it = m_entries.find(node);
+        if (it == m_entries.end() || it->second.link.get() != link)
+            return; // Released meanwhile, and perhaps replaced.
+        auto &entry = it->second;
+        entry.link.reset();
+        entry.failures = wasReady ? 0 : std::min(entry.failures + 1, MaxDoublings);
+        if (!wasReady)
+            entry.mayConnectAt = monotonicNow() + backoff(entry.failures);
+    }
+
+    /// Half of it is random, so that nodes that lost the same peer don't come back all at once.
+    auto backoff(std::uint32_t failures) -> Duration
+    {
+        const auto longest = std::min(FirstBackoff * (1U << (failures - 1)), MaxBackoff);
+        const auto half = static_cast<std::uint64_t>(longest.count() / 2);
+        return Duration(half + randomBelow(m_random, half));
+    }
+
+    asio::io_context &m_io;
+    PeerSettings m_settings;
+    PeerTraffic m_traffic;
+    Random m_random;
+    std::unordered_map<NodeId, Entry> m_entries;
+};
+
+PeerClient::PeerClient(asio::io_context &io, PeerSettings settings)
+    : m_links(std::make_shared<Links>(io, std::move(settings)))
+{}
+
+PeerClient::~PeerClient()
+{
+    m_links->abort();
+}
+
+auto PeerClient::call(NodeId node, CallRequest request, CancellationPtr cancellation)
+        -> Task<CallAnswer>
+{
+    return m_links->call(std::move(node), std::move(request), std::move(cancellation));
+}
+
+auto PeerClient::request(NodeId node, std::string topic, std::string payload, Duration timeout)
+        -> Task<std::string>
+{
+    return m_links->request(std::move(node), std::move(topic), std::move(payload), timeout);
+}
+
+auto PeerClient::release(const NodeId &node) -> void
+{
+    m_links->release(node);
+}
+
+auto PeerClient::links() const -> std::uint32_t
+{
+    return m_links->links();
+}
+
+auto PeerClient::traffic() const -> PeerTraffic
+{
+    return m_links->traffic();
+}
+
+} // namespace stairspur::transport
--- a/tests/transport/Loop.h
+++ b/tests/transport/Loop.h
@@ -58,8 +58,11 @@
 class Event
 {
 public:
+    explicit Event(const asio::any_io_executor &executor)
+        : m_timer(executor, std::chrono::steady_clock::time_point::max())
+    {}
     explicit Event(asio::io_context &io)
-        : m_timer(io, std::chrono::steady_clock::time_point::max())
+        : Event(io.get_executor())
     {}
 
     auto set() -> void
--- /dev/null
+++ b/tests/transport/TestFrames.cpp
@@ -0,0 +1,198 @@
+#include <criterion/criterion.h>
+
+#include <nlohmann/json.hpp>
+
+#include <stairspur/core/Cbor.h>
+#include <stairspur/core/Error.h>
+
+#include "../../source/transport/CallCodec.h"
+#include "../../source/transport/CborReader.h"
+#include "../../source/transport/CborWriter.h"
+#include "../../source/transport/Frames.h"
+
+using namespace stairspur;
+using namespace stairspur::transport;
+
+Test(Cbor, bytesAreWhatTheLibraryWrites)
+{
+    const std::uint64_t numbers[] = {0,     23,    24,          255,         256,
+                                     65535, 65536, 4294967295U, 4294967296U, ~std::uint64_t{0}};
+    for (const auto it : numbers) {
+        auto bytes = std::string();
+        CborWriter(bytes).addArray(4).addUnsigned(it).addText("é").addBoolean(true).addNull();
+        cr_assert(bytes == toCbor(nlohmann::json{it, "é", true, nullptr}), "%lu", it);
+        auto reader = CborReader(bytes);
+        cr_assert_eq(reader.readArray(), 4);
+        cr_assert_eq(reader.readUnsigned(), it);
+        cr_assert_eq(reader.readText(), "é");
+        cr_assert(reader.readBoolean());
+        cr_assert(reader.takeNull());
+        reader.ensureEnd();
+    }
+}
+
+Test(Cbor, whatIsUnknownIsPassedOver)
+{
+    const auto value = nlohmann::json{
+            -1, 1.5, "text", nlohmann::json::binary({1, 2}), {1, {2}}, {{"key", {true, nullptr}}}};
+    const auto bytes = toCbor(value);
+    auto reader = CborReader(bytes);
+    reader.skip(1);
+    reader.ensureEnd();
+}
+
+Test(Cbor, malformedBytesThrow)
+{
+    const std::string_view cases[] = {
+            "",
+            "\x98",                                 // The length is missing.
+            "\x9f",                                 // Indefinite.
+            "\x82\x01",                             // One item is missing.
+            "\x9b\xff\xff\xff\xff\xff\xff\xff\xff", // Longer than its bytes.
+            "\x81\x5a\xff\xff\xff\xff",
+            "\x81\x1c", // Reserved.
+            "\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x01",
+    };
+    for (const auto it : cases) {
+        auto reader = CborReader(it);
+        cr_assert_throw((reader.skip(1), reader.ensureEnd()), InputError, "%zu bytes", it.size());
+    }
+}
+
+/// Every prefix and every change of one byte either throws InputError or is read; nothing else comes of it.
+template <typename Read>
+static auto ensureNothingElseThrows(const std::string &bytes, Read read) -> void
+{
+    static constexpr auto Values = 256;
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+        cr_assert_throw(read(bytes.substr(0, n)), InputError, "prefix of %zu bytes", n);
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        for (auto value = 0; value < Values; ++value) {
+            auto changed = bytes;
+            changed[n] = static_cast<char>(value);
+            try {
+                read(changed);
+            } catch (const InputError &) {
+                continue;
+            }
+        }
+    }
+}
+
+static auto sampleCall() -> CallRequest
+{
+    auto request = CallRequest{.service = "order",
+                               .className = "gold",
+                               .level = makeLevel(2, 77),
+                               .root = {1, ~std::uint64_t{0}},
+                               .remaining = Duration(12345),
+                               .retryBudget = 3,
+                               .idempotencyKey = "key",
+                               .caller = "shop",
+                               .method = "POST",
+                               .target = "/a?b=c",
+                               .headers = {},
+                               .body = "not in the fields"};
+    request.headers.add("Accept", std::string("\xff\x00 any bytes", 12));
+    request.headers.add("accept", "twice");
+    return request;
+}
+
+static auto sampleAnswer() -> CallAnswer
+{
+    auto answer = CallAnswer{.outcome = Outcome::Failed,
+                             .reason = Reason::DamagedAnswer,
+                             .wasDispatched = true,
+                             .unspentBudget = 7,
+                             .retryAfter = Duration(99),
+                             .status = 503};
+    answer.headers.add("X", "y");
+    answer.report = admission::LoadReport{.sequence = 1,
+                                          .limit = 2,
+                                          .inFlight = 3,
+                                          .queued = 4,
+                                          .estimatedWait = Duration(5),
+                                          .isDraining = true,
+                                          .floors = {Level{6}, ClosedLevel}};
+    return answer;
+}
+
+Test(CallCodec, callsSurvive)
+{
+    const auto request = sampleCall();
+    const auto fields = writeCall(request);
+    const auto read = readCall(fields);
+    cr_assert_eq(read.service, "order");
+    cr_assert_eq(read.className, "gold");
+    cr_assert(read.level == request.level);
+    cr_assert(read.root == request.root);
+    cr_assert(read.remaining == request.remaining);
+    cr_assert_eq(read.retryBudget, 3);
+    cr_assert_eq(read.idempotencyKey, "key");
+    cr_assert_eq(read.caller, "shop");
+    cr_assert_eq(read.method, "POST");
+    cr_assert_eq(read.target, "/a?b=c");
+    cr_assert_eq(read.headers.fields().size(), 2);
+    cr_assert_eq(read.headers.fields()[0].value, request.headers.fields()[0].value);
+    ensureNothingElseThrows(fields, [](const auto &bytes) { return readCall(bytes); });
+}
+
+Test(CallCodec, answersSurvive)
+{
+    const auto fields = writeAnswer(sampleAnswer());
+    const auto read = readAnswer(fields);
+    cr_assert(read.outcome == Outcome::Failed);
+    cr_assert(read.reason == Reason::DamagedAnswer);
+    cr_assert(read.wasDispatched);
+    cr_assert_eq(read.unspentBudget, 7);
+    cr_assert(read.retryAfter == Duration(99));
+    cr_assert_eq(read.status, 503);
+    cr_assert_eq(read.headers.find("x"), "y");
+    cr_assert(read.report.has_value());
+    cr_assert_eq(read.report->queued, 4);
+    cr_assert(read.report->isDraining);
+    cr_assert(read.report->floorFor(9) == ClosedLevel);
+    cr_assert(!readAnswer(writeAnswer(CallAnswer())).report);
+    ensureNothingElseThrows(fields, [](const auto &bytes) { return readAnswer(bytes); });
+}
+
+Test(CallCodec, spansOutOfRangeAreCutOff)
+{
+    auto request = CallRequest();
+    request.remaining = Duration(-1);
+    cr_assert(readCall(writeCall(request)).remaining == Duration(0));
+    request.remaining = Duration::max();
+    cr_assert(readCall(writeCall(request)).remaining > Duration(0));
+}
+
+Test(Frames, everyKindSurvivesAndGarbageThrows)
+{
+    const auto head = writeHead(FrameKind::Answer, 9, 100, 1234, "fields", "piece");
+    const auto frame = readFrame(head);
+    cr_assert(frame.kind == FrameKind::Answer);
+    cr_assert_eq(frame.id, 9);
+    cr_assert_eq(frame.bodyLength, 100);
+    cr_assert_eq(frame.hash, 1234);
+    cr_assert_eq(frame.fields, "fields");
+    cr_assert_eq(frame.piece, "piece");
+    const std::string frames[] = {head, writeHello("node", "nonce"), writeProof("proof"),
+                                  writeData(1, "piece"), writeCancel(2)};
+    for (const auto &it : frames)
+        ensureNothingElseThrows(it, [](const auto &bytes) { return readFrame(bytes); });
+    cr_assert_throw(readFrame("\x82\x08\x01"), InputError, "an unknown kind was read");
+}
+
+Test(Frames, proofsDependOnEveryInput)
+{
+    const auto input = ProofInput{"client", "a", "1", "b", "2"};
+    const auto proof = makeProof("secret", input);
+    cr_assert_eq(proof.size(), 32);
+    cr_assert(proof == makeProof("secret", input));
+    cr_assert(proof != makeProof("other", input));
+    cr_assert(proof != makeProof("secret", {"server", "a", "1", "b", "2"}));
+    cr_assert(proof != makeProof("secret", {"client", "a", "2", "b", "2"}));
+    cr_assert(proof != makeProof("secret", {"client", "b", "2", "a", "1"}));
+    cr_assert(makeProof("", input).empty());
+    cr_assert(hashMessage(1, "ab", "c") != hashMessage(1, "a", "bc"));
+    cr_assert(hashMessage(1, "a", "b") != hashMessage(2, "a", "b"));
+}
--- a/tests/transport/TestHttpServer.cpp
+++ b/tests/transport/TestHttpServer.cpp
@@ -9,7 +9,7 @@
 using namespace stairspur::transport;
 using namespace stairspur::transport::test;
 
-static const auto GoodRequest = std::string("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+static constexpr auto GoodRequest = std::string_view("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
 
 static auto echo(HttpRequest request, CancellationPtr) -> Task<HttpResponse>
 {
@@ -113,7 +113,7 @@
     auto server = HttpServer(io, settings(), echo);
     server.start();
     auto peer = RawPeer(io, server.port());
-    peer.write(GoodRequest
+    peer.write(std::string(GoodRequest)
                + "POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
                  "2\r\nhi\r\n1\r\n!\r\n0\r\n\r\n"
                  "PUT /c HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 1\r\n\r\nz");
@@ -193,7 +193,7 @@
             });
     server.start();
     auto peer = RawPeer(io, server.port());
-    peer.write(GoodRequest + "G");
+    peer.write(std::string(GoodRequest) + "G");
     runUntil(io, [&] { return isRunning; });
     peer.close();
     runUntil(io, [&] { return cancelled.isSet() && server.connections() == 0; });
@@ -235,12 +235,13 @@
 {
     auto io = asio::io_context();
     auto mayAnswer = Event(io);
+    auto always = Event(io);
+    always.set();
     auto running = 0;
     auto server = HttpServer(
             io, settings(), [&](HttpRequest request, CancellationPtr) -> Task<HttpResponse> {
                 ++running;
-                if (request.target == "/a")
-                    co_await mayAnswer.wait();
+                co_await (request.target == "/a" ? mayAnswer : always).wait();
                 co_return HttpResponse{.status = 200, .headers = {}, .body = "whole"};
             });
     server.start();
