Cli: Add the command line with node, check, status, drain and help

Operators drive the system by one binary; a wrong setting must say its remedy and end with an exit code that a script can tell apart. Weighed: gflags' own parsing (it ends the process with exit code 1 and takes unknown variables silently) against reading the command line here and leaving types, defaults and help to gflags; the second, so that parsing is pure over arguments and environment. The node's start is handed in, so that tests reach every refusal without a node. Left: apply, and the head from the store in status.

--- /dev/null
+++ b/include/stairspur/cli/HelpCommand.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+#include <stairspur/cli/CommandReport.h>
+
+namespace stairspur::cli {
+
+/// What `help` has to say about `topic`: a command, `settings`, or nothing for the list of commands. Throws UsageError
+/// on any other topic.
+auto reportHelp(const std::string &topic) -> CommandReport;
+
+/// Every flag and its variable, as the page docs/operations/settings.md.
+auto settingsReference() -> std::string;
+
+} // namespace stairspur::cli
--- a/source/main/main.cpp
+++ b/source/main/main.cpp
@@ -1,7 +1,15 @@
-#include <cstdio>
+#include <iostream>
 
-auto main() -> int
+#include <unistd.h>
+
+#include <stairspur/cli/Run.h>
+#include <stairspur/node/NodeSettings.h>
+
+using namespace stairspur;
+
+auto main(int count, char **values) -> int
 {
-    std::puts("stairspur 0.1.0");
-    return 0;
+    const auto arguments = cli::Arguments(values + (count > 0 ? 1 : 0), values + count);
+    return cli::run(arguments, cli::readEnvironment(environ), {std::cin, std::cout, std::cerr},
+                    node::runNode);
 }
