Admission: Decide at the gate who runs, who waits and who is refused

Cause: a gate needs one place that orders calls by level, bounds what runs and what waits, and tells entries from which level on it can serve. Ways weighed: enforcing an estimated floor at the gate (as DAGOR does) was ruled out, since any error of the estimate then refuses an important call while lower ones wait. The order of the queue alone refuses here; the floor is only advertised. Change: AdmissionController from an AIMD limit with slow start, a strict priority queue bounded by count, by standing wait and by each call's deadline, a floor estimated from the arrivals by level, and floors of deeper services that lapse after one second unless told again. A deeper floor is enforced on a class only as far as all lower classes have it too, so that a false one cannot shut out the important class alone.

--- a/include/stairspur/admission/AdmissionController.h
+++ b/include/stairspur/admission/AdmissionController.h
@@ -66,7 +66,7 @@
     auto operator=(const AdmissionController &) -> AdmissionController & = delete;
     auto operator=(AdmissionController &&) noexcept -> AdmissionController &;
 
-    /// Takes a call. It is among `dispatch` or `refuse`, or else it waits; lower calls may be refused in its favour.
+    /// Takes a call, whose id names no other call here. It is among `dispatch` or `refuse`, or else it waits; lower calls may be refused in its favour.
     auto offer(const CallOffer &offer, TimePoint now, Random &random) -> Progress;
 
     /// A dispatched call has ended after `latency` at the backend server.
@@ -83,7 +83,8 @@
     /// The backend server reports another number of slots.
     auto setReportedSlots(std::uint32_t slots) -> void;
 
-    /// The greatest floor of the deeper services, by class rank, for the next reports and admissions.
+    /// The greatest floor of the deeper services, by class rank, for the next reports and admissions. Tell it again at
+    /// least twice a second, changed or not: floors that nobody confirms lapse after one second.
     auto setDeeperFloors(std::vector<Level> floors) -> void;
 
     /// Refuses new and waiting calls from now on; running ones end.
--- /dev/null
+++ b/source/admission/AdmissionController.cpp
@@ -0,0 +1,69 @@
+#include <stairspur/admission/AdmissionController.h>
+
+#include <utility>
+
+#include "State.h"
+
+namespace stairspur::admission {
+
+AdmissionController::AdmissionController(const AdmissionSettings &settings)
+    : m_state(std::make_unique<State>(settings))
+{}
+
+AdmissionController::~AdmissionController() = default;
+AdmissionController::AdmissionController(AdmissionController &&) noexcept = default;
+auto AdmissionController::operator=(AdmissionController &&) noexcept
+        -> AdmissionController & = default;
+
+auto AdmissionController::offer(const CallOffer &offer, TimePoint now, Random &random) -> Progress
+{
+    return m_state->offer(offer, now, random);
+}
+
+auto AdmissionController::didComplete(CallId id, Completion completion, Duration latency,
+                                      TimePoint now, Random &random) -> Progress
+{
+    return m_state->didComplete(id, completion, latency, now, random);
+}
+
+auto AdmissionController::cancel(CallId id, TimePoint now, Random &random) -> Progress
+{
+    return m_state->cancel(id, now, random);
+}
+
+auto AdmissionController::didPassTime(TimePoint now, Random &random) -> Progress
+{
+    return m_state->didPassTime(now, random);
+}
+
+auto AdmissionController::setReportedSlots(std::uint32_t slots) -> void
+{
+    m_state->setReportedSlots(slots);
+}
+
+auto AdmissionController::setDeeperFloors(std::vector<Level> floors) -> void
+{
+    m_state->setDeeperFloors(std::move(floors));
+}
+
+auto AdmissionController::startDraining(TimePoint now, Random &random) -> Progress
+{
+    return m_state->startDraining(now, random);
+}
+
+auto AdmissionController::inFlight() const -> std::uint32_t
+{
+    return m_state->inFlight();
+}
+
+auto AdmissionController::queued() const -> std::uint32_t
+{
+    return m_state->queued();
+}
+
+auto AdmissionController::report(TimePoint now) -> LoadReport
+{
+    return m_state->report(now);
+}
+
+} // namespace stairspur::admission
--- /dev/null
+++ b/source/admission/State.cpp
@@ -0,0 +1,243 @@
+#include "State.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace stairspur::admission {
+
+namespace {
+
+/// The queue holds no more than can be dispatched in this many service times, and in no less than ShortestBound: a
+/// longer one only makes those who wait hold places of the services above.
+constexpr auto BoundInServiceTimes = 2;
+constexpr auto ShortestBound = Duration(100'000);
+
+/// A queue always takes a few calls, however slow the backend server.
+constexpr auto LeastQueueBound = std::uint32_t{4};
+
+/// The queue that is wanted under overload, as a share of the service time: enough that no place stays empty until a
+/// new floor has reached the entries.
+constexpr auto TargetShareOfServiceTime = 0.5;
+constexpr auto LeastTargetWait = Duration(5'000);
+
+auto targetWait(Duration serviceTime) -> Duration
+{
+    const auto share = TargetShareOfServiceTime * static_cast<double>(serviceTime.count());
+    return std::max(LeastTargetWait, Duration(static_cast<Duration::rep>(share)));
+}
+
+} // namespace
+
+AdmissionController::State::State(const AdmissionSettings &settings)
+    : m_settings(settings)
+    , m_limit(settings.coldLimit, settings.reportedSlots)
+    , m_retryAfter(settings)
+{}
+
+auto AdmissionController::State::offer(const CallOffer &offer, TimePoint now, Random &random)
+        -> Progress
+{
+    observe(now);
+    auto progress = Progress();
+    m_retryAfter.didOffer();
+    m_floor.didArrive(offer.level);
+    const auto refusal = refusalOf(offer, now);
+    if (refusal == Reason::None)
+        m_queue.push(offer);
+    else
+        refuse(offer.id, refusal, random, progress);
+    settle(offer.id, now, random, progress);
+    return progress;
+}
+
+auto AdmissionController::State::didComplete(CallId id, Completion completion, Duration latency,
+                                             TimePoint now, Random &random) -> Progress
+{
+    observe(now);
+    auto progress = Progress();
+    const auto inFlightBefore = inFlight();
+    if (m_running.erase(id) == 0) {
+        assert(false && "only a dispatched call can complete, and only once");
+        return progress;
+    }
+    m_limit.didComplete({completion, latency, m_serviceTime.mean(), inFlightBefore}, now);
+    if (completion == Completion::Succeeded)
+        m_serviceTime.didMeasure(latency);
+    if (completion == Completion::TimedOut)
+        m_serviceTime.didExceed(latency);
+    settle(std::nullopt, now, random, progress);
+    return progress;
+}
+
+auto AdmissionController::State::cancel(CallId id, TimePoint now, Random &random) -> Progress
+{
+    observe(now);
+    auto progress = Progress();
+    if (m_queue.remove(id))
+        settle(std::nullopt, now, random, progress);
+    return progress;
+}
+
+auto AdmissionController::State::didPassTime(TimePoint now, Random &random) -> Progress
+{
+    observe(now);
+    auto progress = Progress();
+    settle(std::nullopt, now, random, progress);
+    return progress;
+}
+
+auto AdmissionController::State::startDraining(TimePoint now, Random &random) -> Progress
+{
+    observe(now);
+    m_isDraining = true;
+    auto progress = Progress();
+    const auto all = m_queue.removeIf([](const CallOffer &, std::uint32_t) { return true; });
+    for (const auto &it : all)
+        refuse(it.id, Reason::Draining, random, progress);
+    return progress;
+}
+
+auto AdmissionController::State::report(TimePoint now) -> LoadReport
+{
+    observe(now);
+    auto report = LoadReport();
+    report.sequence = ++m_sequence;
+    report.limit = m_limit.limit();
+    report.inFlight = inFlight();
+    report.queued = queued();
+    const auto isFree = queued() == 0 && inFlight() < report.limit;
+    report.estimatedWait = isFree ? Duration(0) : waitBehind(queued());
+    report.isDraining = m_isDraining;
+    if (m_isDraining) {
+        report.floors.assign(1, ClosedLevel);
+        return report;
+    }
+    for (std::size_t rank = 0; rank < std::max<std::size_t>(m_deeper.size(), 1); ++rank) {
+        const auto deeper = m_deeper.floorFor(static_cast<ClassRank>(rank));
+        report.floors.push_back(std::max(m_floor.floor(), deeper));
+    }
+    return report;
+}
+
+auto AdmissionController::State::inFlight() const -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(m_running.size());
+}
+
+auto AdmissionController::State::refusalOf(const CallOffer &offer, TimePoint now) const -> Reason
+{
+    if (m_isDraining)
+        return Reason::Draining;
+    if (offer.deadline <= now)
+        return Reason::DeadlineExceeded;
+    if (isBelowDeeperFloor(offer.level))
+        return Reason::BelowFloor;
+    return Reason::None;
+}
+
+auto AdmissionController::State::settle(std::optional<CallId> newcomer, TimePoint now,
+                                        Random &random, Progress &progress) -> void
+{
+    refuseBelowDeeperFloors(random, progress);
+    dispatchFree(now, random, progress);
+    refuseHopeless(now, random, progress);
+    boundQueue(newcomer, random, progress);
+}
+
+auto AdmissionController::State::refuseBelowDeeperFloors(Random &random, Progress &progress) -> void
+{
+    // Those who waited when the floor rose must not be served while greater levels are refused.
+    const auto isBelow = [&](const CallOffer &call, std::uint32_t) {
+        return isBelowDeeperFloor(call.level);
+    };
+    for (const auto &it : m_queue.removeIf(isBelow))
+        refuse(it.id, Reason::BelowFloor, random, progress);
+}
+
+auto AdmissionController::State::isBelowDeeperFloor(Level level) const -> bool
+{
+    return level < m_deeper.enforcedFloorFor(level.rank());
+}
+
+auto AdmissionController::State::dispatchFree(TimePoint now, Random &random, Progress &progress)
+        -> void
+{
+    while (!m_queue.isEmpty() && inFlight() < m_limit.limit()) {
+        const auto call = m_queue.popFirst();
+        if (call.deadline <= now) {
+            refuse(call.id, Reason::DeadlineExceeded, random, progress);
+            continue;
+        }
+        // An idle backend server is tried in any case: a service time that was learnt from bad times would else refuse
+        // everything, and never be corrected.
+        if (inFlight() > 0 && now + m_serviceTime.mean() > call.deadline) {
+            refuse(call.id, Reason::WaitExceedsDeadline, random, progress);
+            continue;
+        }
+        m_running.insert(call.id);
+        progress.dispatch.push_back(call.id);
+    }
+}
+
+auto AdmissionController::State::refuseHopeless(TimePoint now, Random &random, Progress &progress)
+        -> void
+{
+    const auto isHopeless = [&](const CallOffer &call, std::uint32_t position) {
+        return now + waitBehind(position) + m_serviceTime.mean() > call.deadline;
+    };
+    for (const auto &it : m_queue.removeIf(isHopeless)) {
+        const auto isLate = it.deadline <= now;
+        const auto reason = isLate ? Reason::DeadlineExceeded : Reason::WaitExceedsDeadline;
+        refuse(it.id, reason, random, progress);
+    }
+}
+
+auto AdmissionController::State::boundQueue(std::optional<CallId> newcomer, Random &random,
+                                            Progress &progress) -> void
+{
+    const auto bound = queueBound();
+    while (m_queue.size() > bound) {
+        const auto call = m_queue.popLast();
+        const auto reason = call.id == newcomer ? Reason::QueueFull : Reason::Evicted;
+        refuse(call.id, reason, random, progress);
+    }
+}
+
+auto AdmissionController::State::refuse(CallId id, Reason reason, Random &random,
+                                        Progress &progress) -> void
+{
+    progress.refuse.push_back({id, reason, m_retryAfter.didRefuse(random)});
+}
+
+auto AdmissionController::State::waitBehind(std::uint32_t ahead) const -> Duration
+{
+    return m_serviceTime.mean() * (ahead + 1) / m_limit.limit();
+}
+
+auto AdmissionController::State::queueBound() const -> std::uint32_t
+{
+    const auto serviceTime = m_serviceTime.mean();
+    if (serviceTime <= Duration(0))
+        return m_settings.maxQueue;
+    const auto longest = std::max(serviceTime * BoundInServiceTimes, ShortestBound);
+    const auto calls = longest.count() * m_limit.limit() / serviceTime.count();
+    const auto least = std::min(LeastQueueBound, m_settings.maxQueue);
+    return static_cast<std::uint32_t>(std::clamp<Duration::rep>(calls, least, m_settings.maxQueue));
+}
+
+auto AdmissionController::State::observe(TimePoint now) -> void
+{
+    m_deeper.didPassTime(now);
+    const auto serviceTime = m_serviceTime.mean();
+    const auto limit = m_limit.limit();
+    auto load = FloorEstimator::Load();
+    load.wait = m_queue.isEmpty() ? Duration(0) : waitBehind(queued() - 1);
+    load.targetWait = targetWait(serviceTime);
+    load.inFlight = inFlight();
+    load.limit = limit;
+    if (serviceTime > Duration(0))
+        load.capacity = 1e6 * limit / static_cast<double>(serviceTime.count());
+    m_floor.didObserve(load, now);
+}
+
+} // namespace stairspur::admission
--- /dev/null
+++ b/source/admission/State.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <optional>
+#include <unordered_set>
+#include <vector>
+
+#include <stairspur/admission/AdmissionController.h>
+
+#include "AdaptiveLimit.h"
+#include "DeeperFloors.h"
+#include "FloorEstimator.h"
+#include "RetryAfter.h"
+#include "ServiceTime.h"
+#include "WaitingQueue.h"
+
+namespace stairspur::admission {
+
+/// The parts of the decision at work together. The order of the queue alone decides who is served and who is refused;
+/// limit, service time and floor only say how many.
+class AdmissionController::State
+{
+public:
+    explicit State(const AdmissionSettings &settings);
+
+    auto offer(const CallOffer &offer, TimePoint now, Random &random) -> Progress;
+    auto didComplete(CallId id, Completion completion, Duration latency, TimePoint now,
+                     Random &random) -> Progress;
+    auto cancel(CallId id, TimePoint now, Random &random) -> Progress;
+    auto didPassTime(TimePoint now, Random &random) -> Progress;
+    auto startDraining(TimePoint now, Random &random) -> Progress;
+    auto report(TimePoint now) -> LoadReport;
+
+    auto setReportedSlots(std::uint32_t slots) -> void { m_limit.setSlots(slots); }
+    auto setDeeperFloors(std::vector<Level> floors) -> void { m_deeper.set(std::move(floors)); }
+
+    [[nodiscard]] auto inFlight() const -> std::uint32_t;
+    [[nodiscard]] auto queued() const -> std::uint32_t { return m_queue.size(); }
+
+private:
+    /// Why a call is refused before it asks for a place; Reason::None when it is not.
+    [[nodiscard]] auto refusalOf(const CallOffer &offer, TimePoint now) const -> Reason;
+
+    /// Brings the queue into order after any change: dispatches, refuses what is hopeless, bounds the length. `newcomer`
+    /// is the call that was just offered.
+    auto settle(std::optional<CallId> newcomer, TimePoint now, Random &random, Progress &progress)
+            -> void;
+    auto refuseBelowDeeperFloors(Random &random, Progress &progress) -> void;
+    auto dispatchFree(TimePoint now, Random &random, Progress &progress) -> void;
+    auto refuseHopeless(TimePoint now, Random &random, Progress &progress) -> void;
+    auto boundQueue(std::optional<CallId> newcomer, Random &random, Progress &progress) -> void;
+    auto refuse(CallId id, Reason reason, Random &random, Progress &progress) -> void;
+
+    /// Time until a waiting call is dispatched that has `ahead` calls before it, while no place is free.
+    [[nodiscard]] auto waitBehind(std::uint32_t ahead) const -> Duration;
+    [[nodiscard]] auto isBelowDeeperFloor(Level level) const -> bool;
+    [[nodiscard]] auto queueBound() const -> std::uint32_t;
+
+    /// Lets everything that follows time know of it. Call before any change.
+    auto observe(TimePoint now) -> void;
+
+    AdmissionSettings m_settings;
+    AdaptiveLimit m_limit;
+    ServiceTime m_serviceTime;
+    WaitingQueue m_queue;
+    FloorEstimator m_floor;
+    DeeperFloors m_deeper;
+    RetryAfter m_retryAfter;
+    std::unordered_set<CallId> m_running;
+    std::uint64_t m_sequence = 0;
+    bool m_isDraining = false;
+};
+
+} // namespace stairspur::admission
