Membership: Keep the members of a failure domain by SWIM

Nodes need to know who serves what and who is gone, without a list in the store and without a tier of control hosts. Weighed: a key per node in the store (14,000 leases exceed its writes), full-mesh heartbeats (bytes grow with the square of the members), a static list (hosts are replaced at any time). Taken: SWIM with suspicion and incarnations inside a failure domain, digests against lost gossip, and relays by rendezvous rank between domains. The protocol is pure: time, random numbers and datagrams are handed in.

--- /dev/null
+++ b/include/stairspur/membership/DigestExchange.h
@@ -0,0 +1,211 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <stairspur/membership/MemberDigest.h>
+#include <stairspur/membership/MembershipCore.h>
+
+namespace stairspur::membership {
+
+/// Repairs what gossip lost: now and then a node sends a digest of one domain's records to a random peer, and both send
+/// each other the records of the buckets that differ (anti-entropy, Demers et al., PODC 1987). A domain that differed
+/// is compared again in the next period, so that a joiner or a healed partition catches up soon.
+template <MembershipPolicy Policy>
+class DigestExchange
+{
+public:
+    explicit DigestExchange(MembershipCore<Policy> &core)
+        : m_core(core)
+        , m_periodsToNext(1 + randomBelow(core.random(), core.settings().exchangePeriods))
+        , m_allowance(maxAllowance())
+    {}
+
+    /// Has `domain` compared in the next period, with `peer` or, when it is empty, with a random one.
+    auto hurry(const std::string &domain, const NodeId &peer = {}) -> void
+    {
+        const auto isSame = [&](const Hurried &it) { return it.domain == domain; };
+        if (std::none_of(m_hurried.begin(), m_hurried.end(), isSame))
+            m_hurried.push_back({domain, peer});
+    }
+
+    auto beginPeriod() -> void
+    {
+        m_allowance = std::min(m_allowance + 1, maxAllowance());
+        if (!Policy::exchangesDigests)
+            return;
+        noteNewDomains();
+        const auto peers = m_core.randomPeers(1);
+        if (peers.empty())
+            return;
+        if (!m_hurried.empty()) {
+            const auto next = m_hurried.front();
+            m_hurried.erase(m_hurried.begin());
+            sendDigest(next.peer.empty() ? peers.front() : next.peer, next.domain, nullptr);
+            return;
+        }
+        if (--m_periodsToNext > 0)
+            return;
+        m_periodsToNext = m_core.settings().exchangePeriods;
+        sendDigest(peers.front(), pickDomain(), nullptr);
+    }
+
+    /// Asks `to` for the records of `domain` that differ from the own ones.
+    auto sendDigest(const NodeId &to, const std::string &domain, const ServiceFilter *filter)
+            -> void
+    {
+        auto message = Message();
+        message.kind = MessageKind::Digest;
+        message.sequence = ++m_sequence;
+        message.digestDomain = domain;
+        message.filter = filter == nullptr ? std::string() : filter->bytes();
+        message.hashes = digestOf(m_core.table(), domain, filter, message.sequence);
+        ++m_core.counters().exchanges;
+        m_core.sendPlain(to, std::move(message));
+    }
+
+    /// Answers with the records in the buckets that differ, in random order and as many as the allowance has room for.
+    auto didReceiveDigest(const NodeId &from, const Message &digest) -> void
+    {
+        const auto filter = digest.filter.empty() ? ServiceFilter() : ServiceFilter(digest.filter);
+        const auto *usedFilter = digest.filter.empty() ? nullptr : &filter;
+        const auto own = digestOf(m_core.table(), digest.digestDomain, usedFilter, digest.sequence);
+        const auto first = randomBelow(m_core.random(), DigestBuckets);
+        auto differing = std::vector<std::size_t>();
+        for (std::size_t index = 0; index < DigestBuckets; ++index) {
+            const auto bucket = (first + index) % DigestBuckets;
+            if (!isSameBucket(own, digest.hashes, bucket))
+                differing.push_back(bucket);
+        }
+        auto answer = Message();
+        answer.kind = MessageKind::Records;
+        answer.sequence = digest.sequence;
+        answer.digestDomain = digest.digestDomain;
+        if (digest.self.domain != m_core.self().domain)
+            answer.contacts = m_core.table().relaysOf(m_core.self().domain);
+        sendBuckets(from, answer, differing, usedFilter);
+    }
+
+    /// Takes the other's records in. Within the domain the own records of those buckets go back.
+    auto didReceiveRecords(const NodeId &from, const Message &records) -> void
+    {
+        for (const auto &it : records.updates)
+            m_core.apply(it, ClaimSource::Exchange);
+        if (records.kind != MessageKind::Records || records.buckets.empty())
+            return;
+        ++m_core.counters().unequalExchanges;
+        if (records.self.domain != m_core.self().domain)
+            return;
+        hurry(records.digestDomain);
+        auto answer = Message();
+        answer.kind = MessageKind::RecordsBack;
+        answer.sequence = records.sequence;
+        answer.digestDomain = records.digestDomain;
+        auto buckets = std::vector<std::size_t>(records.buckets.begin(), records.buckets.end());
+        sendBuckets(from, answer, buckets, nullptr);
+    }
+
+private:
+    struct Hurried
+    {
+        std::string domain;
+        NodeId peer;
+    };
+
+    [[nodiscard]] auto maxAllowance() const -> std::uint32_t
+    {
+        return 2 * m_core.settings().exchangeDatagrams;
+    }
+
+    /// A domain that this node just heard of is fetched from a peer.
+    auto noteNewDomains() -> void
+    {
+        for (const auto &it : m_core.table().domains()) {
+            if (std::find(m_knownDomains.begin(), m_knownDomains.end(), it) != m_knownDomains.end())
+                continue;
+            m_knownDomains.push_back(it);
+            hurry(it);
+        }
+    }
+
+    /// The own domain every other time, one of the others in between.
+    auto pickDomain() -> std::string
+    {
+        if (m_knownDomains.empty() || randomBelow(m_core.random(), 2) == 0)
+            return m_core.self().domain;
+        return m_knownDomains[randomBelow(m_core.random(), m_knownDomains.size())];
+    }
+
+    /// The records in scope, by bucket; those of members that are gone included, since that is news to the other.
+    auto recordsByBucket(const std::string &domain, const ServiceFilter *filter) const
+            -> std::vector<std::vector<const Member *>>
+    {
+        auto sorted = std::vector<std::vector<const Member *>>(DigestBuckets);
+        for (const auto &[node, entry] : m_core.table().entries()) {
+            if (isInScope(entry.member, domain, filter))
+                sorted[bucketOf(node)].push_back(&entry.member);
+        }
+        return sorted;
+    }
+
+    /// An answer without buckets says that nothing differs.
+    auto sendBuckets(const NodeId &to, const Message &answer,
+                     const std::vector<std::size_t> &buckets, const ServiceFilter *filter) -> void
+    {
+        if (buckets.empty()) {
+            m_core.sendPlain(to, answer);
+            return;
+        }
+        const auto sorted = recordsByBucket(answer.digestDomain, filter);
+        auto sent = std::uint32_t{0};
+        auto next = std::size_t{0};
+        while (next < buckets.size() && sent < m_core.settings().exchangeDatagrams
+               && m_allowance > 0) {
+            auto datagram = answer;
+            next = fill(datagram, sorted, buckets, next);
+            m_core.sendPlain(to, std::move(datagram));
+            --m_allowance;
+            ++sent;
+        }
+    }
+
+    /// Puts whole buckets into one datagram from `next` on; the place of the first that is not in it. A bucket that no
+    /// datagram has room for is cut short.
+    auto fill(Message &datagram, const std::vector<std::vector<const Member *>> &sorted,
+              const std::vector<std::size_t> &buckets, std::size_t next) -> std::size_t
+    {
+        static constexpr auto FixedBytes =
+                std::size_t{250}; // The sender's record, contacts and bucket numbers.
+        auto budget = RecordBudget(m_core.settings().maxPayloadBytes - FixedBytes);
+        const auto first = next;
+        for (; next < buckets.size(); ++next) {
+            auto attempt = budget;
+            const auto &members = sorted[buckets[next]];
+            const auto fits = [&](const Member *it) { return attempt.take(*it); };
+            const auto isWhole = std::all_of(members.begin(), members.end(), fits);
+            if (!isWhole && next > first)
+                return next;
+            for (const auto *it : members) {
+                if (budget.take(*it))
+                    datagram.updates.push_back(*it);
+            }
+            datagram.buckets.push_back(static_cast<char>(buckets[next]));
+            datagram.isWhole = isWhole;
+            if (!isWhole)
+                return next + 1;
+        }
+        return next;
+    }
+
+    MembershipCore<Policy> &m_core;
+    std::uint64_t m_periodsToNext;
+    std::uint32_t
+            m_allowance; ///< Datagrams with records that this node may still send; grows by one a period.
+    std::uint32_t m_sequence = 0;
+    std::vector<Hurried> m_hurried;
+    std::vector<std::string> m_knownDomains;
+};
+
+} // namespace stairspur::membership
--- a/include/stairspur/membership/Member.h
+++ b/include/stairspur/membership/Member.h
@@ -31,9 +31,13 @@
     std::string service; ///< Empty: no backend server has announced itself yet.
     std::string domain;
     Incarnation incarnation = 0;
+    Incarnation start =
+            0; ///< The incarnation with which its process started: changes by a restart only.
     ServingState state = ServingState::Starting;
     std::uint32_t slots = 0;
     Liveness liveness = Liveness::Alive;
+
+    auto operator==(const Member &) const -> bool = default;
 };
 
 /// All members that this node knows, in the order of their ids. Immutable once published.
--- /dev/null
+++ b/include/stairspur/membership/MembershipState.h
@@ -0,0 +1,297 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <stairspur/core/Error.h>
+#include <stairspur/membership/DigestExchange.h>
+#include <stairspur/membership/FailureDetector.h>
+#include <stairspur/membership/MembershipCore.h>
+#include <stairspur/membership/PeerDiscovery.h>
+#include <stairspur/membership/RelayExchange.h>
+
+namespace stairspur::membership {
+
+/// The membership protocol of one node, without I/O and clock: time, datagrams and random numbers are handed in, and
+/// datagrams and events are taken out. See docs/design/membership.md.
+template <MembershipPolicy Policy>
+class BasicMembershipState
+{
+public:
+    BasicMembershipState(MembershipSettings settings, std::uint64_t seed, TimePoint now)
+        : m_core(std::move(settings), seed, now)
+        , m_detector(m_core)
+        , m_exchange(m_core)
+        , m_relays(m_core, m_exchange)
+        , m_discovery(m_core, m_detector)
+        , m_lastSeen(now)
+        , m_nextPeriod(now + phase())
+    {}
+
+    BasicMembershipState(const BasicMembershipState &) = delete;
+    BasicMembershipState(BasicMembershipState &&) = delete;
+    auto operator=(const BasicMembershipState &) -> BasicMembershipState & = delete;
+    auto operator=(BasicMembershipState &&) -> BasicMembershipState & = delete;
+    ~BasicMembershipState() = default;
+
+    /// Does what is due at `now`. To be called some ten times in each protocol period.
+    auto tick(TimePoint now) -> void
+    {
+        advance(now);
+        if (!m_core.hasLeft())
+            m_detector.tick();
+        if (now >= m_nextPeriod) {
+            m_nextPeriod = std::max(m_nextPeriod, now - m_core.settings().period / 2)
+                           + m_core.settings().period;
+            beginPeriod();
+        }
+        spreadUrgent();
+    }
+
+    /// Takes one datagram in. What is no message is counted and dropped.
+    auto receive(TimePoint now, const NodeId &from, std::string_view bytes) -> void
+    {
+        advance(now);
+        auto &counters = m_core.counters();
+        ++counters.datagramsReceived;
+        counters.bytesReceived += bytes.size();
+        try {
+            if (bytes.size() > m_core.settings().maxPayloadBytes + MaxSurplusBytes)
+                throw MessageError("membership message: it is too large",
+                                   "send datagrams of at most 1400 bytes");
+            const auto message = decode(bytes);
+            if (message.self.node != from || from == m_core.self().node)
+                throw MessageError("membership message: it names another sender",
+                                   "give every node the address that others reach it by");
+            take(from, message);
+        } catch (const InputError &) {
+            ++counters.rejectedDatagrams;
+        }
+        spreadUrgent();
+    }
+
+    /// What the local backend server says of itself; without one, the service is empty.
+    auto setSelf(TimePoint now, const std::string &service, std::uint32_t slots, ServingState state)
+            -> void
+    {
+        advance(now);
+        m_core.changeSelf(service, slots, state);
+        spreadUrgent();
+    }
+
+    /// The services that this domain's nodes call: the same set on every node of the domain.
+    auto setServicesOfInterest(const std::set<std::string> &services) -> void
+    {
+        m_relays.setServicesOfInterest(services);
+    }
+
+    /// Opaque bytes that every probe and answer carries. Throws InputError above MaxAnnotationBytes.
+    auto setAnnotation(std::string annotation) -> void
+    {
+        if (annotation.size() > MaxAnnotationBytes)
+            throw InputError("an annotation of " + std::to_string(annotation.size())
+                                     + " bytes is too long",
+                             "keep it at 24 bytes");
+        m_core.setAnnotation(std::move(annotation));
+    }
+
+    /// Addresses that may be nodes, from the platform's store.
+    auto addHints(const std::vector<NodeId> &nodes) -> void { m_discovery.addHints(nodes); }
+
+    /// Tells the others that this node goes, at once and in the next three periods. It neither probes nor answers any
+    /// more.
+    auto leave(TimePoint now) -> void
+    {
+        setSelf(now, m_core.self().service, m_core.self().slots, ServingState::Left);
+    }
+
+    auto takeDatagrams() -> std::vector<OutgoingDatagram> { return m_core.takeDatagrams(); }
+    auto takeEvents() -> std::vector<MembershipEvent> { return m_core.takeEvents(); }
+
+    /// All records. Members of a domain that no relay reaches are suspect, whatever is known of each.
+    [[nodiscard]] auto view() const -> MembershipView
+    {
+        auto view = MembershipView();
+        view.members.reserve(m_core.table().entries().size());
+        for (const auto &[node, entry] : m_core.table().entries()) {
+            view.members.push_back(entry.member);
+            auto &member = view.members.back();
+            if (member.liveness == Liveness::Alive && !m_relays.isReachable(member.domain))
+                member.liveness = Liveness::Suspect;
+        }
+        return view;
+    }
+
+    [[nodiscard]] auto find(const NodeId &node) const -> const Member *
+    {
+        return m_core.table().find(node);
+    }
+    [[nodiscard]] auto self() const -> const Member & { return m_core.self(); }
+    [[nodiscard]] auto counters() const -> const MembershipCounters & { return m_core.counters(); }
+    [[nodiscard]] auto waitingUpdates() const -> std::size_t { return m_core.waitingUpdates(); }
+    [[nodiscard]] auto isReachable(const std::string &domain) const -> bool
+    {
+        return m_relays.isReachable(domain);
+    }
+
+private:
+    static constexpr auto MaxSurplusBytes = std::size_t{200};
+    static constexpr auto PausePeriods = 3;
+
+    /// Periods of different nodes begin at different times.
+    auto phase() -> Duration
+    {
+        const auto period = static_cast<std::uint64_t>(m_core.settings().period.count());
+        return Duration(static_cast<Duration::rep>(randomBelow(m_core.random(), period)));
+    }
+
+    auto advance(TimePoint now) -> void
+    {
+        const auto gap = std::chrono::duration_cast<Duration>(now - m_lastSeen);
+        m_lastSeen = now;
+        m_core.setNow(now);
+        if (gap < m_core.settings().period * PausePeriods)
+            return;
+        m_nextPeriod = std::max(m_nextPeriod, now);
+        if (!Policy::noticesPauses)
+            return;
+        ++m_core.counters().pauses;
+        m_detector.didPause(gap);
+        m_relays.didPause(gap);
+        m_exchange.hurry(m_core.self().domain);
+        m_core.emit(MembershipEventKind::Paused, m_core.self());
+    }
+
+    auto beginPeriod() -> void
+    {
+        static constexpr auto PeriodsToForget = 16;
+        m_urgentLeft = m_core.settings().urgentPerPeriod;
+        if (m_core.hasLeft()) {
+            if (m_farewells > 0) {
+                --m_farewells;
+                m_core.repeatSelf();
+            }
+            return;
+        }
+        if (++m_periods % PeriodsToForget == 0)
+            m_core.forgetOld();
+        m_detector.beginPeriod();
+        m_exchange.beginPeriod();
+        m_relays.beginPeriod();
+        m_discovery.beginPeriod();
+    }
+
+    auto take(const NodeId &from, const Message &message) -> void
+    {
+        if (m_core.hasLeft())
+            return;
+        const auto isPeer = message.self.domain == m_core.self().domain;
+        const auto *known = m_core.table().find(from);
+        const auto wasGone = isPeer && known != nullptr && !isPresent(*known);
+        m_core.apply(message.self, ClaimSource::Gossip);
+        if (!isPeer)
+            m_relays.didHear(from, message);
+        // One that was given up is back: what it knows may be the other half of a healed partition.
+        if (wasGone && isPresent(*m_core.table().find(from)))
+            m_exchange.hurry(m_core.self().domain, from);
+        if (!message.annotation.empty())
+            m_core.emitAnnotation(from, message.annotation);
+        const auto accepted = withoutRejected(message, isPeer);
+        if (isExchange(message.kind)) {
+            takeExchange(from, accepted);
+            return;
+        }
+        for (const auto &it : accepted.updates)
+            m_core.apply(it, ClaimSource::Gossip);
+        for (const auto &it : accepted.statements)
+            m_core.statements().merge(it);
+        takeProbe(from, accepted, isPeer);
+    }
+
+    static auto isExchange(MessageKind kind) -> bool
+    {
+        return kind == MessageKind::Digest || kind == MessageKind::Records
+               || kind == MessageKind::RecordsBack;
+    }
+
+    /// Nodes of a domain speak for its members; what they heard of others is for their own domain alone.
+    auto withoutRejected(const Message &message, bool isPeer) -> Message
+    {
+        auto accepted = message;
+        if (isPeer || !Policy::checksStatedDomains)
+            return accepted;
+        const auto isForeign = [&](const Member &it) {
+            return it.domain != message.self.domain && it.node != m_core.self().node;
+        };
+        m_core.counters().rejectedRecords += std::erase_if(accepted.updates, isForeign);
+        accepted.statements.clear();
+        return accepted;
+    }
+
+    auto takeExchange(const NodeId &from, const Message &message) -> void
+    {
+        const auto isPeer = message.self.domain == m_core.self().domain;
+        if (message.kind == MessageKind::Digest) {
+            if (isPeer || message.digestDomain == m_core.self().domain)
+                m_exchange.didReceiveDigest(from, message);
+            return;
+        }
+        m_exchange.didReceiveRecords(from, message);
+        if (!isPeer && message.kind == MessageKind::Records)
+            m_relays.didReceiveRecords(message);
+    }
+
+    auto takeProbe(const NodeId &from, const Message &message, bool isPeer) -> void
+    {
+        const auto contacts =
+                isPeer ? std::vector<NodeId>() : m_discovery.contactsFor(message.self.domain);
+        if (message.kind == MessageKind::Ping)
+            m_detector.didReceivePing(from, message, contacts);
+        else if (message.kind == MessageKind::PingRequest && isPeer)
+            m_detector.didReceivePingRequest(from, message);
+        else if (message.kind == MessageKind::Ack)
+            m_detector.didReceiveAck(from, message);
+        if (!isPeer && message.kind == MessageKind::Ack)
+            m_discovery.addHints(message.contacts);
+    }
+
+    /// Passes on at once that a member drains or leaves: work should not be placed there for another log N periods.
+    auto spreadUrgent() -> void
+    {
+        for (const auto &it : m_core.takeUrgent()) {
+            if (m_urgentLeft == 0 && it.node != m_core.self().node)
+                continue;
+            m_urgentLeft = m_urgentLeft == 0 ? 0 : m_urgentLeft - 1;
+            for (const auto &peer : m_core.randomPeers(m_core.settings().urgentFanOut)) {
+                auto message = Message();
+                message.kind = MessageKind::Gossip;
+                message.updates.push_back(it);
+                m_core.send(peer, std::move(message));
+            }
+            m_relays.tellOthers(it);
+        }
+    }
+
+    MembershipCore<Policy> m_core;
+    FailureDetector<Policy> m_detector;
+    DigestExchange<Policy> m_exchange;
+    RelayExchange<Policy> m_relays;
+    PeerDiscovery<Policy> m_discovery;
+    TimePoint m_lastSeen;
+    TimePoint m_nextPeriod;
+    std::uint64_t m_periods = 0;
+    std::uint32_t m_urgentLeft = 0;
+    std::uint32_t m_farewells = 3; ///< Repetitions of the own leaving, which nobody acknowledges.
+};
+
+extern template class BasicMembershipState<StandardPolicy>;
+
+/// What nodes run.
+using MembershipState = BasicMembershipState<StandardPolicy>;
+
+} // namespace stairspur::membership
--- /dev/null
+++ b/include/stairspur/membership/SuspicionTimers.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <vector>
+
+#include <stairspur/core/Identifiers.h>
+#include <stairspur/core/Time.h>
+#include <stairspur/membership/MembershipSettings.h>
+
+namespace stairspur::membership {
+
+/// How long a suspect has to refute: it grows with the logarithm of the members, as the time to reach them all does
+/// (SWIM, section 4.2).
+inline auto suspicionTimeout(const MembershipSettings &settings, std::size_t members) -> Duration
+{
+    const auto scale = std::max(1.0, std::log10(static_cast<double>(members) + 1));
+    const auto period = static_cast<double>(settings.period.count());
+    return Duration(static_cast<Duration::rep>(settings.suspicionMultiplier * scale * period));
+}
+
+/// The suspects of this node and when they count as dead.
+class SuspicionTimers
+{
+public:
+    auto start(const NodeId &node, TimePoint deadline) -> void { m_deadlines[node] = deadline; }
+    auto stop(const NodeId &node) -> void { m_deadlines.erase(node); }
+
+    /// Gives every suspect that much longer: this process did not run, so it could not hear them.
+    auto extend(Duration gap) -> void
+    {
+        for (auto &[node, deadline] : m_deadlines)
+            deadline += gap;
+    }
+
+    /// Those whose time is up; they are no longer held.
+    auto takeExpired(TimePoint now) -> std::vector<NodeId>
+    {
+        auto expired = std::vector<NodeId>();
+        for (const auto &[node, deadline] : m_deadlines) {
+            if (deadline <= now)
+                expired.push_back(node);
+        }
+        for (const auto &it : expired)
+            m_deadlines.erase(it);
+        return expired;
+    }
+
+private:
+    std::map<NodeId, TimePoint> m_deadlines;
+};
+
+} // namespace stairspur::membership
--- /dev/null
+++ b/source/membership/MembershipState.cpp
@@ -0,0 +1,7 @@
+#include <stairspur/membership/MembershipState.h>
+
+namespace stairspur::membership {
+
+template class BasicMembershipState<StandardPolicy>;
+
+} // namespace stairspur::membership
--- /dev/null
+++ b/tests/membership/VirtualNetwork.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <stairspur/membership/MembershipState.h>
+
+namespace stairspur::membership {
+
+/// Datagrams between fakes under a virtual clock: each is delivered after a seeded delay, unless a fault forbids it.
+/// Used by the tests and by the measurement.
+template <typename Policy>
+class VirtualNetwork
+{
+public:
+    using State = BasicMembershipState<Policy>;
+
+    struct Node
+    {
+        std::unique_ptr<State> state; ///< Null: the process does not run.
+        MembershipSettings settings;
+        bool isPaused = false;
+        Duration extraDelay{0}; ///< Before it reads what has arrived.
+        std::vector<MembershipEvent> events;
+        Incarnation greatestSeen = 0;
+    };
+
+    explicit VirtualNetwork(std::uint64_t seed)
+        : m_random(seed)
+    {}
+
+    double lossShare = 0;
+    double duplicateShare = 0;
+    Duration minimumDelay{500};
+    Duration maximumDelay{2'000};
+    /// Whether a datagram from one node to another gets through.
+    std::function<bool(const NodeId &, const NodeId &)> isOpen = [](const auto &, const auto &) {
+        return true;
+    };
+    /// Called for each event of a node.
+    std::function<void(const NodeId &, const MembershipEvent &)> didHappen;
+
+    auto start(const MembershipSettings &settings) -> State &
+    {
+        auto &node = m_nodes[settings.node];
+        node.settings = settings;
+        node.isPaused = false;
+        node.state = std::make_unique<State>(settings, m_random(), m_now);
+        schedule(m_now, settings.node, {}, {});
+        return *node.state;
+    }
+
+    auto kill(const NodeId &node) -> void { m_nodes.at(node).state.reset(); }
+
+    auto resume(const NodeId &id) -> void
+    {
+        auto &node = m_nodes.at(id);
+        node.isPaused = false;
+        for (auto &it : std::exchange(m_held[id], {}))
+            schedule(m_now, id, it.first, it.second);
+        schedule(m_now, id, {}, {});
+    }
+
+    auto run(Duration span) -> void
+    {
+        const auto end = m_now + span;
+        while (!m_queue.empty() && m_queue.top().at <= end) {
+            const auto delivery = m_queue.top();
+            m_queue.pop();
+            m_now = delivery.at;
+            deliver(delivery);
+        }
+        m_now = end;
+    }
+
+    /// Hands on what a node's state wants to send; for calls from outside, such as leave().
+    auto flush(const NodeId &id) -> void
+    {
+        auto &node = m_nodes.at(id);
+        for (auto &it : node.state->takeDatagrams())
+            transmit(id, it);
+        for (auto &it : node.state->takeEvents()) {
+            if (didHappen)
+                didHappen(id, it);
+            node.events.push_back(std::move(it));
+        }
+    }
+
+    auto now() const -> TimePoint { return m_now; }
+    auto nodes() -> std::map<NodeId, Node> & { return m_nodes; }
+    auto node(const NodeId &id) -> Node & { return m_nodes.at(id); }
+    auto random() -> Random & { return m_random; }
+
+private:
+    struct Delivery
+    {
+        TimePoint at;
+        std::uint64_t order;
+        NodeId to;
+        NodeId from; ///< Empty: a tick.
+        std::string payload;
+
+        auto operator<(const Delivery &other) const -> bool
+        {
+            return std::tie(other.at, other.order) < std::tie(at, order);
+        }
+    };
+
+    auto schedule(TimePoint at, const NodeId &to, const NodeId &from, std::string payload) -> void
+    {
+        m_queue.push({at, ++m_order, to, from, std::move(payload)});
+    }
+
+    auto transmit(const NodeId &from, const OutgoingDatagram &datagram) -> void
+    {
+        const auto copies = randomUnit(m_random) < duplicateShare ? 2 : 1;
+        const auto isKnown = m_nodes.contains(datagram.to);
+        if (!isKnown || !isOpen(from, datagram.to) || randomUnit(m_random) < lossShare)
+            return;
+        const auto spread = static_cast<std::uint64_t>((maximumDelay - minimumDelay).count()) + 1;
+        for (auto index = 0; index < copies; ++index) {
+            const auto delay =
+                    minimumDelay
+                    + Duration(static_cast<Duration::rep>(randomBelow(m_random, spread)));
+            schedule(m_now + delay + m_nodes.at(datagram.to).extraDelay, datagram.to, from,
+                     datagram.payload);
+        }
+    }
+
+    auto deliver(const Delivery &delivery) -> void
+    {
+        auto &node = m_nodes.at(delivery.to);
+        if (!node.state)
+            return;
+        if (node.isPaused) {
+            if (!delivery.from.empty())
+                m_held[delivery.to].emplace_back(delivery.from, delivery.payload);
+            return;
+        }
+        if (!delivery.from.empty()) {
+            node.state->receive(m_now, delivery.from, delivery.payload);
+        } else if (m_nextTick[delivery.to] <= m_now) {
+            // A restart or a resumption may have scheduled ticks twice; one chain goes on.
+            node.state->tick(m_now);
+            m_nextTick[delivery.to] = m_now + TickInterval;
+            schedule(m_now + TickInterval, delivery.to, {}, {});
+        }
+        flush(delivery.to);
+    }
+
+    static constexpr auto TickInterval = Duration{100'000};
+
+    Random m_random;
+    TimePoint m_now{Duration{1'000'000'000}};
+    std::uint64_t m_order = 0;
+    std::priority_queue<Delivery> m_queue;
+    std::map<NodeId, Node> m_nodes;
+    std::map<NodeId, TimePoint> m_nextTick;
+    std::map<NodeId, std::vector<std::pair<NodeId, std::string>>> m_held;
+};
+
+} // namespace stairspur::membership
