--- /dev/null
+++ b/include/stairspur/membership/Announcement.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <stairspur/core/Error.h>
+#include <stairspur/membership/Member.h>
+
+namespace stairspur::membership {
+
+/// An announcement that cannot be taken. The message names the field and what to send instead.
+class AnnouncementError : public InputError
+{
+public:
+    using InputError::InputError;
+};
+
+/// What a backend server says of itself to its host's node, every second.
+struct Announcement
+{
+    std::string service;
+    std::uint16_t port = 0;  ///< Of its HTTP server, on the same host.
+    std::uint32_t slots = 0; ///< Calls that it can run at once.
+    ServingState state = ServingState::Starting;
+    std::uint32_t inFlight = 0; ///< Calls that it runs now.
+
+    auto operator==(const Announcement &) const -> bool = default;
+};
+
+/// Reads the JSON body of `POST /announce`. Throws AnnouncementError.
+auto parseAnnouncement(std::string_view json) -> Announcement;
+
+} // namespace stairspur::membership
--- /dev/null
+++ b/include/stairspur/membership/BackendAnnouncements.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <optional>
+
+#include <stairspur/core/Time.h>
+#include <stairspur/membership/Announcement.h>
+
+namespace stairspur::membership {
+
+/// The one backend server of this host, as its announcements tell. Silence counts as leaving.
+class BackendAnnouncements
+{
+public:
+    /// `timeout`: silence after which the backend server counts as left.
+    explicit BackendAnnouncements(Duration timeout)
+        : m_timeout(timeout)
+    {}
+
+    /// Takes an announcement in; tells whether the own record changes by it (service, slots or state). Throws
+    /// AnnouncementError when another backend server is there already.
+    auto take(const Announcement &announcement, TimePoint now) -> bool;
+
+    /// Notices silence; tells whether the own record changes by it.
+    auto tick(TimePoint now) -> bool;
+
+    /// The node drains: from now on a backend server is shown as draining at best. Tells whether that is a change.
+    auto drain() -> bool;
+
+    /// The last announcement with the state that counts; nothing before the first.
+    [[nodiscard]] auto current() const -> const std::optional<Announcement> & { return m_current; }
+
+    /// Whether a backend server is there and takes new work.
+    [[nodiscard]] auto isServing() const -> bool
+    {
+        return m_current && m_current->state == ServingState::Serving;
+    }
+
+private:
+    [[nodiscard]] auto stateThatCounts(ServingState announced) const -> ServingState;
+
+    Duration m_timeout;
+    bool m_isDraining = false;
+    TimePoint m_lastHeard;
+    std::optional<Announcement> m_current;
+};
+
+} // namespace stairspur::membership
--- a/include/stairspur/membership/MemberTable.h
+++ b/include/stairspur/membership/MemberTable.h
@@ -16,10 +16,11 @@
 
 namespace stairspur::membership {
 
-/// Whether the member takes part in the protocol, as far as is known.
+/// Whether the node takes part in the protocol, as far as is known. One that leaves says itself that it is dead; one
+/// whose backend server alone has left stays.
 inline auto isPresent(const Member &member) -> bool
 {
-    return member.liveness != Liveness::Dead && member.state != ServingState::Left;
+    return member.liveness != Liveness::Dead;
 }
 
 /// Every record that this node holds, and the rules by which a claim replaces a record (SWIM, section 4.2).
@@ -112,15 +113,14 @@
             return !(claim == known);
         if (claim.incarnation != known.incarnation)
             return claim.incarnation > known.incarnation;
-        return known.state != ServingState::Left && claim.liveness > known.liveness;
+        return claim.liveness > known.liveness;
     }
 
     static auto eventOf(const Member &known, const Member &claim) -> MembershipEventKind
     {
         if (claim.liveness == Liveness::Dead)
-            return MembershipEventKind::Dead;
-        if (claim.state == ServingState::Left)
-            return MembershipEventKind::Left;
+            return claim.state == ServingState::Left ? MembershipEventKind::Left
+                                                     : MembershipEventKind::Dead;
         if (claim.liveness == Liveness::Suspect)
             return MembershipEventKind::Suspect;
         if (claim.start > known.start)
@@ -129,6 +129,8 @@
             return MembershipEventKind::Join;
         if (claim.state == ServingState::Draining && known.state != ServingState::Draining)
             return MembershipEventKind::Draining;
+        if (claim.state == ServingState::Left && known.state != ServingState::Left)
+            return MembershipEventKind::Left;
         const auto isSame = claim.state == known.state && claim.service == known.service
                             && claim.slots == known.slots;
         return isSame ? MembershipEventKind::Alive : MembershipEventKind::State;
--- a/include/stairspur/membership/MembershipCore.h
+++ b/include/stairspur/membership/MembershipCore.h
@@ -57,7 +57,7 @@
     [[nodiscard]] auto settings() const -> const MembershipSettings & { return m_settings; }
     [[nodiscard]] auto now() const -> TimePoint { return m_now; }
     [[nodiscard]] auto self() const -> const Member & { return m_self; }
-    [[nodiscard]] auto hasLeft() const -> bool { return m_self.state == ServingState::Left; }
+    [[nodiscard]] auto hasLeft() const -> bool { return m_self.liveness == Liveness::Dead; }
     [[nodiscard]] auto table() const -> const MemberTable<Policy> & { return m_table; }
     auto table() -> MemberTable<Policy> & { return m_table; }
     auto random() -> Random & { return m_random; }
@@ -117,6 +117,18 @@
         noteUrgency(m_self);
     }
 
+    /// The last thing that this node says of itself.
+    auto leave() -> void
+    {
+        if (hasLeft())
+            return;
+        m_self.state = ServingState::Left;
+        m_self.liveness = Liveness::Dead;
+        ++m_self.incarnation;
+        didChangeSelf();
+        noteUrgency(m_self);
+    }
+
     /// Takes a claim in and passes it on if it is news. Claims about this node are refuted.
     auto apply(Member claim, ClaimSource source) -> void
     {
@@ -127,8 +139,10 @@
         const auto isOwn = claim.domain == m_self.domain;
         if (!isOwn && !m_filter.mayContain(claim.service))
             return;
-        const auto isDoubtful =
-                source == ClaimSource::Exchange && claim.liveness == Liveness::Dead && isOwn;
+        // A node that left said so itself; any other death is the verdict of others.
+        const auto isVerdict =
+                claim.liveness == Liveness::Dead && claim.state != ServingState::Left;
+        const auto isDoubtful = source == ClaimSource::Exchange && isVerdict && isOwn;
         if (Policy::doubtsExchangedDeaths && isDoubtful)
             claim.liveness = Liveness::Suspect;
         const auto event = m_table.merge(claim, m_now);
--- a/include/stairspur/membership/MembershipState.h
+++ b/include/stairspur/membership/MembershipState.h
@@ -107,7 +107,9 @@
     /// more.
     auto leave(TimePoint now) -> void
     {
-        setSelf(now, m_core.self().service, m_core.self().slots, ServingState::Left);
+        advance(now);
+        m_core.leave();
+        spreadUrgent();
     }
 
     auto takeDatagrams() -> std::vector<OutgoingDatagram> { return m_core.takeDatagrams(); }
@@ -197,7 +199,7 @@
         if (!isPeer)
             m_relays.didHear(from, message);
         // One that was given up is back: what it knows may be the other half of a healed partition.
-        if (wasGone && isPresent(*m_core.table().find(from)))
+        if (wasGone && isPresent(message.self))
             m_exchange.hurry(m_core.self().domain, from);
         if (!message.annotation.empty())
             m_core.emitAnnotation(from, message.annotation);
--- a/include/stairspur/membership/RelayExchange.h
+++ b/include/stairspur/membership/RelayExchange.h
@@ -197,7 +197,7 @@
         auto seen = std::uint64_t{0};
         auto chosen = NodeId();
         for (const auto &[node, entry] : m_core.table().entries()) {
-            if (entry.member.domain != domain || entry.member.state == ServingState::Left)
+            if (entry.member.domain != domain)
                 continue;
             // Reservoir sampling: each has the same chance, the dead ones too, which may be back.
             if (randomBelow(m_core.random(), ++seen) == 0)
--- /dev/null
+++ b/source/membership/MembershipService.cpp
@@ -0,0 +1,173 @@
+#include <stairspur/membership/MembershipService.h>
+
+#include <chrono>
+#include <utility>
+
+#include <stairspur/log/Log.h>
+
+namespace stairspur::membership {
+
+static constexpr auto Topic = "swim";
+static constexpr auto TicksPerPeriod = 10;
+
+auto startIncarnation() -> Incarnation
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<Incarnation>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
+
+MembershipService::MembershipService(boost::asio::io_context &io,
+                                     transport::DatagramChannel &channel,
+                                     MembershipSettings settings, std::uint64_t seed)
+    : m_channel(channel)
+    , m_tickInterval(settings.period / TicksPerPeriod)
+    , m_state(std::move(settings), seed, monotonicNow())
+    , m_timer(io)
+    , m_isRunning(std::make_shared<bool>(false))
+    , m_view(std::make_shared<const MembershipView>(m_state.view()))
+{}
+
+MembershipService::~MembershipService()
+{
+    stop();
+}
+
+auto MembershipService::setViewCallback(ViewCallback didChange) -> void
+{
+    m_didChange = std::move(didChange);
+}
+
+auto MembershipService::setAnnotationCallback(AnnotationCallback didHear) -> void
+{
+    m_didHear = std::move(didHear);
+}
+
+auto MembershipService::start() -> void
+{
+    *m_isRunning = true;
+    const auto didArrive = [this, isRunning = m_isRunning](const NodeId &from,
+                                                           const std::string &payload) {
+        if (*isRunning)
+            didReceive(from, payload);
+    };
+    m_channel.setHandler(Topic, didArrive);
+    scheduleTick();
+}
+
+auto MembershipService::stop() -> void
+{
+    if (!std::exchange(*m_isRunning, false))
+        return;
+    m_channel.setHandler(Topic, [](const NodeId &, const std::string &) {});
+    m_timer.cancel();
+}
+
+auto MembershipService::setSelf(const std::string &service, std::uint32_t slots, ServingState state)
+        -> void
+{
+    m_state.setSelf(monotonicNow(), service, slots, state);
+    m_hasChanged = true;
+    flush();
+}
+
+auto MembershipService::setServicesOfInterest(const std::set<std::string> &services) -> void
+{
+    m_state.setServicesOfInterest(services);
+    m_hasChanged = true;
+}
+
+auto MembershipService::setAnnotation(const std::string &annotation) -> void
+{
+    m_state.setAnnotation(annotation);
+}
+
+auto MembershipService::addHints(const std::vector<NodeId> &nodes) -> void
+{
+    m_state.addHints(nodes);
+}
+
+auto MembershipService::leave() -> void
+{
+    m_state.leave(monotonicNow());
+    m_hasChanged = true;
+    flush();
+}
+
+auto MembershipService::view() const -> std::shared_ptr<const MembershipView>
+{
+    return m_view;
+}
+
+auto MembershipService::scheduleTick() -> void
+{
+    m_timer.expires_after(m_tickInterval);
+    m_timer.async_wait([this, isRunning = m_isRunning](const boost::system::error_code &ec) {
+        if (ec || !*isRunning)
+            return;
+        m_state.tick(monotonicNow());
+        flush();
+        publish();
+        scheduleTick();
+    });
+}
+
+auto MembershipService::didReceive(const NodeId &from, const std::string &payload) -> void
+{
+    m_state.receive(monotonicNow(), from, payload);
+    flush();
+}
+
+auto MembershipService::flush() -> void
+{
+    for (const auto &it : m_state.takeDatagrams())
+        m_channel.send(it.to, Topic, it.payload);
+    for (const auto &it : m_state.takeEvents())
+        report(it);
+}
+
+/// Changes that place work elsewhere are worth a warning when nobody planned them.
+static auto severityOf(MembershipEventKind kind) -> log::Severity
+{
+    switch (kind) {
+    case MembershipEventKind::Suspect:
+    case MembershipEventKind::Dead:
+    case MembershipEventKind::ContactLost:
+    case MembershipEventKind::Refuted:
+    case MembershipEventKind::Paused:
+        return log::Severity::Warning;
+    default:
+        return log::Severity::Info;
+    }
+}
+
+auto MembershipService::report(const MembershipEvent &event) -> void
+{
+    if (event.kind == MembershipEventKind::Annotation) {
+        if (m_didHear)
+            m_didHear(event.member.node, event.annotation);
+        return;
+    }
+    m_hasChanged = true;
+    auto line = log::Line(severityOf(event.kind), "member");
+    line.add("change", nameOf(event.kind));
+    if (!event.domain.empty()) {
+        line.add("domain", event.domain);
+        return;
+    }
+    const auto &member = event.member;
+    line.add("member", member.node).add("service", member.service).add("domain", member.domain);
+    line.add("state", nameOf(member.state)).add("liveness", nameOf(member.liveness));
+    line.add("slots", member.slots).add("incarnation", member.incarnation);
+}
+
+auto MembershipService::publish() -> void
+{
+    if (!std::exchange(m_hasChanged, false))
+        return;
+    m_view = std::make_shared<const MembershipView>(m_state.view());
+    if (m_didChange)
+        m_didChange(m_view);
+}
+
+} // namespace stairspur::membership
