Node: Run the control thread with membership, announcements and the admin port

Cause: the entry and the gate need to know the backend server, the members and the stage of shutdown. Change: ControlPlane, RendezvousKeeper over the store, status and metrics pages, the order of a graceful shutdown. Conclusion: what is missing for the whole path is the configuration in force.

--- /dev/null
+++ b/source/node/ControlPlane.cpp
@@ -0,0 +1,177 @@
+#include "ControlPlane.h"
+
+#include <set>
+
+#include <stairspur/log/Log.h>
+
+#include "StatusReport.h"
+
+namespace stairspur::node {
+
+namespace asio = transport::asio;
+using membership::ServingState;
+
+/// How often silence of the backend server is looked for.
+static constexpr auto TickInterval = std::chrono::milliseconds(250);
+/// A node that goes repeats its word for so many protocol periods.
+static constexpr auto LeavePeriods = 3;
+
+auto peerSettings(const NodeSettings &settings) -> transport::PeerSettings
+{
+    auto peers = transport::PeerSettings();
+    peers.ownNode = settings.nodeId();
+    peers.secret = settings.peerSecret;
+    peers.maxBodyBytes = settings.maxBodyBytes;
+    return peers;
+}
+
+static auto datagramSettings(const NodeSettings &settings) -> transport::DatagramSettings
+{
+    return {settings.hostAddress, settings.peerPort, settings.peerSecret};
+}
+
+static auto membershipSettings(const NodeSettings &settings) -> membership::MembershipSettings
+{
+    auto membership = membership::MembershipSettings();
+    membership.node = settings.nodeId();
+    membership.domain = settings.failureDomain;
+    membership.start = membership::startIncarnation();
+    membership.seeds = settings.seeds;
+    membership.period = settings.protocolPeriod;
+    membership.probeTimeout = settings.protocolPeriod / 4;
+    return membership;
+}
+
+static auto adminServerSettings(const NodeSettings &settings) -> transport::HttpServerSettings
+{
+    auto server = transport::HttpServerSettings();
+    server.address = settings.adminAddress;
+    server.port = settings.adminPort;
+    return server;
+}
+
+ControlPlane::ControlPlane(asio::io_context &io, const NodeSettings &settings, NodeBoard &board,
+                           NodeMetrics &metrics, ControlHandlers handlers, std::uint64_t seed)
+    : m_settings(settings)
+    , m_board(board)
+    , m_metrics(metrics)
+    , m_handlers(std::move(handlers))
+    , m_datagrams(io, datagramSettings(settings))
+    , m_peers(io, peerSettings(settings))
+    , m_membership(io, m_datagrams, membershipSettings(settings), seed)
+    , m_announcements(settings.announcementTimeout)
+    , m_adminApi(adminHooks())
+    , m_adminServer(io, adminServerSettings(settings),
+                    [this](auto request, auto) -> transport::Task<transport::HttpResponse> {
+                        co_return m_adminApi.handle(request);
+                    })
+    , m_timer(io)
+    , m_leaveTimer(io)
+{
+    if (!settings.store.empty()) {
+        auto store = platform::storeSettingsFromUrl(settings.store);
+        store.timeout = settings.storeTimeout;
+        store.callsPerSecond = settings.storeCallsPerSecond;
+        m_store.emplace(io, store, seed + 1);
+        auto didRead = [this](const std::vector<NodeId> &hints) { m_membership.addHints(hints); };
+        m_rendezvous.emplace(io, *m_store, settings.nodeId(), settings.failureDomain,
+                             std::move(didRead), seed + 2);
+    }
+}
+
+ControlPlane::~ControlPlane() = default;
+
+auto ControlPlane::registerRequests(transport::PeerServer & /*server*/) -> void {}
+
+auto ControlPlane::start() -> void
+{
+    m_datagrams.start();
+    m_adminServer.start();
+    m_membership.setViewCallback([this](const auto &view) { didChangeView(*view); });
+    m_membership.start();
+    if (m_rendezvous)
+        m_rendezvous->start();
+    scheduleTick();
+}
+
+auto ControlPlane::adminHooks() -> AdminHooks
+{
+    return {
+            [this](const std::string &body) { didAnnounce(body); },
+            [this] { m_handlers.startDrain(); },
+            [this] { return isReady(); },
+            [this] { return renderStatus(); },
+            [this] { return renderMetrics(); },
+    };
+}
+
+auto ControlPlane::didAnnounce(const std::string &body) -> void
+{
+    if (m_announcements.take(membership::parseAnnouncement(body), monotonicNow()))
+        publishBackend();
+}
+
+/// Tells the gate and the other nodes what the backend server says of itself.
+auto ControlPlane::publishBackend() -> void
+{
+    const auto &current = m_announcements.current();
+    if (!current)
+        return;
+    m_board.backend.publish({current->service, current->port, current->slots, current->state});
+    m_membership.setSelf(current->service, current->slots, current->state);
+    log::Line(log::Severity::Info, "backend")
+            .add("service", current->service)
+            .add("port", current->port)
+            .add("slots", current->slots)
+            .add("state", current->state);
+}
+
+auto ControlPlane::didChangeView(const membership::MembershipView &view) -> void
+{
+    m_board.members.publish(view);
+}
+
+auto ControlPlane::scheduleTick() -> void
+{
+    m_timer.expires_after(TickInterval);
+    m_timer.async_wait([this](const boost::system::error_code &ec) {
+        if (ec)
+            return;
+        if (m_announcements.tick(monotonicNow()))
+            publishBackend();
+        scheduleTick();
+    });
+}
+
+auto ControlPlane::announceDraining() -> void
+{
+    if (m_announcements.drain())
+        publishBackend();
+}
+
+auto ControlPlane::leave(std::function<void()> didFinish) -> void
+{
+    m_membership.leave();
+    if (m_rendezvous)
+        m_rendezvous->leave();
+    m_leaveTimer.expires_after(m_settings.protocolPeriod * LeavePeriods);
+    m_leaveTimer.async_wait(
+            [didFinish = std::move(didFinish)](const boost::system::error_code &) { didFinish(); });
+}
+
+auto ControlPlane::isReady() const -> bool
+{
+    return *m_board.configuration.read() != nullptr && *m_board.stage.read() == LifeStage::Running;
+}
+
+auto ControlPlane::renderStatus() const -> std::string
+{
+    return statusReport(m_settings, m_board);
+}
+
+auto ControlPlane::renderMetrics() const -> std::string
+{
+    return m_metrics.render();
+}
+
+} // namespace stairspur::node
--- /dev/null
+++ b/source/node/ControlPlane.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <stairspur/membership/BackendAnnouncements.h>
+#include <stairspur/membership/MembershipService.h>
+#include <stairspur/node/NodeSettings.h>
+#include <stairspur/platform/EtcdStore.h>
+#include <stairspur/transport/DatagramChannel.h>
+#include <stairspur/transport/HttpServer.h>
+#include <stairspur/transport/PeerClient.h>
+#include <stairspur/transport/PeerServer.h>
+
+#include "AdminApi.h"
+#include "NodeBoard.h"
+#include "NodeMetrics.h"
+#include "RendezvousKeeper.h"
+
+namespace stairspur::node {
+
+/// What the control plane asks of the node around it.
+struct ControlHandlers
+{
+    std::function<void()> startDrain;
+};
+
+/// What peer links of this node are set to, on each of its threads.
+auto peerSettings(const NodeSettings &settings) -> transport::PeerSettings;
+
+/// The controllers: announcements, membership, configuration in force, the operators' port. They read and write the
+/// blackboard. Belongs to the control thread.
+class ControlPlane
+{
+public:
+    ControlPlane(transport::asio::io_context &io, const NodeSettings &settings, NodeBoard &board,
+                 NodeMetrics &metrics, ControlHandlers handlers, std::uint64_t seed);
+    ~ControlPlane();
+    ControlPlane(const ControlPlane &) = delete;
+    ControlPlane(ControlPlane &&) = delete;
+    auto operator=(const ControlPlane &) -> ControlPlane & = delete;
+    auto operator=(ControlPlane &&) -> ControlPlane & = delete;
+
+    /// Sets the handlers of control requests, which arrive on the gate's thread.
+    auto registerRequests(transport::PeerServer &server) -> void;
+
+    /// Binds the control ports. Throws SettingError when one cannot be bound.
+    auto start() -> void;
+
+    /// Tells the others that this host takes no new work.
+    auto announceDraining() -> void;
+
+    /// Tells the others that this node is gone; `didFinish` runs once the word has been repeated.
+    auto leave(std::function<void()> didFinish) -> void;
+
+private:
+    auto adminHooks() -> AdminHooks;
+    auto didAnnounce(const std::string &body) -> void;
+    auto publishBackend() -> void;
+    auto didChangeView(const membership::MembershipView &view) -> void;
+    auto scheduleTick() -> void;
+    [[nodiscard]] auto isReady() const -> bool;
+    [[nodiscard]] auto renderStatus() const -> std::string;
+    [[nodiscard]] auto renderMetrics() const -> std::string;
+
+    const NodeSettings &m_settings;
+    NodeBoard &m_board;
+    NodeMetrics &m_metrics;
+    ControlHandlers m_handlers;
+    transport::DatagramChannel m_datagrams;
+    transport::PeerClient m_peers;
+    std::optional<platform::EtcdStore> m_store;
+    membership::MembershipService m_membership;
+    std::optional<RendezvousKeeper> m_rendezvous;
+    membership::BackendAnnouncements m_announcements;
+    AdminApi m_adminApi;
+    transport::HttpServer m_adminServer;
+    transport::asio::steady_timer m_timer;
+    transport::asio::steady_timer m_leaveTimer;
+};
+
+} // namespace stairspur::node
--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -130,10 +130,9 @@
     if (std::exchange(m_isStopped, true))
         return;
     m_drainTimer.cancel();
-    m_controlPlane->leave();
     log::Line(isWhole ? log::Severity::Info : log::Severity::Warning, "drain-finished")
             .add("whole", isWhole);
-    m_stopped.set_value(isWhole);
+    m_controlPlane->leave([this, isWhole] { m_stopped.set_value(isWhole); });
 }
 
 auto Node::waitUntilStopped() -> bool
--- /dev/null
+++ b/source/node/RendezvousKeeper.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <stairspur/core/Identifiers.h>
+#include <stairspur/membership/RendezvousSlots.h>
+#include <stairspur/platform/EtcdStore.h>
+#include <stairspur/transport/Task.h>
+
+namespace stairspur::node {
+
+/// Carries out what RendezvousSlots decides: a few leased keys per failure domain in the platform's store, through which
+/// a node that starts finds its first peers. Belongs to the control thread.
+class RendezvousKeeper
+{
+public:
+    using HintsCallback = std::function<void(const std::vector<NodeId> &)>;
+
+    /// The store must outlive the keeper's io_context.
+    RendezvousKeeper(transport::asio::io_context &io, platform::EtcdStore &store, NodeId ownNode,
+                     std::string domain, HintsCallback didRead, std::uint64_t seed);
+
+    auto start() -> void;
+
+    /// Gives the slot back.
+    auto leave() -> void;
+
+private:
+    auto run() -> transport::Task<void>;
+    auto step() -> transport::Task<void>;
+    auto read() -> transport::Task<void>;
+    auto claim() -> transport::Task<void>;
+    auto renew() -> transport::Task<void>;
+    [[nodiscard]] auto keyOf(std::uint32_t slot) const -> std::string;
+
+    transport::asio::io_context &m_io;
+    platform::EtcdStore &m_store;
+    NodeId m_ownNode;
+    std::string m_prefix;
+    HintsCallback m_didRead;
+    membership::RendezvousSettings m_settings;
+    membership::RendezvousSlots m_slots;
+    platform::LeaseId m_lease = 0;
+    transport::asio::steady_timer m_timer;
+};
+
+} // namespace stairspur::node
--- a/source/transport/CallCodec.cpp
+++ b/source/transport/CallCodec.cpp
@@ -8,7 +8,7 @@
 
 namespace stairspur::transport {
 
-static constexpr auto CallItems = std::uint64_t{12};
+static constexpr auto CallItems = std::uint64_t{13};
 static constexpr auto AnswerItems = std::uint64_t{8};
 static constexpr auto ReportItems = std::uint64_t{7};
 static constexpr auto SizeGuess = std::size_t{512};
@@ -99,6 +99,7 @@
             .addBytes(request.method)
             .addBytes(request.target);
     addHeaders(writer, request.headers);
+    writer.addBoolean(request.isRepeat);
     return bytes;
 }
 
@@ -119,6 +120,7 @@
     request.method = reader.readBytes();
     request.target = reader.readBytes();
     request.headers = readHeaders(reader);
+    request.isRepeat = reader.readBoolean();
     fieldReader.finish();
     return request;
 }
