Transport: Send control datagrams between nodes

Cause: membership probes go to random peers, to which no link is open. Ways weighed: the payload beside the HMAC as two CBOR items, and the whole content in one byte string that the HMAC covers byte for byte; the latter was taken, so that nothing is read before it is checked. The receiver's id is part of the content, so that a datagram can't be replayed at another node. Change: DatagramChannel, with counters; DatagramSettings::ownNode for nodes whose address is not the one they bind.

--- a/include/stairspur/transport/DatagramChannel.h
+++ b/include/stairspur/transport/DatagramChannel.h
@@ -19,15 +19,18 @@
     std::string
             secret; ///< Datagrams carry an HMAC of it; those without are dropped and counted. Empty: none.
     std::uint32_t maxBytes = 1400; ///< Stays below the usual path MTU.
+    NodeId ownNode; ///< How other nodes address this one. Empty: `address` and the bound port.
 };
 
+/// Since the start; bytes without the headers of UDP and IP.
 struct DatagramTraffic
 {
     std::uint64_t sent = 0;
     std::uint64_t received = 0;
     std::uint64_t bytesSent = 0;
     std::uint64_t bytesReceived = 0;
-    std::uint64_t rejected = 0;
+    std::uint64_t rejected =
+            0; ///< Garbage, strangers' and misdirected ones; too large ones to send.
 };
 
 /// Small control messages between nodes by UDP: a topic and CBOR bytes each. Nothing is resent.
--- a/source/transport/PeerClientLink.cpp
+++ b/source/transport/PeerClientLink.cpp
@@ -1,7 +1,6 @@
 #include "PeerClientLink.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -11,6 +10,7 @@
 #include <stairspur/log/Log.h>
 
 #include "CallCodec.h"
+#include "NodeAddress.h"
 
 namespace stairspur::transport {
 
@@ -62,21 +62,6 @@
     CancellationPtr m_cancellation;
 };
 
-static auto parseNode(const NodeId &node) -> std::optional<asio::ip::tcp::endpoint>
-{
-    const auto colon = node.rfind(':');
-    if (colon == NodeId::npos)
-        return std::nullopt;
-    auto ec = boost::system::error_code();
-    const auto address = asio::ip::make_address(node.substr(0, colon), ec);
-    auto port = std::uint16_t{0};
-    const auto *end = node.data() + node.size();
-    const auto [stop, error] = std::from_chars(node.data() + colon + 1, end, port);
-    if (ec || error != std::errc() || stop != end)
-        return std::nullopt;
-    return asio::ip::tcp::endpoint(address, port);
-}
-
 auto LinkWaiter::wait() -> Task<bool>
 {
     const auto [ec] = co_await m_timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -107,13 +92,14 @@
 
 auto PeerClientLink::connect() -> Task<void>
 {
-    const auto endpoint = parseNode(m_node);
-    if (!endpoint) {
+    const auto address = parseNode(m_node);
+    if (!address) {
         close(false, "the node's id is no address and port");
         co_return;
     }
+    const auto endpoint = asio::ip::tcp::endpoint(address->address, address->port);
     const auto [ec] =
-            co_await m_socket.async_connect(*endpoint, asio::as_tuple(asio::use_awaitable));
+            co_await m_socket.async_connect(endpoint, asio::as_tuple(asio::use_awaitable));
     if (m_state != State::Connecting)
         co_return;
     if (ec) {
