--- a/include/stairspur/platform/Backoff.h
+++ b/include/stairspur/platform/Backoff.h
@@ -23,7 +23,8 @@
         const auto ceiling = std::min(m_maximum, m_base * (std::int64_t{1} << m_failures));
         m_failures = std::min(m_failures + 1, MaxDoublings);
         const auto half = ceiling.count() / 2;
-        return Duration{half + static_cast<std::int64_t>(randomUnit(random) * static_cast<double>(half))};
+        return Duration{
+                half + static_cast<std::int64_t>(randomUnit(random) * static_cast<double>(half))};
     }
 
     auto reset() -> void { m_failures = 0; }
--- a/include/stairspur/platform/EtcdStore.h
+++ b/include/stairspur/platform/EtcdStore.h
@@ -21,13 +21,13 @@
 {
     std::string address = "127.0.0.1"; ///< IP number of the store.
     std::uint16_t port = 2379;
-    Duration timeout{2'000'000};          ///< For one attempt at one call.
-    std::uint32_t callsPerSecond = 5;     ///< At most, all kinds together.
-    std::uint32_t burst = 20;             ///< Calls saved up at most.
-    std::uint32_t attempts = 3;           ///< At one call, where sending it again is safe.
-    Duration minBackoff{100'000};         ///< Before the second attempt.
+    Duration timeout{2'000'000};      ///< For one attempt at one call.
+    std::uint32_t callsPerSecond = 5; ///< At most, all kinds together.
+    std::uint32_t burst = 20;         ///< Calls saved up at most.
+    std::uint32_t attempts = 3;       ///< At one call, where sending it again is safe.
+    Duration minBackoff{100'000};     ///< Before the second attempt.
     Duration maxBackoff{5'000'000};
-    Duration watchSilence{60'000'000};    ///< A watch that says nothing for so long is opened anew.
+    Duration watchSilence{60'000'000}; ///< A watch that says nothing for so long is opened anew.
     std::uint32_t maxWatchLineBytes = 4U << 20U;
 };
 
@@ -37,7 +37,8 @@
 /// Calls since the start, by kind and by how they ended. Attempts count one by one.
 struct StoreCounters
 {
-    std::array<std::array<std::uint64_t, enumNames<StoreStatus>.size()>, enumNames<StoreCall>.size()>
+    std::array<std::array<std::uint64_t, enumNames<StoreStatus>.size()>,
+               enumNames<StoreCall>.size()>
             calls{};
     std::uint64_t delayed = 0;       ///< Calls that waited for the rate limit.
     std::uint64_t watchMessages = 0; ///< With events.
--- a/include/stairspur/platform/StoreTypes.h
+++ b/include/stairspur/platform/StoreTypes.h
@@ -17,10 +17,10 @@
 /// How a call to the store ended.
 enum class StoreStatus {
     Ok,
-    CasFailed,   ///< The comparison of a transaction did not hold: nothing was written.
+    CasFailed, ///< The comparison of a transaction did not hold: nothing was written.
     Unreachable, ///< Certainly not applied: the store never got the request, or said that it did nothing.
-    Unknown,     ///< No whole answer came: a write may have been applied, now or yet.
-    Rejected,    ///< The store refused the request for good (malformed, too large, lease not found).
+    Unknown,  ///< No whole answer came: a write may have been applied, now or yet.
+    Rejected, ///< The store refused the request for good (malformed, too large, lease not found).
 };
 
 /// The kinds of call, as the counters list them. A watch counts as one read while it waits.
--- a/source/platform/EtcdCodec.cpp
+++ b/source/platform/EtcdCodec.cpp
@@ -32,12 +32,8 @@
 
 static auto decodePair(const Json &json) -> KeyValue
 {
-    return {bytes(json, "key"),
-            bytes(json, "value"),
-            number(json, "create_revision"),
-            number(json, "mod_revision"),
-            number(json, "version"),
-            number(json, "lease")};
+    return {bytes(json, "key"),           bytes(json, "value"),    number(json, "create_revision"),
+            number(json, "mod_revision"), number(json, "version"), number(json, "lease")};
 }
 
 auto encode(const RangeRequest &request) -> std::string
