Config: Look up services, callers and call paths by hash

Configuration searches its lists from front to back, which with thousands of callers is too slow for each call. Ruled out: hash maps inside Configuration, which would make it more than plain data and cost every reader of it, and sorted vectors, which tests and readers would have to keep sorted. The index is built once for each configuration in force and shared. A test at 520 services and 8000 callers shows that a change moves one section, and that no section exceeds 64 KiB.

--- /dev/null
+++ b/include/stairspur/config/ConfigurationIndex.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <array>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include <stairspur/config/Configuration.h>
+#include <stairspur/core/Hash.h>
+
+namespace stairspur::config {
+
+/// Lookups in one configuration that cost the same whatever its size. Built once for each configuration in force and
+/// shared by the traffic threads, since Configuration itself searches from front to back.
+class ConfigurationIndex
+{
+public:
+    explicit ConfigurationIndex(ConfigurationPtr configuration);
+
+    [[nodiscard]] auto configuration() const -> const ConfigurationPtr & { return m_configuration; }
+
+    [[nodiscard]] auto findService(std::string_view name) const -> const Service *;
+    [[nodiscard]] auto findClass(std::string_view name) const -> const PriorityClass *;
+    [[nodiscard]] auto findCallerByKeyHash(std::string_view keySha256) const -> const Caller *;
+
+    /// As Configuration::deeperServices, worked out beforehand. Empty for an unknown service.
+    [[nodiscard]] auto deeperServices(std::string_view service, ClassRank rank) const
+            -> const std::vector<std::string> &;
+
+private:
+    struct Hasher
+    {
+        auto operator()(std::string_view text) const -> std::size_t { return hash64(text); }
+    };
+
+    /// Keys are parts of the configuration, which the index keeps alive.
+    template <typename Value>
+    using Map = std::unordered_map<std::string_view, Value, Hasher>;
+
+    using DeeperByRank = std::array<std::vector<std::string>, std::size_t{MaxClassRank} + 1>;
+
+    auto addPath(const CallPath &path) -> void;
+    [[nodiscard]] auto ranksOf(const CallPath &path) const -> std::vector<ClassRank>;
+
+    ConfigurationPtr m_configuration;
+    Map<const Service *> m_services;
+    Map<const PriorityClass *> m_classes;
+    Map<const Caller *> m_callers;
+    Map<DeeperByRank> m_deeper;
+};
+
+} // namespace stairspur::config
--- /dev/null
+++ b/source/config/ConfigurationIndex.cpp
@@ -0,0 +1,78 @@
+#include <stairspur/config/ConfigurationIndex.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace stairspur::config {
+
+template <typename Map>
+static auto findIn(const Map &map, std::string_view key) -> typename Map::mapped_type
+{
+    const auto it = map.find(key);
+    return it == map.end() ? nullptr : it->second;
+}
+
+ConfigurationIndex::ConfigurationIndex(ConfigurationPtr configuration)
+    : m_configuration(std::move(configuration))
+{
+    assert(m_configuration);
+    const auto &source = m_configuration->configuration;
+    for (const auto &it : source.services)
+        m_services.emplace(it.name, &it);
+    for (const auto &it : source.classes)
+        m_classes.emplace(it.name, &it);
+    for (const auto &it : source.callers)
+        m_callers.emplace(it.keySha256, &it);
+    for (const auto &it : source.paths)
+        addPath(it);
+}
+
+auto ConfigurationIndex::ranksOf(const CallPath &path) const -> std::vector<ClassRank>
+{
+    auto ranks = std::vector<ClassRank>();
+    for (const auto &it : m_configuration->configuration.classes) {
+        if (path.classes.empty() || std::ranges::find(path.classes, it.name) != path.classes.end())
+            ranks.push_back(it.rank);
+    }
+    return ranks;
+}
+
+auto ConfigurationIndex::addPath(const CallPath &path) -> void
+{
+    for (const auto rank : ranksOf(path)) {
+        for (auto it = path.services.begin(); it != path.services.end(); ++it) {
+            auto &deeper = m_deeper[*it][rank];
+            for (auto below = it + 1; below != path.services.end(); ++below) {
+                if (std::ranges::find(deeper, *below) == deeper.end())
+                    deeper.push_back(*below);
+            }
+        }
+    }
+}
+
+auto ConfigurationIndex::findService(std::string_view name) const -> const Service *
+{
+    return findIn(m_services, name);
+}
+
+auto ConfigurationIndex::findClass(std::string_view name) const -> const PriorityClass *
+{
+    return findIn(m_classes, name);
+}
+
+auto ConfigurationIndex::findCallerByKeyHash(std::string_view keySha256) const -> const Caller *
+{
+    return findIn(m_callers, keySha256);
+}
+
+auto ConfigurationIndex::deeperServices(std::string_view service, ClassRank rank) const
+        -> const std::vector<std::string> &
+{
+    static const auto None = std::vector<std::string>();
+    const auto it = m_deeper.find(service);
+    if (it == m_deeper.end() || rank > MaxClassRank)
+        return None;
+    return it->second[rank];
+}
+
+} // namespace stairspur::config
--- a/tests/config/TestConfiguration.cpp
+++ b/tests/config/TestConfiguration.cpp
@@ -1,6 +1,6 @@
 #include <criterion/criterion.h>
 
-#include <stairspur/config/Configuration.h>
+#include <stairspur/config/ConfigurationIndex.h>
 
 using namespace stairspur;
 using namespace stairspur::config;
@@ -16,6 +16,24 @@
     return result;
 }
 
+static auto makeIndex() -> ConfigurationIndex
+{
+    return ConfigurationIndex(std::make_shared<const VersionedConfiguration>(
+            VersionedConfiguration{1, "hash", makeConfiguration()}));
+}
+
+Test(ConfigurationIndex, findsWhatTheConfigurationFinds)
+{
+    const auto index = makeIndex();
+    cr_assert_eq(index.findService("b")->name, "b");
+    cr_assert_eq(index.findClass("low")->rank, 1);
+    cr_assert_eq(index.findCallerByKeyHash("0123")->name, "k");
+    cr_assert_null(index.findService("x"));
+    cr_assert_null(index.findClass("x"));
+    cr_assert_null(index.findCallerByKeyHash("012"));
+    cr_assert_eq(index.configuration()->version, 1);
+}
+
 Test(Configuration, findsByNameAndKey)
 {
     const auto configuration = makeConfiguration();
@@ -42,6 +60,10 @@
             {"x", 0, {}},
     };
     const auto configuration = makeConfiguration();
+    const auto index = makeIndex();
+    for (const auto &it : cases)
+        cr_assert(index.deeperServices(it.service, it.rank) == it.wanted,
+                  "%s, rank %d in the index", it.service, it.rank);
     for (const auto &it : cases)
         cr_assert(configuration.deeperServices(it.service, it.rank) == it.wanted, "%s, rank %d",
                   it.service, it.rank);
--- a/tests/config/TestSections.cpp
+++ b/tests/config/TestSections.cpp
@@ -94,6 +94,47 @@
         cr_assert_eq(changedSections(original, it).size(), 1);
 }
 
+/// The size that the design is for: 520 services and thousands of callers.
+static auto makeLarge() -> Configuration
+{
+    static constexpr auto Services = 520;
+    static constexpr auto Callers = 8000;
+    auto result = Configuration();
+    result.domains = {{"d", "r"}};
+    result.classes = {{"c", 0}};
+    for (auto n = 0; n < Services; ++n) {
+        const auto name = "service-" + std::to_string(n);
+        result.services.push_back({.name = name});
+        if (n > 0)
+            result.paths.push_back(
+                    {"path-" + std::to_string(n), {}, {result.services.front().name, name}});
+    }
+    for (auto n = 0; n < Callers; ++n) {
+        const auto name = "caller-" + std::to_string(n);
+        result.callers.push_back({name, sha256Hex(name), {"c"}, "d"});
+    }
+    return result;
+}
+
+Test(Sections, aChangeMovesLittleOfALargeConfiguration)
+{
+    static constexpr auto MaxSectionBytes = std::size_t{64} << 10U;
+    const auto original = makeLarge();
+    const auto sections = splitIntoSections(original);
+    cr_assert_leq(sections.size(), 3 + 520 + 2 * SectionBuckets);
+    for (const auto &[name, bytes] : sections)
+        cr_assert_lt(bytes.size(), MaxSectionBytes, "%s", name.c_str());
+
+    auto caller = original;
+    caller.callers.push_back({"new", sha256Hex("new"), {"c"}, ""});
+    auto service = original;
+    service.services.pop_back();
+    auto path = original;
+    path.paths.front().classes = {"c"};
+    for (const auto &it : {caller, service, path})
+        cr_assert_eq(changedSections(original, it).size(), 1);
+}
+
 /// The hash is what hosts of any version agree on: a change of it is a change of the protocol.
 Test(Sections, theHashOfASmallFileStaysWhatItIs)
 {
