Config: Take changes of a few sections without reading the others

Weighed: a faster codec for all of it, which still grows with the fleet. Chosen: an assembler that keeps the sections read and reads the changed ones only. A refused change leaves everything as it was.

--- a/include/stairspur/config/Sections.h
+++ b/include/stairspur/config/Sections.h
@@ -34,8 +34,8 @@
 /// Splits a checked configuration. The same meaning gives the same bytes on every host.
 auto splitIntoSections(const Configuration &configuration) -> Sections;
 
-/// The configuration of `sections`, with services, call paths, callers and domains in the order of their names.
-/// Throws SectionError. References between sections are not checked again: only checked files are published.
+/// The configuration of `sections`, in an order that depends on them alone; see ConfigurationAssembler, which also takes
+/// changes of a few. Throws SectionError.
 auto joinSections(const Sections &sections) -> Configuration;
 
 /// The hash of each section.
--- /dev/null
+++ b/source/config/SectionNames.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include <stairspur/config/Sections.h>
+#include <stairspur/core/Hash.h>
+
+/// The names of sections.
+namespace stairspur::config {
+
+inline constexpr auto ClassesSection = std::string_view("classes");
+inline constexpr auto DomainsSection = std::string_view("domains");
+inline constexpr auto RetrySection = std::string_view("retry");
+inline constexpr auto ServicePrefix = std::string_view("service/");
+inline constexpr auto PathsPrefix = std::string_view("paths/");
+inline constexpr auto CallersPrefix = std::string_view("callers/");
+
+/// The bucket of a caller or a call path, as the name of its section ends.
+inline auto bucketOf(std::string_view name) -> std::string
+{
+    return std::to_string(hash64(name) % SectionBuckets);
+}
+
+} // namespace stairspur::config
--- a/source/config/Sections.cpp
+++ b/source/config/Sections.cpp
@@ -2,33 +2,15 @@
 
 #include <algorithm>
 
+#include <stairspur/config/ConfigurationAssembler.h>
 #include <stairspur/core/Cbor.h>
 #include <stairspur/core/Hash.h>
 
 #include "SectionCodec.h"
+#include "SectionNames.h"
 
 namespace stairspur::config {
 
-static constexpr auto ClassesSection = std::string_view("classes");
-static constexpr auto DomainsSection = std::string_view("domains");
-static constexpr auto RetrySection = std::string_view("retry");
-static constexpr auto ServicePrefix = std::string_view("service/");
-static constexpr auto PathsPrefix = std::string_view("paths/");
-static constexpr auto CallersPrefix = std::string_view("callers/");
-
-static constexpr auto Remedy =
-        std::string_view("pull the sections again, or apply the file again with this version");
-
-static auto makeError(std::string_view section, std::string_view problem) -> SectionError
-{
-    return {"section " + std::string(section) + ' ' + std::string(problem), std::string(Remedy)};
-}
-
-static auto bucketOf(std::string_view name) -> std::string
-{
-    return std::to_string(hash64(name) % SectionBuckets);
-}
-
 template <typename Item>
 static auto sortedByName(std::vector<Item> items) -> std::vector<Item>
 {
@@ -77,84 +59,11 @@
     return sections;
 }
 
-/// Reads one section and says in its error which one could not be read.
-template <typename Value>
-static auto readSection(std::string_view name, std::string_view bytes) -> Value
-{
-    try {
-        return fromCbor(bytes).get<Value>();
-    } catch (const nlohmann::json::exception &) {
-        throw makeError(name, "does not hold what its name says");
-    } catch (const InputError &) {
-        throw makeError(name, "is not CBOR");
-    }
-}
-
-template <typename Value>
-static auto readNeededSection(const Sections &sections, std::string_view name) -> Value
-{
-    const auto it = sections.find(std::string(name));
-    if (it == sections.end())
-        throw makeError(name, "is missing");
-    return readSection<Value>(name, it->second);
-}
-
-template <typename Item>
-static auto appendBucket(std::vector<Item> &items, std::string_view prefix,
-                         std::string_view section, std::string_view bytes) -> void
-{
-    const auto bucket = section.substr(prefix.size());
-    for (auto &it : readSection<std::vector<Item>>(section, bytes)) {
-        if (bucketOf(it.name) != bucket)
-            throw makeError(section, "holds an item of another one");
-        items.push_back(std::move(it));
-    }
-}
-
-static auto readService(std::string_view section, std::string_view bytes) -> Service
-{
-    auto service = readSection<Service>(section, bytes);
-    if (service.name != section.substr(ServicePrefix.size()))
-        throw makeError(section, "holds another service");
-    return service;
-}
-
-static auto readClasses(const Sections &sections) -> std::vector<PriorityClass>
-{
-    const auto names = readNeededSection<std::vector<std::string>>(sections, ClassesSection);
-    if (names.size() > std::size_t{MaxClassRank} + 1)
-        throw makeError(ClassesSection, "holds too many classes");
-    auto classes = std::vector<PriorityClass>();
-    classes.reserve(names.size());
-    for (const auto &it : names)
-        classes.push_back({it, static_cast<ClassRank>(classes.size())});
-    return classes;
-}
-
-static auto isSingleSection(std::string_view name) -> bool
-{
-    return name == ClassesSection || name == DomainsSection || name == RetrySection;
-}
-
 auto joinSections(const Sections &sections) -> Configuration
 {
-    auto result = Configuration();
-    result.classes = readClasses(sections);
-    result.domains = readNeededSection<std::vector<FailureDomain>>(sections, DomainsSection);
-    result.retry = readNeededSection<RetryLimits>(sections, RetrySection);
-    for (const auto &[name, bytes] : sections) {
-        if (name.starts_with(ServicePrefix))
-            result.services.push_back(readService(name, bytes));
-        else if (name.starts_with(PathsPrefix))
-            appendBucket(result.paths, PathsPrefix, name, bytes);
-        else if (name.starts_with(CallersPrefix))
-            appendBucket(result.callers, CallersPrefix, name, bytes);
-        else if (!isSingleSection(name))
-            throw makeError(name, "is unknown");
-    }
-    result.paths = sortedByName(std::move(result.paths));
-    result.callers = sortedByName(std::move(result.callers));
-    return result;
+    auto assembler = ConfigurationAssembler();
+    assembler.update(sections);
+    return assembler.assemble();
 }
 
 auto hashesOf(const Sections &sections) -> SectionHashes
--- a/tests/config/TestSections.cpp
+++ b/tests/config/TestSections.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <stairspur/config/ConfigurationAssembler.h>
 #include <stairspur/config/ConfigurationReader.h>
 #include <stairspur/config/Sections.h>
 #include <stairspur/core/Cbor.h>
@@ -177,3 +178,42 @@
         cr_assert_throw(joinSections(sections), SectionError, "accepted: %s", it.name);
     }
 }
+
+Test(ConfigurationAssembler, changesOfAFewSectionsGiveTheSameAsTheWhole)
+{
+    const auto before = readAssociation();
+    auto after = before;
+    after.services.erase(after.services.begin());
+    after.services.push_back({.name = "new"});
+    after.retry.extraAttempts = 1;
+    after.callers.back().homeDomain = "domzale";
+    after.paths.pop_back();
+
+    auto assembler = ConfigurationAssembler();
+    const auto old = splitIntoSections(before);
+    assembler.update(old);
+    const auto wanted = splitIntoSections(after);
+    auto changed = Sections();
+    for (const auto &it : wanted) {
+        if (!old.contains(it.first) || old.at(it.first) != it.second)
+            changed.insert(it);
+    }
+    auto removed = std::vector<std::string>();
+    for (const auto &it : old) {
+        if (!wanted.contains(it.first))
+            removed.push_back(it.first);
+    }
+    cr_assert_lt(changed.size() + removed.size(), 7);
+    assembler.update(changed, removed);
+    cr_assert(splitIntoSections(assembler.assemble()) == wanted);
+}
+
+Test(ConfigurationAssembler, aRefusedChangeChangesNothing)
+{
+    const auto whole = splitIntoSections(readAssociation());
+    auto assembler = ConfigurationAssembler();
+    assembler.update(whole);
+    const auto changed = Sections{{"classes", whole.at("classes")}, {"service/x", "\xff"}};
+    cr_assert_throw(assembler.update(changed, {"retry"}), SectionError);
+    cr_assert(splitIntoSections(assembler.assemble()) == whole);
+}
