Retry: Prove the bound over seeded losses and choose the shares by measurement

Cause: the shares decide how much of the budget is left where a retry can still help, and the bound has to be shown. Change: an attempt at a service without deeper calls carries nothing, at another one everything; siblings take half.

--- a/include/stairspur/retry/RetryLedger.h
+++ b/include/stairspur/retry/RetryLedger.h
@@ -35,8 +35,8 @@
     /// not open, or when it is a repeat that has nothing left: below a repeat, the dispatch itself costs one.
     auto takeShare(CallId parent) -> std::optional<std::uint32_t>;
 
-    /// The deeper call ended and did not spend `unspent` of its share. A lost answer returns nothing. More than was
-    /// taken never comes back, whatever an answer claims.
+    /// The deeper call ended and did not spend `unspent` of its share. A lost answer returns nothing, and
+    /// neither does one that claims more than was taken.
     auto giveBack(CallId parent, std::uint32_t unspent) -> void;
 
     /// The call ended. What is left goes back with its answer.
--- a/source/retry/CallBudget.cpp
+++ b/source/retry/CallBudget.cpp
@@ -1,20 +1,19 @@
 #include <stairspur/retry/CallBudget.h>
 
-#include <algorithm>
-
 namespace stairspur::retry {
 
-auto CallBudget::startAttempt() -> AttemptBudget
+auto CallBudget::startAttempt(bool hasDeeperCalls) -> AttemptBudget
 {
-    m_sent = m_left
-             / 2; // The greater half stays, so that a single extra attempt survives a lost answer.
+    m_sent = hasDeeperCalls ? m_left : 0;
     m_left -= m_sent;
     return {m_sent, m_isRepeat};
 }
 
 auto CallBudget::didAnswer(std::uint32_t unspent) -> void
 {
-    m_left += std::min(unspent, m_sent);
+    // A claim of more than was sent is false, and nobody knows what was spent.
+    if (unspent <= m_sent)
+        m_left += unspent;
     m_sent = 0;
 }
 
--- a/source/retry/RetryLedger.cpp
+++ b/source/retry/RetryLedger.cpp
@@ -1,6 +1,5 @@
 #include <stairspur/retry/RetryLedger.h>
 
-#include <algorithm>
 #include <cassert>
 
 namespace stairspur::retry {
@@ -53,9 +52,10 @@
     if (it == m_accounts.end())
         return;
     auto &account = it->second;
-    const auto returned = std::min(unspent, account.taken);
-    account.taken -= returned;
-    account.left += returned;
+    if (unspent > account.taken)
+        return;
+    account.taken -= unspent;
+    account.left += unspent;
 }
 
 auto RetryLedger::close(CallId call) -> std::uint32_t
--- /dev/null
+++ b/tests/measure/retry/Main.cpp
@@ -0,0 +1,187 @@
+// Compares ways to divide the retry budget of a root request: share of requests that succeed, and dispatches beyond one
+// for each call, over the same seeded losses. Prints a Markdown table.
+
+#include <cstdio>
+
+#include <stairspur/retry/CallBudget.h>
+#include <stairspur/retry/RetryLedger.h>
+
+#include "../../retry/GraphDriver.h"
+
+using namespace stairspur;
+using namespace stairspur::retry;
+
+/// A ledger whose deeper calls take `Share(left)`.
+template <std::uint32_t (*Share)(std::uint32_t)>
+class VariantLedger
+{
+public:
+    auto open(CallId call, std::uint32_t budget, bool isRepeat) -> void
+    {
+        m_accounts[call] = {budget, isRepeat};
+    }
+    auto isRepeat(CallId call) -> bool { return m_accounts[call].isRepeat; }
+    auto takeShare(CallId parent) -> std::optional<std::uint32_t>
+    {
+        auto &account = m_accounts[parent];
+        if (account.isRepeat && account.left == 0)
+            return std::nullopt;
+        account.left -= account.isRepeat ? 1 : 0;
+        const auto share = Share(account.left);
+        account.left -= share;
+        return share;
+    }
+    auto giveBack(CallId parent, std::uint32_t unspent) -> void
+    {
+        m_accounts[parent].left += unspent;
+    }
+    auto close(CallId call) -> std::uint32_t
+    {
+        const auto left = m_accounts[call].left;
+        m_accounts.erase(call);
+        return left;
+    }
+
+private:
+    struct Account
+    {
+        std::uint32_t left = 0;
+        bool isRepeat = false;
+    };
+    std::unordered_map<CallId, Account> m_accounts;
+};
+
+/// A budget at the entry that sends `Sent(left)` with each attempt.
+template <std::uint32_t (*Sent)(std::uint32_t), bool KnowsLeaves = false>
+class VariantBudget
+{
+public:
+    VariantBudget(std::uint32_t share, bool isRepeat)
+        : m_left(share)
+        , m_isRepeat(isRepeat)
+    {}
+    auto startAttempt(bool hasDeeperCalls) -> AttemptBudget
+    {
+        m_sent = KnowsLeaves && !hasDeeperCalls ? 0 : Sent(m_left);
+        m_left -= m_sent;
+        return {m_sent, m_isRepeat};
+    }
+    auto didAnswer(std::uint32_t unspent) -> void
+    {
+        m_left += unspent <= m_sent ? unspent : 0;
+        m_sent = 0;
+    }
+    auto trySpend() -> bool
+    {
+        if (m_left == 0)
+            return false;
+        --m_left;
+        m_isRepeat = true;
+        return true;
+    }
+    [[nodiscard]] auto left() const -> std::uint32_t { return m_left; }
+
+private:
+    std::uint32_t m_left;
+    std::uint32_t m_sent = 0;
+    bool m_isRepeat;
+};
+
+static auto all(std::uint32_t left) -> std::uint32_t
+{
+    return left;
+}
+
+static auto none(std::uint32_t /*left*/) -> std::uint32_t
+{
+    return 0;
+}
+
+static auto halfUp(std::uint32_t left) -> std::uint32_t
+{
+    return left - left / 2;
+}
+
+static auto threeQuartersUp(std::uint32_t left) -> std::uint32_t
+{
+    return left - left / 4;
+}
+
+static auto allButOne(std::uint32_t left) -> std::uint32_t
+{
+    return left > 0 ? left - 1 : 0;
+}
+
+static auto allButOneOfTwo(std::uint32_t left) -> std::uint32_t
+{
+    return left > 1 ? left - 1 : left;
+}
+
+static constexpr GraphShape Shapes[] = {{10, 1}, {3, 4}, {5, 2}};
+static constexpr std::uint32_t Budgets[] = {1, 3, 10};
+static constexpr double Losses[] = {0.01, 0.05};
+static constexpr auto Runs = 2000;
+
+template <typename Ledger, typename Budget>
+static auto printRow(const char *name, bool isParallel) -> void
+{
+    std::printf("| %s |", name);
+    auto extra = 0.0;
+    for (const auto loss : Losses) {
+        for (const auto budget : Budgets) {
+            auto successes = 0;
+            for (const auto &shape : Shapes) {
+                for (auto seed = 0; seed < Runs; ++seed) {
+                    // A third each: lost request, lost answer, failure.
+                    const auto losses = LossPattern{.lostRequest = loss / 3,
+                                                    .lostAnswer = loss / 3,
+                                                    .failure = loss / 3,
+                                                    .isParallel = isParallel};
+                    auto driver = GraphDriver<Ledger, Budget>(shape, losses, seed);
+                    const auto run = driver.run(budget);
+                    successes += run.isSuccess ? 1 : 0;
+                    extra += static_cast<double>(run.dispatches)
+                             / static_cast<double>(driver.calls());
+                }
+            }
+            std::printf(" %.2f |", 100.0 * successes / (Runs * std::size(Shapes)));
+        }
+    }
+    const auto runs = Runs * std::size(Shapes) * std::size(Budgets) * std::size(Losses);
+    std::printf(" %.4f |\n", extra / static_cast<double>(runs));
+}
+
+/// One table: deeper calls one after the other, or all at once.
+static auto printTable(bool isParallel) -> void
+{
+    std::printf("\nDeeper calls %s; %d runs of each of %zu graphs.\n\n",
+                isParallel ? "all at once" : "one after the other", Runs, std::size(Shapes));
+    std::printf("| sent with an attempt; share of a deeper call | 1%%, B=1 | 1%%, B=3 | 1%%, B=10 "
+                "| 5%%, B=1 | 5%%, B=3 | 5%%, B=10 | dispatches per call |\n"
+                "| --- | --- | --- | --- | --- | --- | --- | --- |\n");
+    printRow<RetryLedger, CallBudget>("stairspur as built", isParallel);
+    printRow<VariantLedger<none>, VariantBudget<none>>("none; none", isParallel);
+    printRow<VariantLedger<halfUp>, VariantBudget<halfUp>>("half, up; half, up", isParallel);
+    printRow<VariantLedger<halfUp>, VariantBudget<all>>("all; half, up", isParallel);
+    printRow<VariantLedger<all>, VariantBudget<all>>("all; all", isParallel);
+    printRow<VariantLedger<all>, VariantBudget<allButOne>>("all but one; all", isParallel);
+    printRow<VariantLedger<all>, VariantBudget<allButOneOfTwo>>("all, but one of two or more; all",
+                                                                isParallel);
+    printRow<VariantLedger<threeQuartersUp>, VariantBudget<threeQuartersUp>>(
+            "three quarters, up; the same", isParallel);
+    printRow<VariantLedger<all>, VariantBudget<all, true>>("none to a leaf, else all; all",
+                                                           isParallel);
+    printRow<VariantLedger<all>, VariantBudget<allButOneOfTwo, true>>(
+            "none to a leaf, else all but one of two or more; all", isParallel);
+    printRow<VariantLedger<threeQuartersUp>, VariantBudget<all, true>>(
+            "none to a leaf, else all; three quarters, up", isParallel);
+    printRow<VariantLedger<halfUp>, VariantBudget<all, true>>("none to a leaf, else all; half, up",
+                                                              isParallel);
+}
+
+auto main() -> int
+{
+    printTable(false);
+    printTable(true);
+    return 0;
+}
--- /dev/null
+++ b/tests/retry/TestRetryLedger.cpp
@@ -0,0 +1,98 @@
+#include <criterion/criterion.h>
+
+#include <stairspur/retry/CallBudget.h>
+#include <stairspur/retry/RetryLedger.h>
+#include <stairspur/retry/RetryTokenBucket.h>
+
+using namespace stairspur::retry;
+
+Test(RetryLedger, shareIsHalfOfWhatIsLeftRoundedUp)
+{
+    struct
+    {
+        std::uint32_t budget;
+        std::uint32_t first;
+        std::uint32_t second;
+        std::uint32_t left;
+    } cases[] = {{0, 0, 0, 0}, {1, 1, 0, 0}, {2, 1, 1, 0}, {3, 2, 1, 0}, {10, 5, 3, 2}};
+    for (const auto &it : cases) {
+        auto ledger = RetryLedger();
+        ledger.open(7, it.budget);
+        cr_assert_eq(ledger.takeShare(7).value(), it.first, "budget %u", it.budget);
+        cr_assert_eq(ledger.takeShare(7).value(), it.second, "budget %u", it.budget);
+        cr_assert_eq(ledger.close(7), it.left, "budget %u", it.budget);
+    }
+}
+
+Test(RetryLedger, aCallThatIsNotOpenHasNothing)
+{
+    auto ledger = RetryLedger();
+    cr_assert(!ledger.isOpen(1));
+    cr_assert(!ledger.isRepeat(1));
+    cr_assert(!ledger.takeShare(1));
+    ledger.giveBack(1, 5);
+    cr_assert(!ledger.isOpen(1));
+    cr_assert_eq(ledger.close(1), 0);
+}
+
+Test(RetryLedger, noMoreComesBackThanWasTaken)
+{
+    auto ledger = RetryLedger();
+    ledger.open(1, 4);
+    ledger.takeShare(1);
+    ledger.giveBack(1, 4'000'000'000U);
+    cr_assert_eq(ledger.left(1), 2, "a false claim returns nothing");
+    ledger.giveBack(1, 2);
+    ledger.giveBack(1, 1);
+    cr_assert_eq(ledger.close(1), 4);
+}
+
+Test(RetryLedger, belowARepeatTheDispatchItselfCostsOne)
+{
+    auto ledger = RetryLedger();
+    ledger.open(1, 2, true);
+    cr_assert(ledger.isRepeat(1));
+    cr_assert_eq(ledger.takeShare(1).value(), 1);
+    cr_assert(!ledger.takeShare(1), "nothing is left to pay with");
+    cr_assert(ledger.isOpen(1));
+}
+
+Test(CallBudget, aServiceWithoutDeeperCallsGetsNothingAndLosesNothing)
+{
+    auto budget = CallBudget(1, false);
+    const auto first = budget.startAttempt(false);
+    cr_assert_eq(first.retryBudget, 0);
+    cr_assert(!first.isRepeat);
+    cr_assert(budget.trySpend(), "the answer was lost, the budget not");
+    cr_assert(budget.startAttempt(false).isRepeat);
+    cr_assert(!budget.trySpend());
+}
+
+Test(CallBudget, aLostAnswerLosesWhatWentWithIt)
+{
+    auto budget = CallBudget(3, false);
+    cr_assert_eq(budget.startAttempt(true).retryBudget, 3);
+    budget.didAnswer(2);
+    cr_assert_eq(budget.left(), 2);
+    budget.didAnswer(2);
+    cr_assert_eq(budget.left(), 2, "a second answer to one attempt returns nothing");
+    cr_assert_eq(budget.startAttempt(true).retryBudget, 2);
+    budget.didAnswer(1000);
+    cr_assert_eq(budget.left(), 0, "a false claim returns nothing");
+    cr_assert(!budget.trySpend());
+}
+
+Test(RetryTokenBucket, retriesAreAShareOfSuccesses)
+{
+    auto bucket = RetryTokenBucket(0.1, 2);
+    cr_assert(bucket.tryTake());
+    cr_assert(bucket.tryTake());
+    cr_assert(!bucket.tryTake(), "starts full and then is empty");
+    for (auto n = 0; n < 11; ++n)
+        bucket.didSucceed();
+    cr_assert(bucket.tryTake());
+    cr_assert(!bucket.tryTake());
+    for (auto n = 0; n < 1000; ++n)
+        bucket.didSucceed();
+    cr_assert_leq(bucket.tokens(), 2.0);
+}
