Admission: Tell the budget of an attempt whether its service calls others

Cause: the merged retry budget asks for it at each attempt. Change: the driver answers from the chain, where all but the last call on.

--- a/tests/measure/overload/Entry.h
+++ b/tests/measure/overload/Entry.h
@@ -28,6 +28,7 @@
         NodeId ownNode;
         std::string ownDomain;
         PolicyTraits traits;
+        bool hasDeeperCalls = false; ///< The service calls others.
         bool isRoot = false; ///< Takes calls from clients; else from the host's backend server.
     };
 
@@ -120,7 +121,7 @@
         const auto id = nextId();
         call->attempt = id;
         call->host = host;
-        const auto budget = call->budget.startAttempt();
+        const auto budget = call->budget.startAttempt(m_settings.hasDeeperCalls);
         m_pool.didSend(host->node(), now);
         m_events.after(distanceTo(*host), [this, call, host, id, budget, now] {
             if (call->attempt == id && call->host != nullptr)
--- a/tests/measure/overload/Simulation.h
+++ b/tests/measure/overload/Simulation.h
@@ -117,6 +117,7 @@
         settings.ownNode = host.node();
         settings.ownDomain = host.domain();
         settings.traits = m_traits;
+        settings.hasDeeperCalls = service + 1 < m_hosts.size();
         settings.isRoot = isRoot;
         auto upstreams = std::vector<routing::Upstream>();
         for (const auto &it : m_hosts[service])
