Node: Link the daemon with the merged modules

Cause: membership, the store's client and datagrams are merged; the retry module asks whether a service calls others. Ruled out: guessing it from past calls; the configured call paths say it. Change: IncomingCall carries it; the control plane names its own address to the datagram channel. Conclusion: the daemon links; the configuration in force is what is missing.

--- a/source/node/CallIntake.cpp
+++ b/source/node/CallIntake.cpp
@@ -221,6 +221,8 @@
     if (standing.parentDeadline)
         call.deadline = std::min(call.deadline, *standing.parentDeadline);
     call.isIdempotent = service.isIdempotent;
+    call.hasDeeperCalls =
+            !configuration.deeperServices(service.name, standing.priorityClass->rank).empty();
     call.request.idempotencyKey = readIdempotencyKey(headers, service);
     call.request.service = service.name;
     call.request.className = standing.priorityClass->name;
--- a/source/node/CallIntake.h
+++ b/source/node/CallIntake.h
@@ -36,6 +36,7 @@
     transport::CallRequest request;
     TimePoint deadline;
     bool isIdempotent = true;
+    bool hasDeeperCalls = false;  ///< Its service calls others, as far as the call paths tell.
     std::optional<CallId> parent; ///< The running call of this host's backend server that makes it.
 };
 
--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -27,7 +27,12 @@
 
 static auto datagramSettings(const NodeSettings &settings) -> transport::DatagramSettings
 {
-    return {settings.hostAddress, settings.peerPort, settings.peerSecret};
+    auto datagrams = transport::DatagramSettings();
+    datagrams.address = settings.hostAddress;
+    datagrams.port = settings.peerPort;
+    datagrams.secret = settings.peerSecret;
+    datagrams.ownNode = settings.nodeId();
+    return datagrams;
 }
 
 static auto membershipSettings(const NodeSettings &settings) -> membership::MembershipSettings
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -130,7 +130,7 @@
     const auto start = monotonicNow();
     auto request = call.request;
     request.remaining = call.deadline - start;
-    const auto share = attempts.budget.startAttempt();
+    const auto share = attempts.budget.startAttempt(call.hasDeeperCalls);
     request.retryBudget = share.retryBudget;
     request.isRepeat = share.isRepeat;
     ++attempts.sent;
