Node: Prove the path of a call with real sockets and scripted backend servers

Cause: crossed answers, lost answers, cancellation and drain need a proof at the joints between entry, link and gate. Ruled out: separate processes for these cells, which cannot hold an answer back at will. Change: a harness with everything but the controllers real, on one thread; a routing view starts anew only when a process restarted (start), no longer when it refuted a suspicion (incarnation).

--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -216,7 +216,7 @@
         if (it.service != service || it.liveness == membership::Liveness::Dead || !mayServe)
             continue;
         const auto isDraining = it.state == membership::ServingState::Draining;
-        upstreams.push_back({it.node, it.domain, it.incarnation, it.slots, isDraining});
+        upstreams.push_back({it.node, it.domain, it.start, it.slots, isDraining});
     }
     routes.pool.setUpstreams(upstreams, monotonicNow());
 }
--- /dev/null
+++ b/tests/node/CallPathHarness.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <stairspur/core/Hash.h>
+#include <stairspur/transport/HttpServer.h>
+#include <stairspur/transport/PeerClient.h>
+#include <stairspur/transport/PeerServer.h>
+
+#include "../../source/node/Entry.h"
+#include "../../source/node/Gate.h"
+
+namespace stairspur::node {
+
+/// The whole path of a call in one process and on one thread: entry, peer links, gates and backend servers that a test
+/// scripts. Everything but the controllers is the real thing, over loopback sockets on free ports.
+class CallPathHarness
+{
+public:
+    using Backend = transport::HttpServer::Handler;
+
+    /// One host with its gate and its backend server.
+    struct Host
+    {
+        Host(transport::asio::io_context &io, Backend handler, const std::string &service)
+            : backend(io, {}, std::move(handler))
+            , peerServer(io, "127.0.0.1", 0, {})
+            , gate(io, board, running, metrics, 7)
+        {
+            backend.start();
+            board.backend.publish({service, backend.port(), 8, membership::ServingState::Serving});
+            peerServer.setCallHandler(
+                    [this](const NodeId &, transport::CallRequest request, auto cancellation) {
+                        return gate.handle(std::move(request), std::move(cancellation));
+                    });
+            peerServer.start();
+        }
+
+        [[nodiscard]] auto node() const -> NodeId
+        {
+            return "127.0.0.1:" + std::to_string(peerServer.port());
+        }
+
+        NodeBoard board;
+        NodeMetrics metrics;
+        RunningCalls running;
+        transport::HttpServer backend;
+        transport::PeerServer peerServer;
+        Gate gate;
+    };
+
+    CallPathHarness()
+        : peers(io, {})
+        , entry(io, settings, board, running, metrics, peers, 11)
+    {
+        settings.failureDomain = "centre";
+        auto configuration = config::VersionedConfiguration();
+        configuration.version = 1;
+        configuration.configuration.classes = {{"orders", 0}, {"browse", 1}};
+        configuration.configuration.services = {{.name = "menu"},
+                                                {.name = "orders", .isIdempotent = false}};
+        configuration.configuration.callers = {
+                {.name = "kitchen", .keySha256 = sha256Hex("key"), .classes = {"orders"}}};
+        board.configuration.publish(
+                std::make_shared<const config::VersionedConfiguration>(std::move(configuration)));
+    }
+
+    auto addHost(const std::string &service, Backend handler) -> Host &
+    {
+        hosts.push_back(std::make_unique<Host>(io, std::move(handler), service));
+        auto view = *board.members.read();
+        auto member = membership::Member();
+        member.node = hosts.back()->node();
+        member.service = service;
+        member.domain = "centre";
+        member.incarnation = 1;
+        member.state = membership::ServingState::Serving;
+        member.slots = 8;
+        view.members.push_back(std::move(member));
+        board.members.publish(std::move(view));
+        return *hosts.back();
+    }
+
+    auto request(const std::string &service, const std::string &body) -> transport::HttpRequest
+    {
+        auto request = transport::HttpRequest{.method = "POST", .target = "/", .body = body};
+        request.headers.set("Authorization", "Bearer key");
+        request.headers.set("Stairspur-Service", service);
+        request.headers.set("Idempotency-Key", "k-" + body);
+        return request;
+    }
+
+    /// Starts a call; its response stands in `responses` at the returned index once it is there.
+    auto start(transport::HttpRequest request, transport::CancellationPtr cancellation = {})
+            -> std::size_t
+    {
+        if (!cancellation)
+            cancellation = std::make_shared<transport::Cancellation>();
+        const auto index = responses.size();
+        responses.emplace_back();
+        ++waiting;
+        transport::asio::co_spawn(
+                io,
+                [this, index, request = std::move(request),
+                 cancellation]() mutable -> transport::Task<void> {
+                    responses[index] =
+                            co_await entry.handle(std::move(request), std::move(cancellation));
+                    --waiting;
+                },
+                transport::asio::detached);
+        return index;
+    }
+
+    /// Runs until `isDone`, or fails the test when nothing more can happen.
+    auto runUntil(const std::function<bool()> &isDone) -> bool
+    {
+        while (!isDone()) {
+            if (io.run_one_for(std::chrono::seconds(20)) == 0)
+                return false;
+        }
+        return true;
+    }
+
+    auto finish() -> bool
+    {
+        return runUntil([this] { return waiting == 0; });
+    }
+
+    transport::asio::io_context io{1};
+    NodeSettings settings;
+    NodeBoard board;
+    NodeMetrics metrics;
+    RunningCalls running;
+    transport::PeerClient peers;
+    Entry entry;
+    std::vector<std::unique_ptr<Host>> hosts;
+    std::vector<transport::HttpResponse> responses;
+    std::size_t waiting = 0;
+};
+
+/// An answer of a backend server.
+inline auto backendAnswer(std::uint32_t status, std::string body) -> transport::HttpResponse
+{
+    auto response = transport::HttpResponse{.status = status};
+    response.body = std::move(body);
+    return response;
+}
+
+} // namespace stairspur::node
--- /dev/null
+++ b/tests/node/TestCallPath.cpp
@@ -0,0 +1,168 @@
+#include <criterion/criterion.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "CallPathHarness.h"
+
+using namespace stairspur;
+using namespace stairspur::node;
+namespace asio = transport::asio;
+
+static auto outcomeOf(const transport::HttpResponse &response) -> std::string
+{
+    return std::string(response.headers.find("Stairspur-Outcome"));
+}
+
+Test(CallPath, callerGetsTheWholeAnswer)
+{
+    auto path = CallPathHarness();
+    path.addHost("menu", [](auto request, auto) -> transport::Task<transport::HttpResponse> {
+        co_return backendAnswer(200, std::string(100'000, 'm') + request.body);
+    });
+    const auto index = path.start(path.request("menu", "soup"));
+    cr_assert(path.finish());
+    cr_assert_eq(path.responses[index].status, 200);
+    cr_assert_eq(outcomeOf(path.responses[index]), "answered");
+    cr_assert_eq(path.responses[index].body.size(), 100'004);
+    cr_assert(path.responses[index].body.ends_with("msoup"));
+}
+
+/// Holds every answer until the test lets it go, so that answers can be crossed.
+struct HeldAnswers
+{
+    struct Held
+    {
+        explicit Held(asio::io_context &io)
+            : timer(io, asio::steady_timer::time_point::max())
+        {}
+        asio::steady_timer timer;
+        std::string body;
+        bool wasCancelled = false;
+    };
+
+    auto handler(asio::io_context &io) -> CallPathHarness::Backend
+    {
+        return [this, &io](auto request,
+                           auto cancellation) -> transport::Task<transport::HttpResponse> {
+            auto held = std::make_shared<Held>(io);
+            held->body = request.body;
+            calls.push_back(held);
+            cancellation->onCancel([held] {
+                held->wasCancelled = true;
+                held->timer.cancel();
+            });
+            auto ec = boost::system::error_code();
+            co_await held->timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            cancellation->onCancel(nullptr);
+            co_return backendAnswer(200, "answer to " + held->body);
+        };
+    }
+
+    std::vector<std::shared_ptr<Held>> calls;
+};
+
+Test(CallPath, crossedAnswersReachTheirOwnCallers)
+{
+    auto path = CallPathHarness();
+    auto held = HeldAnswers();
+    path.addHost("menu", held.handler(path.io));
+    for (const auto *it : {"a", "b", "c", "d"})
+        path.start(path.request("menu", it));
+    cr_assert(path.runUntil([&] { return held.calls.size() == 4; }));
+    for (const auto index : {2, 0, 3, 1})
+        held.calls[index]->timer.cancel();
+    cr_assert(path.finish());
+    for (std::size_t index = 0; index < 4; ++index)
+        cr_expect_eq(path.responses[index].body, std::string("answer to ") + "abcd"[index]);
+}
+
+Test(CallPath, whatEndsWithoutAnAnswerIsSaidTruthfully)
+{
+    struct
+    {
+        const char *name;
+        const char *service;
+        std::uint32_t status;
+        const char *backendOutcome;
+        const char *expected;
+        std::size_t runs;
+    } cases[] = {
+            {"idempotent call is tried again", "menu", 500, "", "failed", 2},
+            {"call that runs at most once is not", "orders", 500, "", "failed", 1},
+            {"shed calls go elsewhere", "menu", 503, "not-run", "not-run", 2},
+            {"shed calls that run at most once too", "orders", 503, "not-run", "not-run", 2},
+    };
+    for (const auto &it : cases) {
+        auto path = CallPathHarness();
+        auto runs = std::size_t{0};
+        for (auto index = 0; index < 2; ++index) {
+            path.addHost(it.service, [&](auto, auto) -> transport::Task<transport::HttpResponse> {
+                ++runs;
+                auto response = backendAnswer(it.status, "");
+                if (*it.backendOutcome)
+                    response.headers.set("Stairspur-Outcome", it.backendOutcome);
+                co_return response;
+            });
+        }
+        path.start(path.request(it.service, "x"));
+        cr_assert(path.finish());
+        cr_expect_eq(outcomeOf(path.responses[0]), it.expected, "%s: %s", it.name,
+                     outcomeOf(path.responses[0]).c_str());
+        cr_expect_eq(runs, it.runs, "%s: %zu runs", it.name, runs);
+    }
+}
+
+Test(CallPath, nothingIsSentWithoutConfigurationOrUpstream)
+{
+    auto path = CallPathHarness();
+    path.start(path.request("menu", "x"));
+    cr_assert(path.finish());
+    cr_expect_eq(outcomeOf(path.responses[0]), "not-run");
+    cr_expect_eq(path.responses[0].headers.find("Stairspur-Reason"), "no-upstream");
+    cr_expect(!path.responses[0].headers.find("Retry-After").empty());
+
+    path.board.configuration.publish(nullptr);
+    path.start(path.request("menu", "x"));
+    cr_assert(path.finish());
+    cr_expect_eq(path.responses[1].headers.find("Stairspur-Reason"), "no-configuration");
+}
+
+Test(CallPath, callerThatIsGoneFreesTheBackendServer)
+{
+    auto path = CallPathHarness();
+    auto held = HeldAnswers();
+    auto &host = path.addHost("menu", held.handler(path.io));
+    auto cancellation = std::make_shared<transport::Cancellation>();
+    path.start(path.request("menu", "x"), cancellation);
+    cr_assert(path.runUntil([&] { return held.calls.size() == 1; }));
+    cr_assert_eq(host.gate.report().inFlight, 1);
+    cancellation->cancel();
+    cr_assert(path.finish());
+    cr_assert(path.runUntil(
+            [&] { return held.calls[0]->wasCancelled && host.gate.report().inFlight == 0; }));
+}
+
+Test(CallPath, drainingGateEndsRunningWorkAndSendsNewWorkElsewhere)
+{
+    auto path = CallPathHarness();
+    auto held = HeldAnswers();
+    auto &leaving = path.addHost("menu", held.handler(path.io));
+    path.start(path.request("menu", "early"));
+    cr_assert(path.runUntil([&] { return held.calls.size() == 1; }));
+    auto hasDrained = false;
+    leaving.gate.drain([&] { hasDrained = true; });
+
+    // The entry has not heard of it yet: the gate itself refuses, and the call goes to the other host.
+    path.addHost("menu", [](auto, auto) -> transport::Task<transport::HttpResponse> {
+        co_return backendAnswer(200, "other");
+    });
+    const auto late = path.start(path.request("menu", "late"));
+    cr_assert(path.runUntil([&] { return path.waiting == 1; }));
+    cr_assert_eq(path.responses[late].body, "other");
+    cr_assert(!hasDrained);
+    held.calls[0]->timer.cancel();
+    cr_assert(path.finish());
+    cr_assert_eq(path.responses[0].body, "answer to early");
+    cr_assert(path.runUntil([&] { return hasDrained; }));
+}
