Distribution: Apply a configuration by one compare-and-swap

Sections are stored by hash; the head alone switches, bound to the revision read, so a lost answer is settled by looking for one's own apply id. Weighed: one value for the whole (a relay would get it with every change), a head that lists all section hashes (grows with the services), and a list in 32 buckets beside a head near a kilobyte, which was taken. Retired values go with the write that moves the head, 16 versions later: a separate collector could race with an applier that counts on them. Matrix: 4 faults at every step, for one, two and all later calls, in 4 starting states; all orders of two appliers and of three; each of 5 guards taken away is seen.

--- /dev/null
+++ b/include/stairspur/distribution/ConfigurationPublisher.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <stairspur/core/Error.h>
+#include <stairspur/core/Random.h>
+#include <stairspur/distribution/PublishProtocol.h>
+#include <stairspur/platform/Backoff.h>
+#include <stairspur/platform/PlatformStore.h>
+#include <stairspur/transport/Task.h>
+
+namespace stairspur::distribution {
+
+/// An apply that did not bring its configuration into force. The kinds below say why.
+class PublishError : public Error
+{
+public:
+    using Error::Error;
+};
+
+/// Another applier came first. Nothing of this apply is in force, now or later.
+class ConflictError : public PublishError
+{
+public:
+    ConflictError(const Head &inForce, const std::string &problem, const std::string &remedy)
+        : PublishError(problem, remedy)
+        , m_inForce(inForce)
+    {}
+
+    /// What is in force in its place.
+    [[nodiscard]] auto inForce() const -> const Head & { return m_inForce; }
+
+private:
+    Head m_inForce;
+};
+
+/// The store could not be reached. Nothing of this apply is in force, now or later.
+class StoreUnavailableError : public PublishError
+{
+public:
+    using PublishError::PublishError;
+};
+
+/// The store's answer was lost and nobody could tell since whether the apply took effect.
+class ApplyUnknownError : public PublishError
+{
+public:
+    using PublishError::PublishError;
+};
+
+/// The store refuses the configuration, or holds a head that cannot be read.
+class ApplyRejectedError : public PublishError
+{
+public:
+    using PublishError::PublishError;
+};
+
+/// Throws the PublishError that fits, unless the configuration is in force.
+auto ensureInForce(const PublishResult &result) -> void;
+
+/// Applies a configuration through a store. Brings every step's failure into the result and throws nothing.
+template <platform::PlatformStore Store>
+class ConfigurationPublisher
+{
+public:
+    ConfigurationPublisher(Store &store, std::uint64_t seed)
+        : m_store(store)
+        , m_random(seed)
+    {}
+
+    auto publish(PublishRequest request) -> transport::Task<PublishResult>
+    {
+        auto protocol = PublishProtocol<>(std::move(request));
+        auto backoff = platform::Backoff(MinPause, MaxPause);
+        while (!protocol.isDone()) {
+            if (protocol.isRepeating())
+                co_await pause(backoff.next(m_random));
+            const auto step = protocol.next();
+            if (const auto *range = std::get_if<platform::RangeRequest>(&step))
+                protocol.didRange(co_await m_store.range(*range));
+            else
+                protocol.didTxn(co_await m_store.txn(std::get<platform::Transaction>(step)));
+        }
+        co_return protocol.result();
+    }
+
+private:
+    static constexpr auto MinPause = Duration{100'000};
+    static constexpr auto MaxPause = Duration{5'000'000};
+
+    static auto pause(Duration time) -> transport::Task<void>
+    {
+        auto timer = boost::asio::steady_timer(co_await boost::asio::this_coro::executor, time);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+
+    Store &m_store;
+    Random m_random;
+};
+
+} // namespace stairspur::distribution
--- /dev/null
+++ b/include/stairspur/distribution/Messages.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <stairspur/core/EnumNames.h>
+#include <stairspur/distribution/Digest.h>
+#include <stairspur/distribution/KnownConfiguration.h>
+
+/// What nodes tell each other about configurations, in CBOR.
+namespace stairspur::distribution {
+
+enum class DatagramKind {
+    News,  ///< "This version is in force here."
+    Ask,   ///< "I have this version: what changed since?"
+    Delta, ///< What changed, when it fits.
+    Large, ///< The answer to an Ask that does not fit: use a control request.
+};
+
+struct ConfigDatagram
+{
+    DatagramKind kind = DatagramKind::News;
+    Digest digest;           ///< Of the sender.
+    std::uint64_t since = 0; ///< For Delta: the version that the changes are based on.
+    Changes changes;         ///< For Delta.
+};
+
+auto encode(const ConfigDatagram &datagram) -> std::string;
+/// Throws InputError.
+auto decodeDatagram(std::string_view bytes) -> ConfigDatagram;
+
+/// "What changed since `since` (0: everything), after the section `cursor`?"
+struct PullRequest
+{
+    std::uint64_t since = 0;
+    std::string cursor;
+};
+
+struct PullReply
+{
+    Digest digest; ///< Of the replying node, whose version this is; version 0: it has none.
+    std::uint64_t since = 0; ///< 0 when the reply is a piece of the whole.
+    ChangesPiece piece;
+};
+
+auto encode(const PullRequest &request) -> std::string;
+auto encode(const PullReply &reply) -> std::string;
+/// These throw InputError.
+auto decodePullRequest(std::string_view bytes) -> PullRequest;
+auto decodePullReply(std::string_view bytes) -> PullReply;
+
+} // namespace stairspur::distribution
+
+template <>
+inline constexpr auto stairspur::enumNames<stairspur::distribution::DatagramKind> =
+        std::array<std::string_view, 4>{"news", "ask", "delta", "large"};
--- /dev/null
+++ b/include/stairspur/distribution/PublishProtocol.h
@@ -0,0 +1,305 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <stairspur/config/Sections.h>
+#include <stairspur/core/EnumNames.h>
+#include <stairspur/core/Error.h>
+#include <stairspur/distribution/Head.h>
+#include <stairspur/distribution/PublishRequest.h>
+#include <stairspur/distribution/WritePlan.h>
+#include <stairspur/platform/StoreTypes.h>
+
+namespace stairspur::distribution {
+
+enum class PublishOutcome {
+    Applied,
+    AlreadyInForce,   ///< The very same configuration was in force; nothing was written.
+    Conflict,         ///< Another applier came first; `inForce` names what it applied.
+    StoreUnavailable, ///< Nothing of this apply is or will be in force.
+    Unknown,          ///< The store's answer was lost and its state could not be read.
+    Rejected,         ///< The store refuses this configuration.
+};
+
+struct PublishResult
+{
+    PublishOutcome outcome = PublishOutcome::Unknown;
+    std::uint64_t version = 0; ///< Under which it was applied, for `Applied`.
+    Head inForce;              ///< As last read or written; version 0 when unknown.
+    std::string detail;
+};
+
+/// What the protocol asks of the store next.
+using StoreRequest = std::variant<platform::RangeRequest, platform::Transaction>;
+
+/// The guards of the protocol. Tests take one away at a time to show that the fault matrix sees it.
+struct PublishPolicy
+{
+    static constexpr auto ComparesHead = true;     ///< The head is written by compare-and-swap.
+    static constexpr auto LooksForOwnApply = true; ///< After a lost answer, before anything else.
+    static constexpr auto KeepsRetiredSections = true; ///< For readers that are on their way.
+    static constexpr auto WritesSectionsFirst = true;
+    static constexpr auto AdmitsForgottenApplies = true; ///< Says unknown when the head forgot.
+};
+
+/// Applies one configuration, step by step and without I/O: ask next(), carry the request out, hand in its result.
+///
+/// Sections are stored by their hash and change nothing by themselves. The head is the only switch; its write is bound
+/// to the revision that was read, so that of several appliers one wins and a repeated write does no harm.
+template <typename Policy = PublishPolicy>
+class PublishProtocol
+{
+public:
+    static constexpr auto MaxOperations = std::size_t{100};     ///< etcd's default limit is 128.
+    static constexpr auto MaxWriteBytes = std::size_t{500'000}; ///< Values hold up to a megabyte.
+    static constexpr auto MaxDoubtfulReads = 8U;
+
+    explicit PublishProtocol(PublishRequest request)
+        : m_request(std::move(request))
+        , m_hash(config::hashOf(m_request.sections))
+    {
+        askForHead(Step::ReadHead);
+    }
+
+    [[nodiscard]] auto isDone() const -> bool { return m_step == Step::Done; }
+    /// Only while not done.
+    [[nodiscard]] auto next() const -> const StoreRequest & { return m_next; }
+    /// Only when done.
+    [[nodiscard]] auto result() const -> const PublishResult & { return m_result; }
+    /// Whether the next request repeats one that failed, so that a pause before it makes sense.
+    [[nodiscard]] auto isRepeating() const -> bool { return m_doubtfulReads > 0; }
+
+    auto didRange(const platform::StoreResult<platform::RangeAnswer> &result) -> void
+    {
+        if (!result.isOk())
+            return didFailToRead(result.detail);
+        try {
+            if (m_step == Step::ReadInDoubt)
+                didReadInDoubt(result.value);
+            else if (m_step == Step::ReadHead)
+                didReadHead(result.value);
+            else
+                didReadList(result.value);
+        } catch (const InputError &error) {
+            end(m_mayBeWritten ? PublishOutcome::Unknown : PublishOutcome::Rejected, error.what());
+        }
+    }
+
+    auto didTxn(const platform::StoreResult<platform::WriteAnswer> &result) -> void
+    {
+        if (result.status == platform::StoreStatus::Rejected && !m_mayBeWritten)
+            return end(PublishOutcome::Rejected, result.detail);
+        if (m_step == Step::WriteSections) {
+            if (!result.isOk())
+                return end(PublishOutcome::StoreUnavailable, result.detail);
+            return writeNext();
+        }
+        if (result.isOk())
+            return didApply(m_plan.head.version, m_plan.head);
+        if (result.status == platform::StoreStatus::Unreachable && !m_mayBeWritten)
+            return end(PublishOutcome::StoreUnavailable, result.detail);
+        m_mayBeWritten = m_mayBeWritten || result.status == platform::StoreStatus::Unknown;
+        askForHead(Step::ReadInDoubt);
+    }
+
+private:
+    enum class Step {
+        ReadHead,
+        ReadRoot,
+        ReadBuckets,
+        WriteSections,
+        WriteHead,
+        ReadInDoubt,
+        Done,
+    };
+
+    auto askForHead(Step step) -> void
+    {
+        m_step = step;
+        m_next = platform::RangeRequest{.key = std::string(HeadKey)};
+    }
+
+    auto end(PublishOutcome outcome, std::string detail) -> void
+    {
+        m_step = Step::Done;
+        m_result.outcome = outcome;
+        m_result.detail = std::move(detail);
+    }
+
+    auto didApply(std::uint64_t version, Head head) -> void
+    {
+        m_result.version = version;
+        m_result.inForce = std::move(head);
+        end(PublishOutcome::Applied, {});
+    }
+
+    /// The configuration that is in force is another's, and ours never will be under this apply id.
+    auto didLose(Head head) -> void
+    {
+        m_result.inForce = std::move(head);
+        end(m_result.inForce.hash == m_hash ? PublishOutcome::AlreadyInForce
+                                            : PublishOutcome::Conflict,
+            {});
+    }
+
+    auto didReadHead(const platform::RangeAnswer &answer) -> void
+    {
+        if (!answer.pairs.empty()) {
+            m_base.head = decodeHead(answer.pairs[0].value);
+            m_baseRevision = answer.pairs[0].modRevision;
+            m_result.inForce = m_base.head;
+        }
+        if (m_base.head.version != 0 && m_base.head.hash == m_hash)
+            return end(PublishOutcome::AlreadyInForce, {});
+        if (m_request.expectedVersion && *m_request.expectedVersion != m_base.head.version)
+            return end(PublishOutcome::Conflict, "another version than the expected is in force");
+        if (m_base.head.version == 0)
+            return prepareWrites();
+        m_step = Step::ReadRoot;
+        askForBlob(m_base.head.listHash);
+    }
+
+    auto askForBlob(const std::string &hash) -> void
+    {
+        m_next = platform::RangeRequest{.key = sectionKey(hash)};
+    }
+
+    /// Reads the list of the configuration in force, but for the buckets that are the same as ours.
+    auto didReadList(const platform::RangeAnswer &answer) -> void
+    {
+        if (answer.pairs.empty())
+            return startAnew();
+        if (m_step == Step::ReadRoot) {
+            m_base.root = decodeRoot(answer.pairs[0].value);
+            const auto own = encodeList({config::hashesOf(m_request.sections), {}});
+            for (const auto &it : m_base.root.buckets) {
+                if (!it.empty() && !own.blobs.contains(it))
+                    m_bucketsToRead.push_back(it);
+            }
+            m_step = Step::ReadBuckets;
+        } else {
+            m_base.hashes.merge(decodeBucket(answer.pairs[0].value));
+            m_bucketsToRead.pop_front();
+        }
+        if (m_bucketsToRead.empty())
+            return prepareWrites();
+        askForBlob(m_bucketsToRead.front());
+    }
+
+    /// A part of the list is gone: the head has moved on since it was read, which the comparison would find as well.
+    auto startAnew() -> void
+    {
+        if (++m_restarts > MaxRestarts)
+            return end(PublishOutcome::StoreUnavailable, "the list of sections is not whole");
+        m_base = {};
+        m_baseRevision = 0;
+        m_bucketsToRead.clear();
+        askForHead(Step::ReadHead);
+    }
+
+    auto prepareWrites() -> void
+    {
+        m_plan = planWrites(m_base, m_request, Policy::KeepsRetiredSections);
+        writeNext();
+    }
+
+    auto takePiece() -> std::vector<platform::Operation>
+    {
+        auto piece = std::vector<platform::Operation>();
+        auto bytes = std::size_t{0};
+        while (!m_plan.missing.empty() && piece.size() < MaxOperations / 2) {
+            bytes += m_plan.missing.back().value.size();
+            if (!piece.empty() && bytes > MaxWriteBytes)
+                break;
+            piece.push_back(std::move(m_plan.missing.back()));
+            m_plan.missing.pop_back();
+        }
+        return piece;
+    }
+
+    /// Writes a piece of the sections alone, or the last one together with the head: all of it or nothing.
+    auto writeNext() -> void
+    {
+        auto transaction = platform::Transaction();
+        if constexpr (Policy::WritesSectionsFirst)
+            transaction.operations = takePiece();
+        if (!m_plan.missing.empty() && Policy::WritesSectionsFirst) {
+            m_step = Step::WriteSections;
+            m_next = std::move(transaction);
+            return;
+        }
+        if constexpr (Policy::ComparesHead)
+            transaction.compares.push_back({.key = std::string(HeadKey), .number = m_baseRevision});
+        auto &operations = transaction.operations;
+        operations.insert(operations.end(), m_plan.deletions.begin(), m_plan.deletions.end());
+        operations.push_back({.key = std::string(HeadKey), .value = encodeHead(m_plan.head)});
+        m_step = Step::WriteHead;
+        m_next = m_headWrite = std::move(transaction);
+    }
+
+    auto didFailToRead(const std::string &detail) -> void
+    {
+        if (m_step != Step::ReadInDoubt)
+            return end(PublishOutcome::StoreUnavailable, detail);
+        if (++m_doubtfulReads > MaxDoubtfulReads)
+            end(m_mayBeWritten ? PublishOutcome::Unknown : PublishOutcome::StoreUnavailable,
+                detail);
+    }
+
+    /// The head's write may or may not have been applied: only the head can tell.
+    auto didReadInDoubt(const platform::RangeAnswer &answer) -> void
+    {
+        const auto &pairs = answer.pairs;
+        auto head = pairs.empty() ? Head() : decodeHead(pairs[0].value);
+        const auto revision = pairs.empty() ? 0 : pairs[0].modRevision;
+        if (const auto *own = head.findApply(m_request.applyId);
+            Policy::LooksForOwnApply && own != nullptr)
+            return didApply(own->version, std::move(head));
+        if (revision == m_baseRevision) {
+            if (++m_doubtfulReads > MaxDoubtfulReads)
+                return end(PublishOutcome::Unknown, "the store takes neither yes nor no");
+            m_step = Step::WriteHead;
+            m_next = m_headWrite;
+            return;
+        }
+        const auto mayBeForgotten =
+                head.version == 0 || head.version > m_base.head.version + RememberedApplies;
+        if (m_mayBeWritten && mayBeForgotten && Policy::AdmitsForgottenApplies) {
+            m_result.inForce = std::move(head);
+            return end(PublishOutcome::Unknown,
+                       "later applies have displaced the record of this one");
+        }
+        didLose(std::move(head));
+    }
+
+    static constexpr auto MaxRestarts = 3U;
+
+    PublishRequest m_request;
+    std::string m_hash;
+    Step m_step = Step::ReadHead;
+    StoreRequest m_next;
+    platform::Transaction m_headWrite;
+    WriteBase m_base;
+    platform::Revision m_baseRevision = 0;
+    std::deque<std::string> m_bucketsToRead;
+    WritePlan m_plan;
+    bool m_mayBeWritten = false; ///< An earlier write of the head went without an answer.
+    std::uint32_t m_doubtfulReads = 0;
+    std::uint32_t m_restarts = 0;
+    PublishResult m_result;
+};
+
+} // namespace stairspur::distribution
+
+template <>
+inline constexpr auto stairspur::enumNames<stairspur::distribution::PublishOutcome> =
+        std::array<std::string_view, 6>{"applied",           "already-in-force", "conflict",
+                                        "store-unavailable", "unknown",          "rejected"};
--- /dev/null
+++ b/source/distribution/Messages.cpp
@@ -0,0 +1,112 @@
+#include <stairspur/distribution/Messages.h>
+
+#include <array>
+
+#include <stairspur/core/Cbor.h>
+#include <stairspur/core/Error.h>
+
+namespace stairspur::distribution {
+
+using Json = nlohmann::json;
+
+static constexpr auto Remedy = "run one protocol version of stairspur on all nodes";
+
+static auto toBinary(const std::string &bytes) -> Json
+{
+    return Json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+static auto toText(const Json &binary) -> std::string
+{
+    const auto &bytes = binary.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
+/// Datagrams and replies are arrays: names of fields would be a good part of their bytes.
+static auto changesJson(const Changes &changes) -> Json
+{
+    auto changed = Json::object();
+    for (const auto &[name, bytes] : changes.changed)
+        changed[name] = toBinary(bytes);
+    return Json::array({changed, changes.removed});
+}
+
+static auto readChanges(const Json &json) -> Changes
+{
+    auto changes = Changes();
+    for (const auto &[name, bytes] : json.at(0).items())
+        changes.changed[name] = toText(bytes);
+    changes.removed = json.at(1).get<std::vector<std::string>>();
+    return changes;
+}
+
+/// Runs `read` on the decoded bytes; whatever is wrong with them becomes an InputError.
+template <typename Read>
+static auto decodeWith(std::string_view bytes, Read read)
+{
+    try {
+        return read(fromCbor(bytes));
+    } catch (const Json::exception &error) {
+        throw InputError(std::string("a configuration message cannot be read: ") + error.what(),
+                         Remedy);
+    }
+}
+
+auto encode(const ConfigDatagram &datagram) -> std::string
+{
+    auto json = Json::array({static_cast<int>(datagram.kind), toBinary(datagram.digest.encode())});
+    if (datagram.kind == DatagramKind::Delta) {
+        json.push_back(datagram.since);
+        json.push_back(changesJson(datagram.changes));
+    }
+    return toCbor(json);
+}
+
+auto decodeDatagram(std::string_view bytes) -> ConfigDatagram
+{
+    return decodeWith(bytes, [](const Json &json) {
+        const auto kind = json.at(0).get<std::size_t>();
+        if (kind >= enumNames<DatagramKind>.size())
+            throw InputError("a configuration datagram is of an unknown kind", Remedy);
+        auto datagram = ConfigDatagram();
+        datagram.kind = static_cast<DatagramKind>(kind);
+        datagram.digest = decodeDigest(toText(json.at(1)));
+        if (datagram.kind == DatagramKind::Delta) {
+            datagram.since = json.at(2);
+            datagram.changes = readChanges(json.at(3));
+        }
+        return datagram;
+    });
+}
+
+auto encode(const PullRequest &request) -> std::string
+{
+    return toCbor(Json::array({request.since, request.cursor}));
+}
+
+auto decodePullRequest(std::string_view bytes) -> PullRequest
+{
+    return decodeWith(bytes, [](const Json &json) { return PullRequest{json.at(0), json.at(1)}; });
+}
+
+auto encode(const PullReply &reply) -> std::string
+{
+    return toCbor(Json::array({toBinary(reply.digest.encode()), reply.since,
+                               changesJson(reply.piece.changes), reply.piece.cursor,
+                               reply.piece.isLast}));
+}
+
+auto decodePullReply(std::string_view bytes) -> PullReply
+{
+    return decodeWith(bytes, [](const Json &json) {
+        auto reply = PullReply();
+        reply.digest = decodeDigest(toText(json.at(0)));
+        reply.since = json.at(1);
+        reply.piece.changes = readChanges(json.at(2));
+        reply.piece.cursor = json.at(3);
+        reply.piece.isLast = json.at(4);
+        return reply;
+    });
+}
+
+} // namespace stairspur::distribution
--- /dev/null
+++ b/tests/distribution/FakeStore.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include <stairspur/core/Error.h>
+#include <stairspur/distribution/Head.h>
+#include <stairspur/platform/StoreTypes.h>
+
+namespace stairspur::distribution {
+
+/// What happens to one call to the store.
+enum class StoreFault {
+    None,
+    Unreachable, ///< Certainly not applied.
+    LostRequest, ///< Not applied, and the caller cannot know.
+    LostAnswer,  ///< Applied, and the caller cannot know.
+    LateRequest, ///< Applied only at the store's next call, and the caller cannot know.
+};
+
+/// A store in memory with the revisions that compare-and-swap needs.
+class FakeStore
+{
+public:
+    using Range = platform::StoreResult<platform::RangeAnswer>;
+    using Write = platform::StoreResult<platform::WriteAnswer>;
+
+    auto range(const platform::RangeRequest &request, StoreFault fault = StoreFault::None) -> Range
+    {
+        applyLate();
+        if (fault != StoreFault::None)
+            return {fault == StoreFault::Unreachable ? platform::StoreStatus::Unreachable
+                                                     : platform::StoreStatus::Unknown,
+                    {},
+                    "fault"};
+        auto answer = platform::RangeAnswer();
+        answer.revision = m_revision;
+        for (auto it = pairs.lower_bound(request.key); it != pairs.end(); ++it) {
+            const auto isWithin = request.rangeEnd.empty() ? it->first == request.key
+                                                           : it->first < request.rangeEnd;
+            if (!isWithin)
+                break;
+            answer.pairs.push_back(it->second);
+        }
+        return {platform::StoreStatus::Ok, answer, {}};
+    }
+
+    auto txn(const platform::Transaction &transaction, StoreFault fault = StoreFault::None) -> Write
+    {
+        applyLate();
+        if (fault == StoreFault::Unreachable)
+            return {platform::StoreStatus::Unreachable, {}, "fault"};
+        if (fault == StoreFault::LateRequest)
+            m_late = transaction;
+        const auto isApplied = fault == StoreFault::None || fault == StoreFault::LostAnswer;
+        const auto didHold = isApplied && apply(transaction);
+        if (fault != StoreFault::None)
+            return {platform::StoreStatus::Unknown, {}, "fault"};
+        return {didHold ? platform::StoreStatus::Ok : platform::StoreStatus::CasFailed,
+                {m_revision},
+                {}};
+    }
+
+    auto applyLate() -> void
+    {
+        if (const auto late = std::exchange(m_late, std::nullopt))
+            apply(*late);
+    }
+
+    [[nodiscard]] auto head() const -> Head
+    {
+        const auto it = pairs.find(std::string(HeadKey));
+        return it == pairs.end() ? Head() : decodeHead(it->second.value);
+    }
+
+    [[nodiscard]] auto blob(const std::string &hash) const -> std::optional<std::string>
+    {
+        const auto it = pairs.find(sectionKey(hash));
+        return it == pairs.end() ? std::nullopt : std::optional(it->second.value);
+    }
+
+    /// All sections that `head` names, or nothing when one of them is not there.
+    [[nodiscard]] auto sectionsOf(const Head &head) const -> std::optional<config::Sections>
+    {
+        auto sections = config::Sections();
+        const auto root = blob(head.listHash);
+        if (!root)
+            return std::nullopt;
+        for (const auto &it : decodeRoot(*root).buckets) {
+            if (it.empty())
+                continue;
+            const auto bucket = blob(it);
+            if (!bucket)
+                return std::nullopt;
+            for (const auto &[name, hash] : decodeBucket(*bucket)) {
+                const auto bytes = blob(hash);
+                if (!bytes)
+                    return std::nullopt;
+                sections[name] = *bytes;
+            }
+        }
+        return sections;
+    }
+
+    /// Whether what is in force is there to the last section.
+    [[nodiscard]] auto isWhole() const -> bool
+    {
+        const auto now = head();
+        if (now.version == 0)
+            return true;
+        const auto sections = sectionsOf(now);
+        return sections && config::hashOf(*sections) == now.hash;
+    }
+
+    std::map<std::string, platform::KeyValue> pairs;
+
+private:
+    auto apply(const platform::Transaction &transaction) -> bool
+    {
+        for (const auto &it : transaction.compares) {
+            const auto found = pairs.find(it.key);
+            const auto actual = found == pairs.end() ? 0 : found->second.modRevision;
+            if (actual != it.number)
+                return false;
+        }
+        ++m_revision;
+        for (const auto &it : transaction.operations) {
+            if (it.isDelete)
+                pairs.erase(it.key);
+            else
+                pairs[it.key] = {it.key, it.value, m_revision, m_revision, 1, 0};
+        }
+        return true;
+    }
+
+    platform::Revision m_revision = 1;
+    std::optional<platform::Transaction> m_late;
+};
+
+} // namespace stairspur::distribution
