--- a/source/routing/PoolState.cpp
+++ b/source/routing/PoolState.cpp
@@ -42,6 +42,7 @@
             continue;
         }
         known->update(it, now);
+        // The view moved from keeps its place before the ones still to be found: both lists rise.
         views.push_back(std::move(*known));
     }
     m_views = std::move(views);
--- a/source/routing/UpstreamView.cpp
+++ b/source/routing/UpstreamView.cpp
@@ -22,6 +22,8 @@
 
 auto UpstreamView::update(const Upstream &upstream, TimePoint now) -> void
 {
+    if (upstream.incarnation < m_upstream.incarnation)
+        return;
     if (upstream.incarnation > m_upstream.incarnation) {
         m_reports = {};
         m_floors = {};
--- a/source/routing/UpstreamView.h
+++ b/source/routing/UpstreamView.h
@@ -20,7 +20,8 @@
         , m_newSince(now)
     {}
 
-    /// Membership tells of the upstream again. A greater incarnation starts anew; calls under way stay counted.
+    /// Membership tells of the upstream again. A greater incarnation starts anew, a smaller one
+    /// is late news; calls under way stay counted.
     auto update(const Upstream &upstream, TimePoint now) -> void;
 
     [[nodiscard]] auto upstream() const -> const Upstream & { return m_upstream; }
