Membership: Show that the fault matrix notices each guard that is off

A proof that cannot fail proves nothing: fourteen policies switch one guard off each, and a named cell notices it. Six mutants went unnoticed at first: two guards covered for each other (words to a suspect and the exchange with one that is back, now one guard), a resumed process read its datagrams before its timers ran (the network now lets overdue timers run first), a foreign verdict was softened before it was refused (now a step of its own), and the joiner's time was unbounded.

--- a/include/stairspur/membership/MembershipPolicy.h
+++ b/include/stairspur/membership/MembershipPolicy.h
@@ -60,8 +60,7 @@
     static constexpr auto suspectsBeforeDeath = true; ///< A missed probe is not yet a death.
     static constexpr auto probesIndirectly = true;    ///< One bad path is not a failed node.
     static constexpr auto matchesSequences = true; ///< An old answer does not answer a new probe.
-    static constexpr auto tellsSuspects =
-            true; ///< A suspect hears of it with the next message to it.
+    static constexpr auto tellsSuspects = true; ///< Whoever is suspected or given up hears of it.
     static constexpr auto probesDead =
             true; ///< Halves that gave each other up find together again.
     static constexpr auto exchangesDigests = true; ///< Updates that gossip lost are repaired.
--- a/include/stairspur/membership/MembershipState.h
+++ b/include/stairspur/membership/MembershipState.h
@@ -199,7 +199,7 @@
         if (!isPeer)
             m_relays.didHear(from, message);
         // One that was given up is back: what it knows may be the other half of a healed partition.
-        if (wasGone && isPresent(message.self))
+        if (Policy::tellsSuspects && wasGone && isPresent(message.self))
             m_exchange.hurry(m_core.self().domain, from);
         if (!message.annotation.empty())
             m_core.emitAnnotation(from, message.annotation);
--- a/tests/membership/FaultMatrix.h
+++ b/tests/membership/FaultMatrix.h
@@ -35,6 +35,7 @@
     Probe,
     IndirectProbe,
     Suspect,
+    ForeignClaim, ///< A node of another domain says that a member is dead.
     Refute,
     RelayExchange,
     Drain,
@@ -66,9 +67,9 @@
 
 template <>
 inline constexpr auto stairspur::enumNames<stairspur::membership::Step> =
-        std::array<std::string_view, 9>{"announce",       "join",    "probe",
-                                        "indirect-probe", "suspect", "refute",
-                                        "relay-exchange", "drain",   "leave"};
+        std::array<std::string_view, 10>{"announce", "join",          "probe",  "indirect-probe",
+                                         "suspect",  "foreign-claim", "refute", "relay-exchange",
+                                         "drain",    "leave"};
 
 namespace stairspur::membership {
 
@@ -124,13 +125,13 @@
         if (!isFaultOfProcess)
             beginFault();
         act();
-        m_network.run(Period / 10);
         if (isFaultOfProcess)
             beginFault();
         m_network.run(Period / 2);
         checkUrgency(true);
         m_network.run(LeavingPeriods * Period);
         checkUrgency(false);
+        checkJoiner();
         m_network.run((DeathPeriods - LeavingPeriods) * Period);
         checkDeath();
         m_network.run((FaultPeriods - DeathPeriods) * Period);
@@ -180,11 +181,14 @@
         case Step::IndirectProbe:
             break;
         case Step::Suspect:
-            claim(Peer, id(5), Liveness::Suspect);
-            claim(other(2), Peer, Liveness::Dead);
+            claim(Peer, id(5), Subject, Liveness::Suspect);
+            claim(Peer, Subject, id(5), Liveness::Suspect);
+            break;
+        case Step::ForeignClaim:
+            claim(other(2), Peer, Subject, Liveness::Dead);
             break;
         case Step::Refute:
-            claim(Peer, Subject, Liveness::Suspect);
+            claim(Peer, Subject, Subject, Liveness::Suspect);
             break;
         case Step::Drain:
             subject().state->setSelf(m_network.now(), "booking", 60, ServingState::Draining);
@@ -198,13 +202,13 @@
             m_network.flush(Subject);
     }
 
-    /// Has `from` tell `to` that the subject is suspect or dead.
-    auto claim(const NodeId &from, const NodeId &to, Liveness liveness) -> void
+    /// Has `from` tell `to` that `about` is suspect or dead.
+    auto claim(const NodeId &from, const NodeId &to, const NodeId &about, Liveness liveness) -> void
     {
         auto message = Message();
         message.kind = MessageKind::Gossip;
         message.self = m_network.node(from).state->self();
-        message.updates = {subject().state->self()};
+        message.updates = {m_network.node(about).state->self()};
         message.updates[0].liveness = liveness;
         m_network.node(to).state->receive(m_network.now(), from, encode(message));
         m_network.flush(to);
@@ -318,6 +322,8 @@
     {
         if (m_fault == Fault::Split)
             return !isHome(observer) || isLowerHalf(observer) != isLowerHalf(member);
+        if (m_fault == Fault::PauseLong)
+            return member == Subject;
         return !isGentle() && (member == Subject || observer == Subject);
     }
 
@@ -366,6 +372,17 @@
         }
     }
 
+    /// A joiner knows everyone soon, of the other domain too.
+    auto checkJoiner() -> void
+    {
+        const auto isQuick =
+                m_fault == Fault::None || m_fault == Fault::Duplicate || m_fault == Fault::Reorder;
+        if (!isQuick || m_step != Step::Join)
+            return;
+        if (const auto n = subject().state->view().members.size(); n != HomeNodes + OtherNodes)
+            violate("the joiner knows only " + std::to_string(n) + " members");
+    }
+
     auto checkDeath() -> void
     {
         for (auto &[node, it] : m_network.nodes()) {
--- a/tests/membership/TestFaultMatrix.cpp
+++ b/tests/membership/TestFaultMatrix.cpp
@@ -38,6 +38,10 @@
 {
     runRow(Step::Suspect);
 }
+Test(FaultMatrix, foreignClaim)
+{
+    runRow(Step::ForeignClaim);
+}
 Test(FaultMatrix, refute)
 {
     runRow(Step::Refute);
--- a/tests/membership/VirtualNetwork.h
+++ b/tests/membership/VirtualNetwork.h
@@ -66,9 +66,10 @@
     {
         auto &node = m_nodes.at(id);
         node.isPaused = false;
+        // The timers that are overdue may well run before anything is read.
+        schedule(m_now, id, {}, {});
         for (auto &it : std::exchange(m_held[id], {}))
             schedule(m_now, id, it.first, it.second);
-        schedule(m_now, id, {}, {});
     }
 
     auto run(Duration span) -> void
