--- a/tests/config/TestSections.cpp
+++ b/tests/config/TestSections.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <stairspur/config/ConfigurationAssembler.h>
 #include <stairspur/config/ConfigurationReader.h>
 #include <stairspur/config/Sections.h>
 #include <stairspur/core/Cbor.h>
@@ -94,6 +95,47 @@
         cr_assert_eq(changedSections(original, it).size(), 1);
 }
 
+/// The size that the design is for: 520 services and thousands of callers.
+static auto makeLarge() -> Configuration
+{
+    static constexpr auto Services = 520;
+    static constexpr auto Callers = 8000;
+    auto result = Configuration();
+    result.domains = {{"d", "r"}};
+    result.classes = {{"c", 0}};
+    for (auto n = 0; n < Services; ++n) {
+        const auto name = "service-" + std::to_string(n);
+        result.services.push_back({.name = name});
+        if (n > 0)
+            result.paths.push_back(
+                    {"path-" + std::to_string(n), {}, {result.services.front().name, name}});
+    }
+    for (auto n = 0; n < Callers; ++n) {
+        const auto name = "caller-" + std::to_string(n);
+        result.callers.push_back({name, sha256Hex(name), {"c"}, "d"});
+    }
+    return result;
+}
+
+Test(Sections, aChangeMovesLittleOfALargeConfiguration)
+{
+    static constexpr auto MaxSectionBytes = std::size_t{64} << 10U;
+    const auto original = makeLarge();
+    const auto sections = splitIntoSections(original);
+    cr_assert_leq(sections.size(), 3 + 520 + 2 * SectionBuckets);
+    for (const auto &[name, bytes] : sections)
+        cr_assert_lt(bytes.size(), MaxSectionBytes, "%s", name.c_str());
+
+    auto caller = original;
+    caller.callers.push_back({"new", sha256Hex("new"), {"c"}, ""});
+    auto service = original;
+    service.services.pop_back();
+    auto path = original;
+    path.paths.front().classes = {"c"};
+    for (const auto &it : {caller, service, path})
+        cr_assert_eq(changedSections(original, it).size(), 1);
+}
+
 /// The hash is what hosts of any version agree on: a change of it is a change of the protocol.
 Test(Sections, theHashOfASmallFileStaysWhatItIs)
 {
@@ -136,3 +178,42 @@
         cr_assert_throw(joinSections(sections), SectionError, "accepted: %s", it.name);
     }
 }
+
+Test(ConfigurationAssembler, changesOfAFewSectionsGiveTheSameAsTheWhole)
+{
+    const auto before = readAssociation();
+    auto after = before;
+    after.services.erase(after.services.begin());
+    after.services.push_back({.name = "new"});
+    after.retry.extraAttempts = 1;
+    after.callers.back().homeDomain = "domzale";
+    after.paths.pop_back();
+
+    auto assembler = ConfigurationAssembler();
+    const auto old = splitIntoSections(before);
+    assembler.update(old);
+    const auto wanted = splitIntoSections(after);
+    auto changed = Sections();
+    for (const auto &it : wanted) {
+        if (!old.contains(it.first) || old.at(it.first) != it.second)
+            changed.insert(it);
+    }
+    auto removed = std::vector<std::string>();
+    for (const auto &it : old) {
+        if (!wanted.contains(it.first))
+            removed.push_back(it.first);
+    }
+    cr_assert_lt(changed.size() + removed.size(), 7);
+    assembler.update(changed, removed);
+    cr_assert(splitIntoSections(assembler.assemble()) == wanted);
+}
+
+Test(ConfigurationAssembler, aRefusedChangeChangesNothing)
+{
+    const auto whole = splitIntoSections(readAssociation());
+    auto assembler = ConfigurationAssembler();
+    assembler.update(whole);
+    const auto changed = Sections{{"classes", whole.at("classes")}, {"service/x", "\xff"}};
+    cr_assert_throw(assembler.update(changed, {"retry"}), SectionError);
+    cr_assert(splitIntoSections(assembler.assemble()) == whole);
+}
