--- a/include/stairspur/transport/CallMessages.h
+++ b/include/stairspur/transport/CallMessages.h
@@ -22,7 +22,7 @@
     RootId root;
     Duration remaining{0};         ///< Until the deadline, as the sender sees it when it sends.
     std::uint32_t retryBudget = 0; ///< Extra attempts for everything below this call.
-    bool isRepeat = false;          ///< An earlier attempt, here or at a call above, may have run.
+    bool isRepeat = false;         ///< An earlier attempt, here or at a call above, may have run.
     std::string idempotencyKey;    ///< Empty: the call may run more than once.
     std::string caller;            ///< Name of the caller, as the configuration knows it.
     std::string method;
