--- a/include/stairspur/cli/CommandReport.h
+++ b/include/stairspur/cli/CommandReport.h
@@ -13,8 +13,9 @@
 struct CommandReport
 {
     ExitCode exitCode = ExitCode::Ok;
-    std::string text;    ///< Whole lines.
-    nlohmann::json json; ///< An object; `outcome` is added to it from the exit code.
+    std::string text;       ///< Whole lines for standard output.
+    nlohmann::json json;    ///< An object; `outcome` is added to it from the exit code.
+    std::string problems{}; ///< Whole lines for standard error.
 };
 
 /// A command that could not do its work. Its exit code says how.
--- a/include/stairspur/cli/Flags.h
+++ b/include/stairspur/cli/Flags.h
@@ -35,6 +35,9 @@
 DECLARE_uint32(log_decision_sample);
 DECLARE_string(admin);
 DECLARE_string(admin_timeout);
+DECLARE_string(applied_by);
+DECLARE_string(expect_version);
+DECLARE_string(minimum_version);
 DECLARE_bool(json);
 
 namespace stairspur::cli {
--- a/source/cli/CheckCommand.cpp
+++ b/source/cli/CheckCommand.cpp
@@ -38,11 +38,11 @@
     auto report = CommandReport{ExitCode::Failed, {}, {{"file", file}}};
     auto &list = report.json["findings"] = nlohmann::json::array();
     for (const auto &it : findings) {
-        report.text += it.toString() + '\n';
+        report.problems += it.toString() + '\n';
         list.push_back(toJson(it));
     }
-    report.text += file + ": not usable, " + std::to_string(findings.size())
-                   + (findings.size() == 1 ? " finding\n" : " findings\n");
+    report.problems += file + ": not usable, " + std::to_string(findings.size())
+                       + (findings.size() == 1 ? " finding\n" : " findings\n");
     return report;
 }
 
--- a/source/cli/Command.cpp
+++ b/source/cli/Command.cpp
@@ -29,8 +29,8 @@
                                                                    "request-timeout",
                                                                    "log-level",
                                                                    "log-decision-sample"});
-static constexpr auto ApplyFlags =
-        std::to_array<std::string_view>({"store", "store-timeout", "json"});
+static constexpr auto ApplyFlags = std::to_array<std::string_view>(
+        {"store", "store-timeout", "applied-by", "expect-version", "minimum-version", "json"});
 static constexpr auto CheckFlags = std::to_array<std::string_view>({"json"});
 static constexpr auto StatusFlags = std::to_array<std::string_view>(
         {"store", "store-timeout", "admin", "admin-timeout", "json"});
--- a/source/cli/Flags.cpp
+++ b/source/cli/Flags.cpp
@@ -44,6 +44,11 @@
 DEFINE_uint32(log_decision_sample, 1, "one routing decision in so many is logged");
 DEFINE_string(admin, "127.0.0.1:7102", "admin address and port of the node to ask");
 DEFINE_string(admin_timeout, "5s", "for the node's answer");
+DEFINE_string(applied_by, "operator", "name of whoever applies, for people");
+DEFINE_string(expect_version, "",
+              "apply only if this version is in force; empty: whatever is in force");
+DEFINE_string(minimum_version, "1",
+              "least version to apply as, above what nodes have in force when a store was emptied");
 DEFINE_bool(json, false, "write the result as one JSON object");
 
 namespace stairspur::cli {
--- a/source/cli/Run.cpp
+++ b/source/cli/Run.cpp
@@ -1,5 +1,7 @@
 #include <stairspur/cli/Run.h>
 
+#include <cassert>
+
 #include <stairspur/cli/CheckCommand.h>
 #include <stairspur/cli/CommandReport.h>
 #include <stairspur/cli/DrainCommand.h>
@@ -7,6 +9,7 @@
 #include <stairspur/cli/HelpCommand.h>
 #include <stairspur/cli/NodeSettingsReader.h>
 #include <stairspur/cli/StatusCommand.h>
+#include <stairspur/cli/StoreCommands.h>
 #include <stairspur/cli/Version.h>
 
 namespace stairspur::cli {
@@ -44,10 +47,12 @@
     case Command::Help:
         return reportHelp(line.operand);
     case Command::Apply:
+        return runApply(line.operand, streams.in);
     case Command::Node:
         break;
     }
-    throw CommandError(ExitCode::Failed, "this command is not built in", "use a whole build");
+    assert(false && "node is run by runCommand");
+    return {};
 }
 
 static auto writeReport(const CommandReport &report, const Streams &streams) -> int
@@ -57,7 +62,8 @@
         json["outcome"] = nameOf(report.exitCode);
         streams.out << json.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) << '\n';
     } else {
-        (report.exitCode == ExitCode::Ok ? streams.out : streams.error) << report.text;
+        streams.out << report.text;
+        streams.error << report.problems;
     }
     return static_cast<int>(report.exitCode);
 }
@@ -69,7 +75,8 @@
         streams.error << "stairspur: " << message << '\n';
         return static_cast<int>(exitCode);
     }
-    return writeReport({exitCode, "stairspur: " + message + '\n', {{"error", message}}}, streams);
+    return writeReport({exitCode, {}, {{"error", message}}, "stairspur: " + message + '\n'},
+                       streams);
 }
 
 static auto runCommand(const Arguments &arguments, const Environment &environment,
--- a/source/cli/StatusCommand.cpp
+++ b/source/cli/StatusCommand.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 
+#include <stairspur/cli/StoreCommands.h>
 #include <stairspur/core/Error.h>
 
 namespace stairspur::cli {
@@ -143,10 +144,9 @@
     return report;
 }
 
-// FIXME: Read the head from the store once the module distribution offers it.
 auto runStatus() -> CommandReport
 {
-    return status({}, makeAdminSenderFromFlags());
+    return status(makeHeadReaderFromFlags(), makeAdminSenderFromFlags());
 }
 
 } // namespace stairspur::cli
--- a/tests/cli/TestRun.cpp
+++ b/tests/cli/TestRun.cpp
@@ -56,7 +56,11 @@
     for (const auto &it :
          {Arguments{}, Arguments{"node"}, Arguments{"node", "--peer-port=x"},
           Arguments{"help", "nod"}, Arguments{"check"}, Arguments{"drain", "--admin=x"},
-          Arguments{"check", "--json", "--peer-port=1", "f"}}) {
+          Arguments{"check", "--json", "--peer-port=1", "f"}, Arguments{"apply", "-"},
+          Arguments{"apply", "-", "--store=x"},
+          Arguments{"apply", "-", "--store=http://192.0.2.1:1", "--expect-version=x"},
+          Arguments{"apply", "-", "--store=http://192.0.2.1:1", "--minimum-version="},
+          Arguments{"apply", "-", "--store=http://192.0.2.1:1", "--store-timeout=1"}}) {
         const auto outcome = runWith(it);
         cr_assert_eq(outcome.exitCode, 2);
         cr_assert(outcome.nodes.empty());
