--- a/source/cli/SettingParsers.cpp
+++ b/source/cli/SettingParsers.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include <stairspur/config/Names.h>
 #include <stairspur/config/Quantities.h>
 #include <stairspur/core/Error.h>
 
@@ -13,7 +14,6 @@
 namespace ip = boost::asio::ip;
 
 static constexpr auto MaxPort = std::uint32_t{65535};
-static constexpr auto MaxNameLength = std::size_t{63};
 static constexpr auto MinSecretLength = std::size_t{16};
 static constexpr auto StoreScheme = std::string_view("http://");
 
@@ -70,13 +70,10 @@
 
 auto parseNameSetting(const std::string &flag, const std::string &value) -> std::string
 {
-    static constexpr auto Allowed = std::string_view("abcdefghijklmnopqrstuvwxyz0123456789-_.");
     if (value.empty())
         throw makeError(flag, "is not set", "give a name, such as --" + flag + "=bezigrad");
-    if (value.size() > MaxNameLength || value.front() == '.'
-        || value.find_first_not_of(Allowed) != std::string::npos)
-        throw makeError(flag, "is no name: '" + value + "'",
-                        "use 1 to 63 of a-z, 0-9, '-', '_' and '.', the first no '.'");
+    if (!config::isName(value))
+        throw makeError(flag, "is no name: '" + value + "'", std::string(config::NameRemedy));
     return value;
 }
 
--- a/source/cli/StatusCommand.cpp
+++ b/source/cli/StatusCommand.cpp
@@ -108,8 +108,9 @@
     for (const auto &[domain, versions] : node.domains) {
         report.text += "failure domain " + domain + ':';
         for (const auto &[version, nodes] : versions) {
-            report.text += " version " + std::to_string(version) + " on " + std::to_string(nodes)
-                           + (nodes == 1 ? " node" : " nodes");
+            report.text += report.text.back() == ':' ? " " : ", ";
+            report.text += version == 0 ? "no configuration" : "version " + std::to_string(version);
+            report.text += " on " + std::to_string(nodes) + (nodes == 1 ? " node" : " nodes");
             json[domain][std::to_string(version)] = nodes;
         }
         report.text += '\n';
--- a/source/config/ConfigurationIndex.cpp
+++ b/source/config/ConfigurationIndex.cpp
@@ -68,10 +68,10 @@
 auto ConfigurationIndex::deeperServices(std::string_view service, ClassRank rank) const
         -> const std::vector<std::string> &
 {
-    static const auto None = std::vector<std::string>();
+    static const auto none = std::vector<std::string>();
     const auto it = m_deeper.find(service);
     if (it == m_deeper.end() || rank > MaxClassRank)
-        return None;
+        return none;
     return it->second[rank];
 }
 
--- a/source/config/TableReader.cpp
+++ b/source/config/TableReader.cpp
@@ -1,14 +1,13 @@
 #include "TableReader.h"
 
-#include <algorithm>
 #include <sstream>
 
+#include <stairspur/config/Names.h>
 #include <stairspur/config/Quantities.h>
 #include <stairspur/core/Hex.h>
 
 namespace stairspur::config {
 
-static constexpr auto MaxNameLength = std::size_t{63};
 static constexpr auto MaxListedNames = std::size_t{12};
 
 auto quoted(std::string_view text) -> std::string
@@ -39,18 +38,6 @@
     return result;
 }
 
-static auto isNameCharacter(char character) -> bool
-{
-    return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9')
-           || character == '-' || character == '.' || character == '_';
-}
-
-static auto isName(std::string_view text) -> bool
-{
-    return !text.empty() && text.size() <= MaxNameLength && text.front() != '.'
-           && std::ranges::all_of(text, isNameCharacter);
-}
-
 static auto numberText(double value) -> std::string
 {
     auto stream = std::ostringstream();
@@ -88,7 +75,7 @@
         return {};
     if (!isName(result->text)) {
         m_findings.add(result->position, quoted(result->text) + " is no name",
-                       "use 1 to 63 of a-z, 0-9, '-', '_' and '.', the first no '.'");
+                       std::string(NameRemedy));
         return {};
     }
     m_title += ' ' + quoted(result->text);
--- a/tests/cli/TestAdminCommands.cpp
+++ b/tests/cli/TestAdminCommands.cpp
@@ -33,7 +33,7 @@
 
 static constexpr auto NodeStatus = R"({"node": "192.0.2.7:7100", "failureDomain": "bezigrad",
     "state": "serving", "configuration": {"version": 12, "hash": "ab",
-    "domains": {"bezigrad": {"12": 40, "11": 1}, "domzale": {"9": 3}}}})";
+    "domains": {"bezigrad": {"12": 40, "11": 1}, "domzale": {"0": 3}}}})";
 
 static auto readHead() -> HeadSummary
 {
@@ -85,8 +85,8 @@
     cr_assert_eq(report.text,
                  "store: version 13, hash cd\n"
                  "node 192.0.2.7:7100 in bezigrad, serving: version 12, hash ab\n"
-                 "failure domain bezigrad: version 11 on 1 node version 12 on 40 nodes\n"
-                 "failure domain domzale: version 9 on 3 nodes\n");
+                 "failure domain bezigrad: version 11 on 1 node, version 12 on 40 nodes\n"
+                 "failure domain domzale: no configuration on 3 nodes\n");
     cr_assert_eq(report.json.at("store").at("version"), 13);
     cr_assert_eq(report.json.at("store").at("applyId"), "a1");
     cr_assert_eq(report.json.at("domains").at("bezigrad").at("12"), 40);
