Metrics: Render each metric by a function of its own

Cause: the analyzer of clang-tidy 16 took the names bound by the loop, captured by a lambda, for uninitialised. Ruled out: a NOLINT, which would hide a later real find on that line. Change: renderMetric() takes the name, the labels and the metric as arguments, and the loop calls it.

--- a/include/stairspur/metrics/Registry.h
+++ b/include/stairspur/metrics/Registry.h
@@ -68,6 +68,9 @@
         std::map<Labels, Metric> metrics;
     };
 
+    static auto renderMetric(const std::string &name, const Labels &labels, const Metric &metric)
+            -> std::string;
+
     template <typename Kind>
     auto find(const MetricText &text, const Labels &labels) -> Kind &;
 
--- a/source/metrics/Registry.cpp
+++ b/source/metrics/Registry.cpp
@@ -53,16 +53,20 @@
     return find<LatencyHistogram>(text, labels);
 }
 
+auto Registry::renderMetric(const std::string &name, const Labels &labels, const Metric &metric)
+        -> std::string
+{
+    return std::visit([&](const auto &it) { return renderSample(name, labels, *it); }, metric);
+}
+
 auto Registry::renderPrometheus() const -> std::string
 {
     const auto lock = std::scoped_lock(m_mutex);
     auto text = std::string();
     for (const auto &[name, family] : m_families) {
         text += renderHead(name, family.help, TypeNames[family.type]);
-        for (const auto &[labels, metric] : family.metrics) {
-            const auto render = [&](const auto &it) { return renderSample(name, labels, *it); };
-            text += std::visit(render, metric);
-        }
+        for (const auto &[labels, metric] : family.metrics)
+            text += renderMetric(name, labels, metric);
     }
     return text;
 }
