Metrics: Keep the sum of a histogram in shards

Cause: four threads that record into one histogram all wrote one atomic sum, each call of theirs. Ruled out: a sum for each bucket, which would need as many more numbers as there are buckets. Change: the sum is a Counter, which has a shard of a cache line for each of eight threads.

--- a/include/stairspur/metrics/LatencyHistogram.h
+++ b/include/stairspur/metrics/LatencyHistogram.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <vector>
 
 #include <stairspur/core/Time.h>
+#include <stairspur/metrics/Counter.h>
 
 namespace stairspur::metrics {
 
@@ -46,7 +46,7 @@
 private:
     class Buckets;
     std::unique_ptr<Buckets> m_buckets;
-    std::atomic<std::int64_t> m_sum = 0; ///< Microseconds.
+    Counter m_sum; ///< Microseconds.
 };
 
 } // namespace stairspur::metrics
--- a/source/metrics/LatencyHistogram.cpp
+++ b/source/metrics/LatencyHistogram.cpp
@@ -52,7 +52,7 @@
 {
     const auto bounded = std::max(value, Duration::zero());
     m_buckets->histogram(std::max(LeastMicroseconds, static_cast<double>(bounded.count())));
-    m_sum.fetch_add(bounded.count(), std::memory_order_relaxed);
+    m_sum.increment(static_cast<std::uint64_t>(bounded.count()));
 }
 
 auto LatencyHistogram::snapshot() const -> HistogramSnapshot
@@ -66,7 +66,7 @@
         snapshot.counts.push_back(histogram.at(index).value());
     }
     snapshot.above = histogram.at(axis.size()).value();
-    snapshot.sum = Duration{m_sum.load(std::memory_order_relaxed)};
+    snapshot.sum = Duration{static_cast<Duration::rep>(m_sum.value())};
     return snapshot;
 }
 
