--- a/source/routing/CandidateTiers.cpp
+++ b/source/routing/CandidateTiers.cpp
@@ -48,7 +48,7 @@
     if (view.floors().age(m_request.level.rank(), m_now)
         <= maxFloorAge(m_request.level.rank(), m_settings.reportHalfLife))
         return Tier::BelowFloor;
-    return view.isInSubset() ? Tier::OldFloor : Tier::OldFloorWidened;
+    return Tier::OldFloor;
 }
 
 auto CandidateTiers::admittedTierOf(const UpstreamView &view) const -> Tier
--- a/source/routing/CandidateTiers.h
+++ b/source/routing/CandidateTiers.h
@@ -19,13 +19,12 @@
     OtherDomainLate,
     WidenedOwn, ///< Outside the subset, own failure domain.
     WidenedOther,
-    TooLate,  ///< Admits the call, but by its reports cannot answer in time: only the gate knows.
-    OldFloor, ///< The floor is above the call, but the view is too old to refuse by.
-    OldFloorWidened,
+    TooLate,    ///< Admits the call, but by its reports cannot answer in time: only the gate knows.
+    OldFloor,   ///< The floor is above the call, but the view is too old to refuse by.
     BelowFloor, ///< The floor is above the call, and the view is fresh.
 };
 
-inline constexpr std::size_t TierCount = 10;
+inline constexpr std::size_t TierCount = 9;
 
 /// How old a floor may be to refuse a call of class `rank` without asking the gate: the more
 /// important the class, the younger. Each gate is asked about once in this time by each entry,
--- a/source/routing/PoolState.cpp
+++ b/source/routing/PoolState.cpp
@@ -88,7 +88,9 @@
         widen(tiers);
     if (const auto tier = tiers.best()) {
         const auto &members = tiers.members(*tier);
-        const auto &view = m_views[pickOfTwo(members, loads, now, random)];
+        const auto index = *tier == Tier::OldFloor ? leastRecent(members)
+                                                   : pickOfTwo(members, loads, now, random);
+        const auto &view = m_views[index];
         return {view.upstream().node, reasonFor(*tier, view, members.size()), Reason::None,
                 Duration::zero(), static_cast<std::uint32_t>(members.size())};
     }
@@ -112,7 +114,7 @@
 auto UpstreamPool::State::reasonFor(Tier tier, const UpstreamView &view,
                                     std::size_t candidates) const -> RouteReason
 {
-    if (tier == Tier::OldFloor || tier == Tier::OldFloorWidened)
+    if (tier == Tier::OldFloor)
         return RouteReason::ImportantBypass;
     if (view.upstream().domain != m_settings.ownDomain)
         return RouteReason::Spilled;
@@ -167,10 +169,18 @@
     return loads.loadOf(m_views[second]) < loads.loadOf(m_views[first]) ? second : first;
 }
 
-auto UpstreamPool::State::didSend(const NodeId &node) -> void
+auto UpstreamPool::State::leastRecent(const std::vector<std::uint32_t> &members) const
+        -> std::uint32_t
+{
+    return *std::min_element(members.begin(), members.end(), [&](auto a, auto b) {
+        return m_views[a].lastSentAt() < m_views[b].lastSentAt();
+    });
+}
+
+auto UpstreamPool::State::didSend(const NodeId &node, TimePoint now) -> void
 {
     if (auto *view = find(node))
-        view->didSend();
+        view->didSend(now);
 }
 
 auto UpstreamPool::State::didEnd(const AttemptResult &result, TimePoint now) -> void
--- a/source/routing/PoolState.h
+++ b/source/routing/PoolState.h
@@ -18,7 +18,7 @@
 
     auto setUpstreams(std::span<const Upstream> upstreams, TimePoint now) -> void;
     auto choose(const RouteRequest &request, TimePoint now, Random &random) -> RouteDecision;
-    auto didSend(const NodeId &node) -> void;
+    auto didSend(const NodeId &node, TimePoint now) -> void;
     auto didEnd(const AttemptResult &result, TimePoint now) -> void;
     auto didReport(const NodeId &node, const admission::LoadReport &report, TimePoint now) -> void;
     [[nodiscard]] auto floorFor(ClassRank rank, TimePoint now) const -> Level;
@@ -43,6 +43,11 @@
     auto pickOfTwo(const std::vector<std::uint32_t> &members, const LoadEstimate &loads,
                    TimePoint now, Random &random) const -> std::uint32_t;
 
+    /// The upstream that a call of ours went to the longest ago. Calls that stop after a few tries
+    /// thus sweep the whole pool together.
+    [[nodiscard]] auto leastRecent(const std::vector<std::uint32_t> &members) const
+            -> std::uint32_t;
+
     [[nodiscard]] auto reasonFor(Tier tier, const UpstreamView &view, std::size_t candidates) const
             -> RouteReason;
     auto refuse(const CandidateTiers &tiers, const RouteRequest &request, Random &random) const
--- a/source/routing/UpstreamPool.cpp
+++ b/source/routing/UpstreamPool.cpp
@@ -23,9 +23,9 @@
     return m_state->choose(request, now, random);
 }
 
-auto UpstreamPool::didSend(const NodeId &node, TimePoint /*now*/) -> void
+auto UpstreamPool::didSend(const NodeId &node, TimePoint now) -> void
 {
-    m_state->didSend(node);
+    m_state->didSend(node, now);
 }
 
 auto UpstreamPool::didEnd(const AttemptResult &result, TimePoint now, Random & /*random*/) -> void
--- a/source/routing/UpstreamView.h
+++ b/source/routing/UpstreamView.h
@@ -28,7 +28,11 @@
     [[nodiscard]] auto isInSubset() const -> bool { return m_isInSubset; }
     auto setInSubset(bool isInSubset) -> void { m_isInSubset = isInSubset; }
 
-    auto didSend() -> void { ++m_inFlight; }
+    auto didSend(TimePoint now) -> void
+    {
+        ++m_inFlight;
+        m_lastSentAt = now;
+    }
 
     /// The attempt ended; takes its report first, then what the outcome itself proves.
     auto didEnd(const AttemptResult &result, TimePoint now, Duration halfLife) -> void;
@@ -42,6 +46,9 @@
     [[nodiscard]] auto isEjected(TimePoint now) const -> bool { return m_ejection.isEjected(now); }
     [[nodiscard]] auto isDraining(TimePoint now, Duration halfLife) const -> bool;
 
+    /// When a call of ours last went there.
+    [[nodiscard]] auto lastSentAt() const -> TimePoint { return m_lastSentAt; }
+
     /// Our own calls under way.
     [[nodiscard]] auto inFlight() const -> std::uint32_t { return m_inFlight; }
 
@@ -64,6 +71,7 @@
     OutcomeView m_outcomes;
     OutlierEjection m_ejection;
     TimePoint m_newSince;
+    TimePoint m_lastSentAt{};
     std::uint32_t m_inFlight = 0;
     bool m_isInSubset = false;
 };
--- a/tests/routing/TestLoadEstimate.cpp
+++ b/tests/routing/TestLoadEstimate.cpp
@@ -43,7 +43,7 @@
         if (it.inFlight)
             view.didReport(makeReport(1, *it.inFlight), Start, HalfLife);
         for (auto n = 0U; n < it.ownSends; ++n)
-            view.didSend();
+            view.didSend(Start);
         auto estimate = LoadEstimate(now, HalfLife, HalfLife);
         estimate.include(other);
         estimate.include(view);
@@ -55,7 +55,7 @@
 Test(LoadEstimate, nothingKnownCountsOwnCallsOnly)
 {
     auto view = makeView("view");
-    view.didSend();
+    view.didSend(Start);
     auto estimate = LoadEstimate(Start, HalfLife, HalfLife);
     estimate.include(view);
     cr_assert_lt(std::abs(estimate.loadOf(view) - 0.2), 1e-6);
--- a/tests/routing/TestUpstreamPool.cpp
+++ b/tests/routing/TestUpstreamPool.cpp
@@ -192,6 +192,36 @@
     cr_assert(std::find(subset.begin(), subset.end(), *decision.node) == subset.end());
 }
 
+/// How many calls it takes until one of 40 upstreams is found that alone admits them, with eight
+/// tries for each call and views that are old again at the next one.
+static auto callsUntilAnswered(std::uint64_t seed) -> int
+{
+    const auto members = makeUpstreams("own", 40);
+    auto fixture = PoolFixture(members, seed);
+    reportToAll(fixture, members, makeReport(1, 0, {ClosedLevel}));
+    for (auto call = 1; call <= 100; ++call) {
+        fixture.now += Millisecond * 100;
+        auto excluded = std::vector<NodeId>();
+        while (excluded.size() < 8) {
+            const auto node = fixture.choose(levelOf(0), excluded).node;
+            if (node == "own23")
+                return call;
+            if (!node)
+                break;
+            fixture.attempt(*node, Outcome::NotRun, Reason::BelowFloor, levelOf(0));
+            excluded.push_back(*node);
+        }
+    }
+    return 100;
+}
+
+Test(UpstreamPool, boundedTriesSweepTheWholePool)
+{
+    for (auto seed = 1U; seed <= 50; ++seed)
+        cr_assert_leq(callsUntilAnswered(seed), 5, "seed %u: %d calls", seed,
+                      callsUntilAnswered(seed));
+}
+
 Test(UpstreamPool, refusalsTakeTheirReportAtOnceAndLateOnesAreIgnored)
 {
     auto fixture = PoolFixture(makeUpstreams("own", 1));
