Retry: Write the decision table one row a line

Cause: the qualified names spread most of the twenty rows over three lines, so that they read badly as a table. Ruled out: a builder for the cases, which would hide what each one says. Change: using enum for the three enumerations; the rows and what they expect are the same. Conclusion: a change of layout alone.

--- a/tests/retry/TestRetryPolicy.cpp
+++ b/tests/retry/TestRetryPolicy.cpp
@@ -7,75 +7,51 @@
 
 static constexpr auto Second = Duration{1'000'000};
 
+using enum Outcome;
+using enum Reason;
+using enum RetryDecision;
+
 struct PolicyCase
 {
     const char *name;
-    AttemptEnd
-            end; // outcome, reason, wasDispatched, isIdempotent, budget, hasServiceToken, remaining, expectedLatency
+    /// Outcome, reason, wasDispatched, isIdempotent, budget, hasServiceToken, remaining, expectedLatency.
+    AttemptEnd end;
     RetryDecision decision;
 };
 
 static const PolicyCase cases[] = {
-        {"answered",
-         {Outcome::Answered, Reason::None, true, true, 3, true, Second},
-         RetryDecision::GiveUp},
-        {"refused before dispatch",
-         {Outcome::NotRun, Reason::QueueFull, false, false, 0, false, Second},
-         RetryDecision::Elsewhere},
-        {"no link",
-         {Outcome::NotRun, Reason::LinkLost, false, false, 0, false, Second},
-         RetryDecision::Elsewhere},
-        {"shed by the backend server",
-         {Outcome::NotRun, Reason::BackendShed, true, false, 1, true, Second},
-         RetryDecision::Retry},
-        {"shed, no budget",
-         {Outcome::NotRun, Reason::BackendShed, true, false, 0, true, Second},
-         RetryDecision::GiveUp},
-        {"shed, no token",
-         {Outcome::NotRun, Reason::BackendShed, true, false, 1, false, Second},
-         RetryDecision::GiveUp},
-        {"lost, idempotent",
-         {Outcome::Unknown, Reason::LinkLost, true, true, 1, true, Second},
-         RetryDecision::Retry},
-        {"lost, not idempotent",
-         {Outcome::Unknown, Reason::LinkLost, true, false, 9, true, Second},
-         RetryDecision::GiveUp},
+        {"answered", {Answered, None, true, true, 3, true, Second}, GiveUp},
+        {"refused before dispatch", {NotRun, QueueFull, false, false, 0, false, Second}, Elsewhere},
+        {"no link", {NotRun, LinkLost, false, false, 0, false, Second}, Elsewhere},
+        {"shed by the backend server", {NotRun, BackendShed, true, false, 1, true, Second}, Retry},
+        {"shed, no budget", {NotRun, BackendShed, true, false, 0, true, Second}, GiveUp},
+        {"shed, no token", {NotRun, BackendShed, true, false, 1, false, Second}, GiveUp},
+        {"lost, idempotent", {Unknown, LinkLost, true, true, 1, true, Second}, Retry},
+        {"lost, not idempotent", {Unknown, LinkLost, true, false, 9, true, Second}, GiveUp},
         {"unknown, not idempotent, said undispatched",
-         {Outcome::Unknown, Reason::LinkLost, false, false, 9, true, Second},
-         RetryDecision::GiveUp},
-        {"failed, not idempotent",
-         {Outcome::Failed, Reason::BackendFailed, true, false, 9, true, Second},
-         RetryDecision::GiveUp},
-        {"failed, idempotent",
-         {Outcome::Failed, Reason::BackendFailed, true, true, 1, true, Second},
-         RetryDecision::Retry},
+         {Unknown, LinkLost, false, false, 9, true, Second},
+         GiveUp},
+        {"failed, not idempotent", {Failed, BackendFailed, true, false, 9, true, Second}, GiveUp},
+        {"failed, idempotent", {Failed, BackendFailed, true, true, 1, true, Second}, Retry},
         {"failed, idempotent, no budget",
-         {Outcome::Failed, Reason::BackendFailed, true, true, 0, true, Second},
-         RetryDecision::GiveUp},
-        {"no time left",
-         {Outcome::NotRun, Reason::QueueFull, false, true, 3, true, Duration{0}},
-         RetryDecision::GiveUp},
-        {"too little time left",
-         {Outcome::Failed, Reason::None, true, true, 3, true, Second, Second * 2},
-         RetryDecision::GiveUp},
-        {"just enough time left",
-         {Outcome::Failed, Reason::None, true, true, 3, true, Second, Second},
-         RetryDecision::Retry},
+         {Failed, BackendFailed, true, true, 0, true, Second},
+         GiveUp},
+        {"no time left", {NotRun, QueueFull, false, true, 3, true, Duration{0}}, GiveUp},
+        {"too little time left", {Failed, None, true, true, 3, true, Second, Second * 2}, GiveUp},
+        {"just enough time left", {Failed, None, true, true, 3, true, Second, Second}, Retry},
         {"the same everywhere: bad request",
-         {Outcome::NotRun, Reason::BadRequest, false, true, 3, true, Second},
-         RetryDecision::GiveUp},
+         {NotRun, BadRequest, false, true, 3, true, Second},
+         GiveUp},
         {"the same everywhere: cancelled",
-         {Outcome::NotRun, Reason::Cancelled, false, true, 3, true, Second},
-         RetryDecision::GiveUp},
+         {NotRun, Cancelled, false, true, 3, true, Second},
+         GiveUp},
         {"the same everywhere: key in progress",
-         {Outcome::NotRun, Reason::KeyInProgress, false, true, 3, true, Second},
-         RetryDecision::GiveUp},
+         {NotRun, KeyInProgress, false, true, 3, true, Second},
+         GiveUp},
         {"fresh node without configuration",
-         {Outcome::NotRun, Reason::NoConfiguration, false, true, 0, false, Second},
-         RetryDecision::Elsewhere},
-        {"draining",
-         {Outcome::NotRun, Reason::Draining, false, false, 0, false, Second},
-         RetryDecision::Elsewhere},
+         {NotRun, NoConfiguration, false, true, 0, false, Second},
+         Elsewhere},
+        {"draining", {NotRun, Draining, false, false, 0, false, Second}, Elsewhere},
 };
 
 Test(RetryPolicy, decidesByTable)
