Distribution: Bring a version into force on every node

A pure state machine for one node: a few relays per domain follow the head, everyone else is told by rumor and by the digest on membership's messages, and fetches what changed from whoever told. Weighed: a watch per node (far above the store's reads), pushing whole lists of hashes (grows with services), a log of deltas (only answers for versions it lists). Keeping each section's last version answers for every base. Changes travel by datagram when they fit, else by control request.

--- /dev/null
+++ b/include/stairspur/distribution/Actions.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <stairspur/core/EnumNames.h>
+#include <stairspur/core/Identifiers.h>
+#include <stairspur/core/Time.h>
+#include <stairspur/distribution/Digest.h>
+
+/// What the distribution's state machine asks its surroundings to do.
+namespace stairspur::distribution {
+
+struct SendDatagram
+{
+    NodeId to;
+    std::string payload;
+};
+
+/// A control request; didReceiveReply() or didFailRequest() follows under the same id.
+struct SendRequest
+{
+    std::uint64_t id = 0;
+    NodeId to;
+    std::string payload;
+    Duration timeout{0};
+};
+
+/// didReadHead() or didFailToReadHead() follows.
+struct ReadHead
+{};
+
+/// didReadSections() or didFailToReadSections() follows.
+struct ReadSections
+{
+    std::vector<std::string> hashes; ///< Empty: everything under the prefix of sections.
+};
+
+/// Another configuration is in force: hand it to the node.
+struct Publish
+{};
+
+enum class AlarmKind {
+    TwoHashes,   ///< Two configurations bear one version. The first is kept.
+    StoreBehind, ///< The store's head is older than what is in force: it was emptied or restored.
+};
+
+struct Alarm
+{
+    AlarmKind kind = AlarmKind::TwoHashes;
+    Digest kept;
+    Digest seen;
+    std::string from; ///< A node, or "store".
+};
+
+using Action = std::variant<SendDatagram, SendRequest, ReadHead, ReadSections, Publish, Alarm>;
+
+/// Counts since the start; bytes are payloads.
+struct DistributionCounters
+{
+    std::uint64_t adoptions = 0;
+    std::uint64_t datagramsSent = 0;
+    std::uint64_t datagramBytesSent = 0;
+    std::uint64_t datagramBytesReceived = 0;
+    std::uint64_t requestsSent = 0;
+    std::uint64_t requestBytesSent = 0;
+    std::uint64_t requestBytesReceived = 0;
+    std::uint64_t wholeLoads = 0;     ///< Whole sets taken in, in place of changes.
+    std::uint64_t failedFetches = 0;  ///< From peers: timeouts, and peers with nothing newer.
+    std::uint64_t rejectedHashes = 0; ///< Sections that did not add up to the hash that was told.
+    std::uint64_t malformed = 0;
+    std::uint64_t alarms = 0;
+    std::uint64_t headReads = 0;
+    std::uint64_t sectionReads = 0;
+};
+
+} // namespace stairspur::distribution
+
+template <>
+inline constexpr auto stairspur::enumNames<stairspur::distribution::AlarmKind> =
+        std::array<std::string_view, 2>{"two-hashes", "store-behind"};
--- /dev/null
+++ b/include/stairspur/distribution/DistributionContext.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <stairspur/core/Random.h>
+#include <stairspur/core/Time.h>
+#include <stairspur/distribution/Actions.h>
+#include <stairspur/distribution/KnownConfiguration.h>
+#include <stairspur/distribution/Messages.h>
+#include <stairspur/distribution/RelayRank.h>
+
+namespace stairspur::distribution {
+
+struct DistributionSettings
+{
+    std::uint32_t fanout = 3;        ///< Peers told of a new version at once.
+    Duration askTimeout{200'000};    ///< For a datagram's answer.
+    Duration pullTimeout{2'000'000}; ///< For a control request.
+    Duration minBackoff{100'000};    ///< Between failed fetches.
+    Duration maxBackoff{3'000'000};
+    std::size_t pieceBytes = 64U << 10U;     ///< Of sections in one reply.
+    std::size_t maxSetBytes = 64U << 20U;    ///< Of sections taken from a peer.
+    std::size_t datagramBytes = 1200;        ///< Larger deltas go by control request.
+    Duration crossDomainInterval{1'000'000}; ///< Between a relay's words to another domain.
+    Duration headPollInterval{
+            4'000'000}; ///< A relay whose watch is silent for so long reads the head.
+    Duration staleAfter{
+            60'000'000}; ///< Without a word from anyone, a node that is no relay reads too.
+    Duration freshStoreDelay{
+            3'000'000}; ///< A node without a configuration asks its peers alone first.
+};
+
+/// The guards of the distribution. Tests take one away at a time to show that the fault matrix sees it.
+struct DistributionPolicy
+{
+    static constexpr auto IsForwardOnly = true;
+    static constexpr auto VerifiesHash = true;
+    static constexpr auto KeepsFirstOfTwo = true;
+    static constexpr auto FetchesElsewhere = true; ///< After a failure, from another peer.
+    static constexpr auto PollsHead = true;        ///< Against silent watches.
+    static constexpr auto AsksPeersWhenFresh = true;
+    static constexpr auto TellsOtherDomains = true;
+    static constexpr auto LoadsWholeOnMismatch = true;
+    static constexpr auto ListensToDigests = true; ///< Those on membership's probes and acks.
+};
+
+/// Whether a configuration that is told of may take the place of the one in force.
+template <typename Policy>
+auto isNewer(const Digest &seen, const Digest &own) -> bool
+{
+    if (seen.version == own.version)
+        return !Policy::KeepsFirstOfTwo && seen != own;
+    return seen.version > own.version || (!Policy::IsForwardOnly && seen.version > 0);
+}
+
+/// A newer configuration that has been put together and verified.
+struct Adoption
+{
+    std::uint64_t version = 0;
+    KnownConfiguration::Candidate candidate;
+    NodeId from; ///< Empty: the store.
+};
+
+/// What the parts of one node's distribution share.
+struct DistributionContext
+{
+    NodeId self;
+    std::string domain;
+    DistributionSettings settings;
+    bool hasStore = false;
+    Random random;
+
+    KnownConfiguration known;
+    std::vector<Peer> peers;         ///< Alive, without this node.
+    std::vector<NodeId> domainPeers; ///< Those of its own domain.
+    bool isRelay = false;
+    TimePoint lastHeard{}; ///< From any peer or the store.
+
+    std::vector<Action> actions;
+    DistributionCounters counters;
+
+    auto send(const NodeId &to, const ConfigDatagram &datagram) -> void
+    {
+        auto payload = encode(datagram);
+        counters.datagramsSent += 1;
+        counters.datagramBytesSent += payload.size();
+        actions.emplace_back(SendDatagram{to, std::move(payload)});
+    }
+
+    auto tell(const NodeId &to) -> void { send(to, {DatagramKind::News, known.digest(), 0, {}}); }
+
+    auto raise(AlarmKind kind, Digest seen, std::string from) -> void
+    {
+        counters.alarms += 1;
+        actions.emplace_back(Alarm{kind, known.digest(), std::move(seen), std::move(from)});
+    }
+
+    /// A random peer, of the own domain while there is one; empty when this node is alone.
+    auto randomPeer() -> NodeId
+    {
+        if (!domainPeers.empty())
+            return domainPeers[randomBelow(random, domainPeers.size())];
+        return peers.empty() ? NodeId() : peers[randomBelow(random, peers.size())].node;
+    }
+};
+
+} // namespace stairspur::distribution
--- /dev/null
+++ b/include/stairspur/distribution/DistributionState.h
@@ -0,0 +1,270 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <stairspur/core/Error.h>
+#include <stairspur/distribution/DistributionContext.h>
+#include <stairspur/distribution/HeadFollower.h>
+#include <stairspur/distribution/PeerFetch.h>
+
+namespace stairspur::distribution {
+
+/// One node's part in bringing configurations into force everywhere, without I/O or clock: events go in, actions come
+/// out of takeActions().
+///
+/// A node that takes a version into force tells a few random peers of its domain, once. Those who miss that learn from
+/// the digest on membership's probes and acks. Whoever hears of a newer version fetches what changed. A few relays in
+/// each domain follow the store's head, and tell relays of the other domains, so that a domain cut off from the store
+/// still learns. Versions only go forward.
+template <typename Policy = DistributionPolicy>
+class DistributionState
+{
+public:
+    DistributionState(NodeId self, std::string domain, DistributionSettings settings, bool hasStore,
+                      std::uint64_t seed)
+        : m_fetch(m_context)
+        , m_follower(m_context)
+    {
+        m_context.self = std::move(self);
+        m_context.domain = std::move(domain);
+        m_context.settings = settings;
+        m_context.hasStore = hasStore;
+        m_context.random.seed(seed);
+    }
+
+    DistributionState(const DistributionState &) = delete;
+    DistributionState(DistributionState &&) = delete;
+    auto operator=(const DistributionState &) -> DistributionState & = delete;
+    auto operator=(DistributionState &&) -> DistributionState & = delete;
+    ~DistributionState() = default;
+
+    /// Every node that is believed alive, this one included or not.
+    auto setPeers(std::vector<Peer> alive) -> void
+    {
+        std::erase_if(alive, [&](const auto &it) { return it.node == m_context.self; });
+        m_context.domainPeers.clear();
+        for (const auto &it : alive) {
+            if (it.domain == m_context.domain)
+                m_context.domainPeers.push_back(it.node);
+        }
+        m_context.peers = alive;
+        alive.push_back({m_context.self, m_context.domain});
+        const auto own = relaysOf(m_context.domain, alive);
+        m_context.isRelay = std::ranges::find(own, m_context.self) != own.end();
+        m_otherRelays.clear();
+        auto domains = std::set<std::string>();
+        for (const auto &it : alive) {
+            if (it.domain != m_context.domain && domains.insert(it.domain).second)
+                m_otherRelays.push_back(relaysOf(it.domain, alive));
+        }
+    }
+
+    [[nodiscard]] auto digest() const -> Digest { return m_context.known.digest(); }
+    [[nodiscard]] auto known() const -> const KnownConfiguration & { return m_context.known; }
+    [[nodiscard]] auto isRelay() const -> bool { return m_context.isRelay; }
+    [[nodiscard]] auto counters() const -> const DistributionCounters &
+    {
+        return m_context.counters;
+    }
+
+    [[nodiscard]] auto takeActions() -> std::vector<Action>
+    {
+        return std::exchange(m_context.actions, {});
+    }
+
+    /// From a membership probe or ack of `from`.
+    auto didHearDigest(const NodeId &from, const Digest &digest, TimePoint now) -> void
+    {
+        if (!Policy::ListensToDigests)
+            return;
+        note(from, digest, now);
+    }
+
+    auto didReceiveDatagram(const NodeId &from, std::string_view payload, TimePoint now) -> void
+    {
+        m_context.counters.datagramBytesReceived += payload.size();
+        try {
+            handle(from, decodeDatagram(payload), now);
+        } catch (const InputError &) {
+            m_context.counters.malformed += 1;
+        }
+    }
+
+    /// The reply to a peer's control request. Throws InputError when it cannot be read.
+    [[nodiscard]] auto serve(std::string_view payload) const -> std::string
+    {
+        const auto request = decodePullRequest(payload);
+        const auto &known = m_context.known;
+        auto reply = PullReply();
+        reply.digest = known.digest();
+        reply.since = known.hasChangesSince(request.since) ? request.since : 0;
+        reply.piece =
+                known.changesSince(reply.since, request.cursor, m_context.settings.pieceBytes);
+        return encode(reply);
+    }
+
+    auto didReceiveReply(std::uint64_t id, std::string_view payload, TimePoint now) -> void
+    {
+        m_context.counters.requestBytesReceived += payload.size();
+        try {
+            const auto reply = decodePullReply(payload);
+            m_context.lastHeard = now;
+            adopt(m_fetch.didReceiveReply(id, reply, now), now);
+        } catch (const InputError &) {
+            m_context.counters.malformed += 1;
+            m_fetch.didFailRequest(id, now);
+        }
+    }
+
+    auto didFailRequest(std::uint64_t id, TimePoint now) -> void
+    {
+        m_fetch.didFailRequest(id, now);
+    }
+
+    /// The answer to ReadHead; nothing when the store has no head.
+    auto didReadHead(const std::optional<Head> &head, TimePoint now) -> void
+    {
+        adopt(m_follower.didReadHead(head, true, now), now);
+    }
+
+    auto didFailToReadHead(TimePoint now) -> void { m_follower.didFailToReadHead(now); }
+
+    /// A message of a relay's watch.
+    auto didWatchHead(const Head &head, TimePoint now) -> void
+    {
+        adopt(m_follower.didReadHead(head, false, now), now);
+    }
+
+    auto didReadSections(const Blobs &blobs, TimePoint now) -> void
+    {
+        try {
+            adopt(m_follower.didReadSections(blobs, now), now);
+        } catch (const InputError &) {
+            m_context.counters.malformed += 1;
+            m_follower.didFailToReadSections(now);
+        }
+    }
+
+    auto didFailToReadSections(TimePoint now) -> void { m_follower.didFailToReadSections(now); }
+
+    /// To be called several times a second.
+    auto tick(TimePoint now) -> void
+    {
+        m_fetch.tick(now);
+        m_follower.tick(now);
+        if (Policy::TellsOtherDomains && m_context.isRelay && now >= m_nextCrossDomain)
+            tellAnotherDomain(now);
+    }
+
+private:
+    auto handle(const NodeId &from, const ConfigDatagram &datagram, TimePoint now) -> void
+    {
+        const auto version = m_context.known.version();
+        switch (datagram.kind) {
+        case DatagramKind::News:
+            // Whoever tells of an older version has missed this one.
+            if (datagram.digest.version < version)
+                m_context.tell(from);
+            break;
+        case DatagramKind::Ask:
+            answerAsk(from, datagram.digest);
+            break;
+        case DatagramKind::Delta:
+            adopt(m_fetch.didReceiveDelta(from, datagram, now), now);
+            return;
+        case DatagramKind::Large:
+            m_fetch.didHearLarge(from, now);
+            break;
+        }
+        note(from, datagram.digest, now);
+    }
+
+    auto answerAsk(const NodeId &from, const Digest &theirs) -> void
+    {
+        const auto &known = m_context.known;
+        if (theirs.version >= known.version())
+            return m_context.tell(from);
+        auto reply = ConfigDatagram{DatagramKind::Large, known.digest(), theirs.version, {}};
+        if (known.hasChangesSince(theirs.version)) {
+            auto piece = known.changesSince(theirs.version, {}, m_context.settings.datagramBytes);
+            reply.changes = std::move(piece.changes);
+            reply.kind = piece.isLast ? DatagramKind::Delta : DatagramKind::Large;
+        }
+        if (encode(reply).size() > m_context.settings.datagramBytes)
+            reply.kind = DatagramKind::Large;
+        m_context.send(from, reply);
+    }
+
+    auto note(const NodeId &from, const Digest &digest, TimePoint now) -> void
+    {
+        m_context.lastHeard = now;
+        const auto own = m_context.known.digest();
+        if (digest.version == own.version && digest != own)
+            didSeeTwoHashes(from, digest, now);
+        m_fetch.didHear(from, digest, now);
+    }
+
+    auto didSeeTwoHashes(const NodeId &from, const Digest &seen, TimePoint) -> void
+    {
+        if (m_alarmed == seen)
+            return;
+        m_alarmed = seen;
+        m_context.raise(AlarmKind::TwoHashes, seen, from);
+    }
+
+    auto adopt(std::optional<Adoption> adoption, TimePoint now) -> void
+    {
+        if (!adoption)
+            return;
+        const auto seen = digestOf(adoption->version, adoption->candidate.hash);
+        if (!isNewer<Policy>(seen, m_context.known.digest()))
+            return;
+        m_context.known.adopt(adoption->version, std::move(adoption->candidate));
+        m_context.counters.adoptions += 1;
+        m_context.actions.emplace_back(Publish{});
+        tellPeers(adoption->from);
+        m_fetch.didAdopt(now);
+        adopt(m_follower.didAdopt(now), now);
+    }
+
+    /// Tells a few random peers of the own domain, other than the one that this came from.
+    auto tellPeers(const NodeId &source) -> void
+    {
+        auto &peers = m_context.domainPeers;
+        const auto n = std::min<std::size_t>(peers.size(), m_context.settings.fanout);
+        for (auto index = std::size_t{0}; index < n; ++index) {
+            const auto other = index + randomBelow(m_context.random, peers.size() - index);
+            std::swap(peers[index], peers[other]);
+            if (peers[index] != source)
+                m_context.tell(peers[index]);
+        }
+    }
+
+    /// One other domain at a time, in turn: the bytes don't grow with changes or domains.
+    auto tellAnotherDomain(TimePoint now) -> void
+    {
+        m_nextCrossDomain = now + m_context.settings.crossDomainInterval;
+        if (m_otherRelays.empty())
+            return;
+        m_turn = (m_turn + 1) % m_otherRelays.size();
+        const auto &relays = m_otherRelays[m_turn];
+        m_context.tell(relays[randomBelow(m_context.random, relays.size())]);
+    }
+
+    DistributionContext m_context;
+    PeerFetch<Policy> m_fetch;
+    HeadFollower<Policy> m_follower;
+    std::vector<std::vector<NodeId>> m_otherRelays; ///< One entry for each other domain.
+    std::size_t m_turn = 0;
+    TimePoint m_nextCrossDomain{};
+    Digest m_alarmed;
+};
+
+} // namespace stairspur::distribution
--- /dev/null
+++ b/include/stairspur/distribution/HeadFollower.h
@@ -0,0 +1,241 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <stairspur/distribution/DistributionContext.h>
+#include <stairspur/distribution/Head.h>
+#include <stairspur/platform/Backoff.h>
+
+namespace stairspur::distribution {
+
+/// Values of the store by their hash.
+using Blobs = std::map<std::string, std::string>;
+
+/// Follows the store's head. A relay hears of each head by its watch and reads the head itself when the watch has been
+/// silent for a while, which no watch can tell from quiet; other nodes read only when they have nobody else to ask.
+template <typename Policy>
+class HeadFollower
+{
+public:
+    explicit HeadFollower(DistributionContext &context)
+        : m_context(context)
+        , m_backoff(context.settings.minBackoff, context.settings.staleAfter / 4)
+    {}
+
+    /// A watch's message, or the answer to ReadHead. Nothing: the store has no head.
+    auto didReadHead(const std::optional<Head> &head, bool isAnswer, TimePoint now)
+            -> std::optional<Adoption>
+    {
+        if (isAnswer)
+            m_isReadingHead = false;
+        m_context.lastHeard = m_lastHead = now;
+        m_backoff.reset();
+        noteWhetherBehind(head, isAnswer);
+        if (!head
+            || !isNewer<Policy>(digestOf(head->version, head->hash), m_context.known.digest()))
+            return std::nullopt;
+        m_head = *head;
+        if (m_isReadingSections)
+            return std::nullopt; // Taken up once those are there.
+        return load(now);
+    }
+
+    auto didFailToReadHead(TimePoint now) -> void
+    {
+        m_isReadingHead = false;
+        m_notBefore = now + m_backoff.next(m_context.random);
+    }
+
+    auto didReadSections(const Blobs &blobs, TimePoint now) -> std::optional<Adoption>
+    {
+        m_isReadingSections = false;
+        if (!isNewer<Policy>(digestOf(m_loading.version, m_loading.hash), m_context.known.digest()))
+            return next(now);
+        auto changes = m_isWhole ? wholeOf(blobs) : changesOf(blobs);
+        if (changes) {
+            auto candidate = m_context.known.assemble(*changes, m_isWhole);
+            if (candidate.hash == m_loading.hash || !Policy::VerifiesHash) {
+                m_context.counters.wholeLoads += m_isWhole ? 1 : 0;
+                return Adoption{m_loading.version, std::move(candidate), {}};
+            }
+            m_context.counters.rejectedHashes += 1;
+        }
+        didMiss(now);
+        return std::nullopt;
+    }
+
+    auto didFailToReadSections(TimePoint now) -> void
+    {
+        m_isReadingSections = false;
+        m_lastHead = {};
+        m_notBefore = now + m_backoff.next(m_context.random);
+    }
+
+    /// Something newer is in force: a head that came meanwhile may be newer still.
+    auto didAdopt(TimePoint now) -> std::optional<Adoption>
+    {
+        return m_isReadingSections ? std::nullopt : next(now);
+    }
+
+    auto tick(TimePoint now) -> void
+    {
+        if (!m_context.hasStore || m_isReadingHead || m_isReadingSections || now < m_notBefore)
+            return;
+        if (m_start == TimePoint{})
+            m_start = now;
+        if (!isReadDue(now))
+            return;
+        if (!m_context.isRelay)
+            m_notBefore = now + jitteredStaleness();
+        m_isReadingHead = true;
+        m_context.counters.headReads += 1;
+        m_context.actions.emplace_back(ReadHead{});
+    }
+
+private:
+    /// So many reads in a row that find an older head than the one in force are no race with the news of a newer one.
+    static constexpr auto ReadsForAlarm = 3U;
+
+    [[nodiscard]] auto isReadDue(TimePoint now) const -> bool
+    {
+        const auto &settings = m_context.settings;
+        if (m_context.isRelay) {
+            const auto isFirst = m_lastHead == TimePoint{};
+            return isFirst || (Policy::PollsHead && now - m_lastHead >= settings.headPollInterval);
+        }
+        if (m_context.known.version() == 0)
+            return now - m_start >= settings.freshStoreDelay;
+        return now - std::max(m_context.lastHeard, m_start) >= settings.staleAfter;
+    }
+
+    auto jitteredStaleness() -> Duration
+    {
+        const auto &settings = m_context.settings;
+        const auto base =
+                m_context.known.version() == 0 ? settings.freshStoreDelay : settings.staleAfter;
+        return Duration{static_cast<std::int64_t>(static_cast<double>(base.count())
+                                                  * (0.5 + randomUnit(m_context.random)))};
+    }
+
+    auto noteWhetherBehind(const std::optional<Head> &head, bool isAnswer) -> void
+    {
+        const auto seen = head ? digestOf(head->version, head->hash) : Digest();
+        const auto own = m_context.known.digest();
+        if (seen.version >= own.version) {
+            m_readsBehind = 0;
+            if (seen.version == own.version && seen != own && m_alarmed != seen) {
+                m_alarmed = seen;
+                m_context.raise(AlarmKind::TwoHashes, seen, "store");
+            }
+            return;
+        }
+        if (isAnswer && ++m_readsBehind == ReadsForAlarm)
+            m_context.raise(AlarmKind::StoreBehind, seen, "store");
+    }
+
+    auto load(TimePoint now) -> std::optional<Adoption>
+    {
+        m_loading = m_head;
+        m_needed.clear();
+        const auto known = m_context.known.version();
+        const auto changes = known > 0 ? m_head.changesSince(known) : std::nullopt;
+        m_isWhole = !changes;
+        if (m_isWhole) {
+            read({});
+            return std::nullopt;
+        }
+        m_needed = *changes;
+        auto hashes = std::vector<std::string>();
+        for (const auto &[name, hash] : m_needed) {
+            if (!hash.empty())
+                hashes.push_back(hash);
+        }
+        if (hashes.empty())
+            return didReadSections({}, now);
+        read(std::move(hashes));
+        return std::nullopt;
+    }
+
+    auto read(std::vector<std::string> hashes) -> void
+    {
+        m_isReadingSections = true;
+        m_context.counters.sectionReads += 1;
+        m_context.actions.emplace_back(ReadSections{std::move(hashes)});
+    }
+
+    auto next(TimePoint now) -> std::optional<Adoption>
+    {
+        if (m_head.version > m_context.known.version())
+            return load(now);
+        return std::nullopt;
+    }
+
+    /// Sections are missing or do not add up: the whole is read, and after that the head anew.
+    auto didMiss(TimePoint now) -> void
+    {
+        if (!m_isWhole) {
+            m_isWhole = true;
+            return read({});
+        }
+        didFailToReadSections(now);
+    }
+
+    [[nodiscard]] auto changesOf(const Blobs &blobs) const -> std::optional<Changes>
+    {
+        auto changes = Changes();
+        for (const auto &[name, hash] : m_needed) {
+            if (hash.empty()) {
+                changes.removed.push_back(name);
+                continue;
+            }
+            const auto it = blobs.find(hash);
+            if (it == blobs.end())
+                return std::nullopt;
+            changes.changed[name] = it->second;
+        }
+        return changes;
+    }
+
+    [[nodiscard]] auto wholeOf(const Blobs &blobs) const -> std::optional<Changes>
+    {
+        auto changes = Changes();
+        const auto root = blobs.find(m_loading.listHash);
+        if (root == blobs.end())
+            return std::nullopt;
+        for (const auto &bucketHash : decodeRoot(root->second).buckets) {
+            if (bucketHash.empty())
+                continue;
+            const auto bucket = blobs.find(bucketHash);
+            if (bucket == blobs.end())
+                return std::nullopt;
+            for (const auto &[name, hash] : decodeBucket(bucket->second)) {
+                const auto it = blobs.find(hash);
+                if (it == blobs.end())
+                    return std::nullopt;
+                changes.changed[name] = it->second;
+            }
+        }
+        return changes;
+    }
+
+    DistributionContext &m_context;
+    platform::Backoff m_backoff;
+    TimePoint m_start{};
+    TimePoint m_lastHead{};
+    TimePoint m_notBefore{};
+    bool m_isReadingHead = false;
+    bool m_isReadingSections = false;
+    bool m_isWhole = false;
+    Head m_head;    ///< The newest that was seen.
+    Head m_loading; ///< The one whose sections are being read.
+    std::map<std::string, std::string> m_needed;
+    std::uint32_t m_readsBehind = 0;
+    Digest m_alarmed;
+};
+
+} // namespace stairspur::distribution
--- /dev/null
+++ b/include/stairspur/distribution/PeerFetch.h
@@ -0,0 +1,252 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <stairspur/distribution/DistributionContext.h>
+#include <stairspur/platform/Backoff.h>
+
+namespace stairspur::distribution {
+
+/// Fetches what is newer from peers: by datagram where the changes fit into one, else by control requests, piece by
+/// piece. One fetch at a time; a failure moves on to another peer after a jittered backoff.
+template <typename Policy>
+class PeerFetch
+{
+public:
+    explicit PeerFetch(DistributionContext &context)
+        : m_context(context)
+        , m_backoff(context.settings.minBackoff, context.settings.maxBackoff)
+    {}
+
+    /// Notes who has a newer version.
+    auto didHear(const NodeId &from, const Digest &digest, TimePoint now) -> void
+    {
+        if (!isNewer<Policy>(digest, m_context.known.digest())) {
+            if (m_stage == Stage::Asking && m_peer == from)
+                didFail(now); // Asked, and has nothing newer after all.
+            return;
+        }
+        m_newest = std::max(m_newest, digest.version);
+        std::erase(m_sources, from);
+        m_sources.push_back(from);
+        if (m_sources.size() > MaxSources)
+            m_sources.erase(m_sources.begin());
+        startIfDue(now);
+    }
+
+    auto didReceiveDelta(const NodeId &from, const ConfigDatagram &delta, TimePoint now)
+            -> std::optional<Adoption>
+    {
+        const auto &known = m_context.known;
+        if (!isNewer<Policy>(delta.digest, known.digest()) || delta.since > known.version())
+            return std::nullopt;
+        auto candidate = known.assemble(delta.changes, false);
+        if (isTrue(candidate, delta.digest))
+            return Adoption{delta.digest.version, std::move(candidate), from};
+        if (m_stage == Stage::Asking && m_peer == from)
+            loadWhole(now);
+        return std::nullopt;
+    }
+
+    /// The peer's changes do not fit into a datagram.
+    auto didHearLarge(const NodeId &from, TimePoint now) -> void
+    {
+        if (m_stage == Stage::Asking && m_peer == from)
+            pull(m_context.known.version(), now);
+    }
+
+    auto didReceiveReply(std::uint64_t id, const PullReply &reply, TimePoint now)
+            -> std::optional<Adoption>
+    {
+        if (m_stage != Stage::Pulling || id != m_requestId)
+            return std::nullopt;
+        if (!isNewer<Policy>(reply.digest, m_context.known.digest())) {
+            didFail(now);
+            return std::nullopt;
+        }
+        if (reply.digest != m_digest && !startPieces(reply, now))
+            return std::nullopt;
+        m_collected.changed.insert(reply.piece.changes.changed.begin(),
+                                   reply.piece.changes.changed.end());
+        m_collected.removed = reply.piece.changes.removed;
+        m_collectedBytes += reply.piece.changes.bytes();
+        if (m_collectedBytes > m_context.settings.maxSetBytes) {
+            didFail(now);
+            return std::nullopt;
+        }
+        if (reply.piece.isLast)
+            return didCollect(now);
+        sendPull(reply.piece.cursor, now);
+        return std::nullopt;
+    }
+
+    auto didFailRequest(std::uint64_t id, TimePoint now) -> void
+    {
+        if (m_stage == Stage::Pulling && id == m_requestId)
+            didFail(now);
+    }
+
+    /// Something newer is in force, wherever it came from.
+    auto didAdopt(TimePoint now) -> void
+    {
+        m_backoff.reset();
+        m_notBefore = now;
+        if (m_newest <= m_context.known.version())
+            m_sources.clear();
+        m_stage = Stage::Idle;
+        startIfDue(now);
+    }
+
+    auto tick(TimePoint now) -> void
+    {
+        if (m_stage != Stage::Idle && now >= m_deadline)
+            didFail(now);
+        startIfDue(now);
+    }
+
+private:
+    enum class Stage {
+        Idle,
+        Asking,  ///< A datagram is on its way.
+        Pulling, ///< A control request is.
+    };
+
+    static constexpr auto MaxSources = std::size_t{8};
+    static constexpr auto MaxRestarts = 5U;
+
+    [[nodiscard]] auto isFresh() const -> bool { return m_context.known.version() == 0; }
+
+    auto isTrue(const KnownConfiguration::Candidate &candidate, const Digest &digest) -> bool
+    {
+        if constexpr (!Policy::VerifiesHash)
+            return true;
+        if (digestOf(digest.version, candidate.hash) == digest)
+            return true;
+        m_context.counters.rejectedHashes += 1;
+        return false;
+    }
+
+    auto startIfDue(TimePoint now) -> void
+    {
+        const auto mayAskBlindly = Policy::AsksPeersWhenFresh && isFresh();
+        const auto isBehind = !m_sources.empty() || m_newest > m_context.known.version();
+        if (m_stage != Stage::Idle || now < m_notBefore || !(mayAskBlindly || isBehind))
+            return;
+        m_peer = takeSource();
+        if (m_peer.empty())
+            return;
+        m_restarts = 0;
+        if (isFresh())
+            pull(0, now);
+        else
+            ask(now);
+    }
+
+    /// The one that told last; without any, a random peer, which may have it by now.
+    auto takeSource() -> NodeId
+    {
+        if (m_sources.empty())
+            return Policy::FetchesElsewhere || isFresh() ? m_context.randomPeer() : NodeId();
+        auto peer = std::move(m_sources.back());
+        m_sources.pop_back();
+        return peer;
+    }
+
+    auto ask(TimePoint now) -> void
+    {
+        m_stage = Stage::Asking;
+        m_deadline = now + m_context.settings.askTimeout;
+        m_context.send(m_peer, {DatagramKind::Ask, m_context.known.digest(), 0, {}});
+    }
+
+    auto pull(std::uint64_t since, TimePoint now) -> void
+    {
+        m_since = since;
+        m_digest = {};
+        sendPull({}, now);
+    }
+
+    auto loadWhole(TimePoint now) -> void
+    {
+        if constexpr (Policy::LoadsWholeOnMismatch)
+            pull(0, now);
+        else
+            didFail(now);
+    }
+
+    auto sendPull(std::string cursor, TimePoint now) -> void
+    {
+        m_stage = Stage::Pulling;
+        m_requestId += 1;
+        m_deadline = now + 2 * m_context.settings.pullTimeout;
+        auto payload = encode(PullRequest{m_since, std::move(cursor)});
+        m_context.counters.requestsSent += 1;
+        m_context.counters.requestBytesSent += payload.size();
+        m_context.actions.emplace_back(SendRequest{m_requestId, m_peer, std::move(payload),
+                                                   m_context.settings.pullTimeout});
+    }
+
+    /// The first piece, or the peer has moved on since the last one. False: pieces of two versions would be mixed.
+    auto startPieces(const PullReply &reply, TimePoint now) -> bool
+    {
+        const auto isFirst = m_digest.version == 0;
+        m_collected = {};
+        m_collectedBytes = 0;
+        m_isWhole = reply.since == 0;
+        if (isFirst) {
+            m_digest = reply.digest;
+            return true;
+        }
+        if (++m_restarts > MaxRestarts)
+            didFail(now);
+        else
+            pull(m_since, now);
+        return false;
+    }
+
+    auto didCollect(TimePoint now) -> std::optional<Adoption>
+    {
+        auto candidate = m_context.known.assemble(m_collected, m_isWhole);
+        if (isTrue(candidate, m_digest)) {
+            m_context.counters.wholeLoads += m_isWhole ? 1 : 0;
+            return Adoption{m_digest.version, std::move(candidate), m_peer};
+        }
+        if (m_isWhole)
+            didFail(now);
+        else
+            loadWhole(now);
+        return std::nullopt;
+    }
+
+    auto didFail(TimePoint now) -> void
+    {
+        m_stage = Stage::Idle;
+        m_context.counters.failedFetches += 1;
+        m_notBefore = now + m_backoff.next(m_context.random);
+        if constexpr (!Policy::FetchesElsewhere)
+            m_sources.clear();
+    }
+
+    DistributionContext &m_context;
+    platform::Backoff m_backoff;
+    std::vector<NodeId> m_sources;
+    std::uint64_t m_newest = 0; ///< The newest version that any peer has told of.
+    Stage m_stage = Stage::Idle;
+    NodeId m_peer;
+    TimePoint m_deadline{};
+    TimePoint m_notBefore{};
+    std::uint64_t m_requestId = 0;
+    std::uint64_t m_since = 0;
+    Digest m_digest; ///< What the pieces belong to.
+    Changes m_collected;
+    std::size_t m_collectedBytes = 0;
+    bool m_isWhole = false;
+    std::uint32_t m_restarts = 0;
+};
+
+} // namespace stairspur::distribution
--- /dev/null
+++ b/tests/distribution/FakeCluster.h
@@ -0,0 +1,348 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <stairspur/distribution/DistributionState.h>
+#include <stairspur/distribution/PublishProtocol.h>
+
+#include "FakeStore.h"
+
+namespace stairspur::distribution {
+
+/// A few nodes with a fake store and a fake network on a virtual clock, for the tests of the distribution.
+template <typename Policy>
+class FakeCluster
+{
+public:
+    struct Node
+    {
+        std::unique_ptr<DistributionState<Policy>> state;
+        std::string domain;
+        bool isAlive = true;
+        bool isPaused = false;
+        bool mayReachStore = true;
+        std::vector<std::function<void()>> waiting; ///< Events that came while it was paused.
+        std::vector<std::uint64_t> versions; ///< All that it took into force since its start.
+        std::vector<Alarm> alarms;
+        TimePoint lastAdoption{};
+    };
+
+    using Cut = std::function<bool(const NodeId &from, const NodeId &to)>;
+
+    FakeCluster(int domains, int perDomain, std::uint64_t seed)
+        : random(seed)
+    {
+        for (auto domain = 0; domain < domains; ++domain) {
+            for (auto index = 0; index < perDomain; ++index) {
+                const auto name = "d" + std::to_string(domain);
+                addNode(name + "/" + std::to_string(index), name);
+            }
+        }
+        shareView();
+    }
+
+    auto addNode(const NodeId &id, const std::string &domain) -> void
+    {
+        auto &node = nodes[id];
+        node.domain = domain;
+        start(id);
+    }
+
+    /// A process that starts with nothing, under an id that may have been there before.
+    auto start(const NodeId &id) -> void
+    {
+        auto &node = nodes[id];
+        node.state = std::make_unique<DistributionState<Policy>>(id, node.domain, settings, true,
+                                                                 random());
+        node.isAlive = true;
+        node.isPaused = false;
+        node.waiting.clear();
+        node.versions.clear();
+    }
+
+    auto kill(const NodeId &id) -> void { nodes[id].isAlive = false; }
+
+    auto pause(const NodeId &id) -> void { nodes[id].isPaused = true; }
+
+    auto resume(const NodeId &id) -> void
+    {
+        nodes[id].isPaused = false;
+        for (const auto &it : std::exchange(nodes[id].waiting, {}))
+            it();
+        drain(id);
+    }
+
+    /// Tells every node who is alive, as membership would.
+    auto shareView() -> void
+    {
+        auto peers = std::vector<Peer>();
+        for (const auto &[id, node] : nodes) {
+            if (node.isAlive)
+                peers.push_back({id, node.domain});
+        }
+        for (auto &[id, node] : nodes)
+            node.state->setPeers(peers);
+    }
+
+    auto apply(const config::Sections &sections, const std::string &id) -> PublishResult
+    {
+        auto protocol =
+                PublishProtocol<>({.sections = sections, .applyId = id, .appliedBy = "operator"});
+        while (!protocol.isDone()) {
+            const auto request = protocol.next();
+            if (const auto *range = std::get_if<platform::RangeRequest>(&request))
+                protocol.didRange(store.range(*range));
+            else
+                protocol.didTxn(store.txn(std::get<platform::Transaction>(request)));
+        }
+        if (!isWatchSilent)
+            notifyWatches();
+        return protocol.result();
+    }
+
+    /// Each relay that can reach the store hears of the head.
+    auto notifyWatches() -> void
+    {
+        const auto head = store.head();
+        for (auto &[id, node] : nodes) {
+            if (!node.state->isRelay() || !node.mayReachStore)
+                continue;
+            ++storeReads;
+            deliver(id, [this, id, head] { nodes[id].state->didWatchHead(head, now); });
+        }
+    }
+
+    auto run(Duration time) -> void
+    {
+        const auto end = now + time;
+        while (now < end) {
+            if (now >= m_nextTick)
+                tick();
+            const auto next = m_events.empty() ? end : m_events.top().at;
+            now = std::min({end, m_nextTick, std::max(next, now)});
+            while (!m_events.empty() && m_events.top().at <= now) {
+                const auto event = m_events.top().run;
+                m_events.pop();
+                event();
+            }
+        }
+    }
+
+    /// Runs until every living node has the store's head in force, or the time is up.
+    auto runUntilCovered(Duration limit) -> bool
+    {
+        const auto end = now + limit;
+        while (now < end && !isCovered())
+            run(std::chrono::milliseconds(1));
+        return isCovered();
+    }
+
+    [[nodiscard]] auto isCovered() const -> bool
+    {
+        const auto head = store.head();
+        return std::ranges::all_of(nodes, [&](const auto &it) {
+            return !it.second.isAlive || it.second.state->known().hash() == head.hash;
+        });
+    }
+
+    /// Hands what a node wants done to the fakes.
+    auto drain(const NodeId &id) -> void
+    {
+        for (auto &action : nodes[id].state->takeActions())
+            std::visit([&](auto &it) { carryOut(id, it); }, action);
+    }
+
+    /// A message between nodes, which may be lost, late and twice.
+    auto transmit(const NodeId &from, const NodeId &to, const std::function<void()> &event) -> void
+    {
+        const auto copies = randomUnit(random) < duplicateShare ? 2 : 1;
+        for (auto n = 0; n < copies; ++n) {
+            if (isCut(from, to) || randomUnit(random) < lossShare)
+                continue;
+            deliver(to, event);
+        }
+    }
+
+    std::map<NodeId, Node> nodes;
+    FakeStore store;
+    DistributionSettings settings;
+    Random random;
+    TimePoint now{Duration{1'000'000}};
+    Cut isCut = [](const auto &, const auto &) { return false; };
+    double lossShare = 0;
+    double duplicateShare = 0;
+    Duration minLatency{500};
+    Duration maxLatency{2000};
+    bool isStoreDown = false;
+    bool isWatchSilent = false;
+    bool hasDigests = true; ///< Whether membership carries digests.
+    Duration storeLatency{3000};
+    std::uint64_t storeReads = 0;
+
+private:
+    struct Event
+    {
+        TimePoint at;
+        std::uint64_t order;
+        std::function<void()> run;
+
+        auto operator<(const Event &other) const -> bool
+        {
+            return std::pair(at, order) > std::pair(other.at, other.order);
+        }
+    };
+
+    static constexpr auto TickInterval = Duration{100'000};
+    static constexpr auto TicksPerProbe = 10U;
+
+    auto schedule(Duration delay, std::function<void()> event) -> void
+    {
+        m_events.push({now + delay, ++m_order, std::move(event)});
+    }
+
+    auto latency() -> Duration
+    {
+        const auto span = static_cast<std::uint64_t>((maxLatency - minLatency).count()) + 1;
+        return minLatency + Duration{static_cast<std::int64_t>(randomBelow(random, span))};
+    }
+
+    auto deliver(const NodeId &to, std::function<void()> event) -> void
+    {
+        schedule(latency(), [this, to, event = std::move(event)] { arrive(to, event); });
+    }
+
+    auto arrive(const NodeId &to, const std::function<void()> &event) -> void
+    {
+        auto &node = nodes[to];
+        if (!node.isAlive)
+            return;
+        if (node.isPaused) {
+            node.waiting.push_back(event);
+            return;
+        }
+        event();
+        drain(to);
+    }
+
+    auto tick() -> void
+    {
+        m_nextTick = now + TickInterval;
+        ++m_ticks;
+        for (auto &[id, node] : nodes) {
+            if (!node.isAlive || node.isPaused)
+                continue;
+            node.state->tick(now);
+            drain(id);
+            if (hasDigests && m_ticks % TicksPerProbe == 0)
+                probe(id);
+        }
+    }
+
+    /// A membership probe of a random node of the domain and its ack, each with a digest.
+    auto probe(const NodeId &id) -> void
+    {
+        auto others = std::vector<NodeId>();
+        for (const auto &[other, node] : nodes) {
+            if (other != id && node.isAlive && node.domain == nodes[id].domain)
+                others.push_back(other);
+        }
+        if (others.empty())
+            return;
+        const auto to = others[randomBelow(random, others.size())];
+        const auto digest = nodes[id].state->digest();
+        transmit(id, to, [this, id, to, digest] {
+            nodes[to].state->didHearDigest(id, digest, now);
+            const auto own = nodes[to].state->digest();
+            transmit(to, id, [this, id, to, own] { nodes[id].state->didHearDigest(to, own, now); });
+        });
+    }
+
+    auto carryOut(const NodeId &id, const SendDatagram &action) -> void
+    {
+        transmit(id, action.to, [this, id, action] {
+            nodes[action.to].state->didReceiveDatagram(id, action.payload, now);
+        });
+    }
+
+    auto carryOut(const NodeId &id, const SendRequest &action) -> void
+    {
+        const auto isAnswered = std::make_shared<bool>(false);
+        const auto isLost = isCut(id, action.to) || isCut(action.to, id);
+        if (!isLost) {
+            deliver(action.to, [this, id, action, isAnswered] {
+                const auto reply = nodes[action.to].state->serve(action.payload);
+                deliver(id, [this, id, action, reply, isAnswered] {
+                    if (!std::exchange(*isAnswered, true))
+                        nodes[id].state->didReceiveReply(action.id, reply, now);
+                });
+            });
+        }
+        schedule(action.timeout, [this, id, action, isAnswered] {
+            if (std::exchange(*isAnswered, true))
+                return;
+            arrive(id, [this, id, action] { nodes[id].state->didFailRequest(action.id, now); });
+        });
+    }
+
+    auto carryOut(const NodeId &id, const ReadHead &) -> void
+    {
+        ++storeReads;
+        schedule(storeLatency, [this, id] {
+            auto head = std::optional<Head>(store.head());
+            if (head->version == 0)
+                head.reset();
+            const auto isOk = !isStoreDown && nodes[id].mayReachStore;
+            arrive(id, [this, id, head, isOk] {
+                if (isOk)
+                    nodes[id].state->didReadHead(head, now);
+                else
+                    nodes[id].state->didFailToReadHead(now);
+            });
+        });
+    }
+
+    auto carryOut(const NodeId &id, const ReadSections &action) -> void
+    {
+        storeReads += std::max<std::size_t>(action.hashes.size(), 1);
+        schedule(storeLatency, [this, id, action] {
+            auto blobs = Blobs();
+            for (const auto &[key, pair] : store.pairs) {
+                if (key.starts_with(SectionPrefix))
+                    blobs[key.substr(SectionPrefix.size())] = pair.value;
+            }
+            const auto isOk = !isStoreDown && nodes[id].mayReachStore;
+            arrive(id, [this, id, blobs, isOk] {
+                if (isOk)
+                    nodes[id].state->didReadSections(blobs, now);
+                else
+                    nodes[id].state->didFailToReadSections(now);
+            });
+        });
+    }
+
+    auto carryOut(const NodeId &id, const Publish &) -> void
+    {
+        nodes[id].versions.push_back(nodes[id].state->known().version());
+        nodes[id].lastAdoption = now;
+    }
+
+    auto carryOut(const NodeId &id, const Alarm &alarm) -> void
+    {
+        nodes[id].alarms.push_back(alarm);
+    }
+
+    std::priority_queue<Event> m_events;
+    std::uint64_t m_order = 0;
+    std::uint64_t m_ticks = 0;
+    TimePoint m_nextTick{};
+};
+
+} // namespace stairspur::distribution
