Distribution: Run the state machine on the control thread

DistributionService wires datagrams, control requests, the store's reads and a relay's watch to the state machine and hands on each configuration. Weighed: a lock around the state (the gate's thread would wait for store reads' bookkeeping) and a copy for the gate; requests of peers are moved to the control thread by co_spawn instead, so that the state has one thread. Tests on loopback, with the store's stand-in: apply to four nodes of which two have no store, a fresh node while the store is down, a lost answer.

--- /dev/null
+++ b/source/distribution/DistributionService.cpp
@@ -0,0 +1,362 @@
+#include <stairspur/distribution/DistributionService.h>
+
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <stairspur/config/Sections.h>
+#include <stairspur/core/Error.h>
+#include <stairspur/core/Hex.h>
+#include <stairspur/log/Log.h>
+
+#include "StoreReader.h"
+
+namespace stairspur::distribution {
+
+namespace asio = boost::asio;
+
+using transport::Task;
+
+static constexpr auto TickInterval = Duration{100'000};
+static constexpr auto MinWatchPause = Duration{100'000};
+static constexpr auto MaxWatchPause = Duration{5'000'000};
+
+/// What the coroutines share with their service, so that they may end after it.
+class DistributionService::Runner : public std::enable_shared_from_this<Runner>
+{
+public:
+    Runner(asio::io_context &control, NodeId self, std::string domain,
+           DistributionSettings settings, DistributionParts parts, std::uint64_t seed)
+        : m_control(control)
+        , m_parts(std::move(parts))
+        , m_state(std::move(self), std::move(domain), settings, m_parts.store != nullptr, seed)
+        , m_ticker(control)
+        , m_watchPause(control)
+        , m_random(seed + 1)
+    {}
+
+    auto start() -> void
+    {
+        m_parts.datagrams.setHandler(
+                ConfigTopic, [weak = weak_from_this()](const NodeId &from, const auto &payload) {
+                    if (const auto self = weak.lock())
+                        self->didReceiveDatagram(from, payload);
+                });
+        spawn(tickUntilStopped());
+        if (m_parts.store != nullptr)
+            spawn(watchUntilStopped());
+    }
+
+    auto stop() -> void
+    {
+        m_isStopped = true;
+        m_ticker.cancel();
+        m_watchPause.cancel();
+        if (const auto watch = m_watch)
+            watch->cancel();
+    }
+
+    auto didHearDigest(const NodeId &from, std::string_view bytes) -> void
+    {
+        if (bytes.empty())
+            return;
+        try {
+            m_state.didHearDigest(from, decodeDigest(bytes), monotonicNow());
+        } catch (const InputError &) {
+            ++m_malformedDigests;
+        }
+        carryOut();
+    }
+
+    /// Moves a peer's request from its thread to the control thread and back.
+    static auto serveAnywhere(std::shared_ptr<Runner> self, std::string payload)
+            -> Task<std::string>
+    {
+        const auto executor = self->m_control.get_executor();
+        co_return co_await asio::co_spawn(executor, serve(std::move(self), std::move(payload)),
+                                          asio::use_awaitable);
+    }
+
+    [[nodiscard]] auto state() const -> const DistributionState<> & { return m_state; }
+
+    [[nodiscard]] auto counters() const -> DistributionCounters
+    {
+        auto copy = m_state.counters();
+        copy.malformed += m_malformedDigests;
+        return copy;
+    }
+
+private:
+    static auto serve(std::shared_ptr<Runner> self, std::string payload) -> Task<std::string>
+    {
+        co_return self->m_state.serve(payload);
+    }
+
+    /// Runs a coroutine whose locals keep this object alive.
+    auto spawn(Task<void> task) -> void
+    {
+        asio::co_spawn(m_control, std::move(task),
+                       [self = shared_from_this()](const std::exception_ptr &error) {
+                           if (error && !self->m_isStopped)
+                               std::rethrow_exception(error);
+                       });
+    }
+
+    auto didReceiveDatagram(const NodeId &from, const std::string &payload) -> void
+    {
+        if (m_isStopped)
+            return;
+        m_state.didReceiveDatagram(from, payload, monotonicNow());
+        carryOut();
+    }
+
+    auto tickUntilStopped() -> Task<void>
+    {
+        auto ec = boost::system::error_code();
+        while (!m_isStopped) {
+            updatePeers();
+            m_state.tick(monotonicNow());
+            carryOut();
+            m_ticker.expires_after(TickInterval);
+            co_await m_ticker.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        }
+    }
+
+    auto updatePeers() -> void
+    {
+        auto view = m_parts.view();
+        if (!view || view == m_view)
+            return;
+        m_view = std::move(view);
+        auto alive = std::vector<Peer>();
+        for (const auto &it : m_view->members) {
+            if (it.liveness != membership::Liveness::Dead
+                && it.state != membership::ServingState::Left)
+                alive.push_back({it.node, it.domain});
+        }
+        m_state.setPeers(std::move(alive));
+        if (m_watch && !m_state.isRelay())
+            m_watch->cancel();
+    }
+
+    /// Watches the head for as long as this node is a relay.
+    auto watchUntilStopped() -> Task<void>
+    {
+        auto backoff = platform::Backoff(MinWatchPause, MaxWatchPause);
+        auto revision = platform::Revision{0};
+        while (!m_isStopped) {
+            if (m_state.isRelay()) {
+                const auto end = co_await watchOnce(revision);
+                // The head is read anew by the state machine, so a gap in the history does no harm.
+                revision = end.value.nextRevision;
+                if (end.isOk())
+                    backoff.reset();
+            }
+            if (!m_isStopped)
+                co_await pause(backoff.next(m_random));
+        }
+    }
+
+    auto watchOnce(platform::Revision revision) -> Task<platform::StoreResult<platform::WatchEnd>>
+    {
+        m_watch = std::make_shared<transport::Cancellation>();
+        auto handler = [weak = weak_from_this()](const platform::WatchMessage &message) {
+            if (const auto self = weak.lock())
+                self->didHearWatch(message);
+        };
+        auto request =
+                platform::WatchRequest{.key = std::string(HeadKey), .startRevision = revision};
+        auto end = co_await m_parts.store->watch(std::move(request), std::move(handler), m_watch);
+        m_watch.reset();
+        log::Line(log::Severity::Info, "configuration-watch-ended")
+                .add("status", end.status)
+                .add("detail", end.detail);
+        co_return end;
+    }
+
+    auto didHearWatch(const platform::WatchMessage &message) -> void
+    {
+        if (m_isStopped)
+            return;
+        for (const auto &it : message.events) {
+            if (it.isDelete)
+                continue;
+            const auto reading = readHeadValue(it.pair.value);
+            if (reading.isOk)
+                m_state.didWatchHead(*reading.head, monotonicNow());
+        }
+        carryOut();
+    }
+
+    auto pause(Duration time) -> Task<void>
+    {
+        auto ec = boost::system::error_code();
+        m_watchPause.expires_after(time);
+        co_await m_watchPause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+
+    auto carryOut() -> void
+    {
+        for (auto actions = m_state.takeActions(); !actions.empty() && !m_isStopped;
+             actions = m_state.takeActions()) {
+            for (auto &action : actions)
+                std::visit([this](auto &it) { carryOut(std::move(it)); }, action);
+        }
+    }
+
+    auto carryOut(SendDatagram action) -> void
+    {
+        m_parts.datagrams.send(action.to, ConfigTopic, action.payload);
+    }
+
+    auto carryOut(SendRequest action) -> void { spawn(request(std::move(action))); }
+
+    auto request(SendRequest action) -> Task<void>
+    {
+        auto reply = std::optional<std::string>();
+        try {
+            reply = co_await m_parts.peers.request(action.to, ConfigTopic, action.payload,
+                                                   action.timeout);
+        } catch (const transport::PeerError &error) {
+            log::Line(log::Severity::Info, "configuration-pull-failed")
+                    .add("peer", action.to)
+                    .add("error", error.what());
+        }
+        if (reply)
+            m_state.didReceiveReply(action.id, *reply, monotonicNow());
+        else
+            m_state.didFailRequest(action.id, monotonicNow());
+        carryOut();
+    }
+
+    auto carryOut(ReadHead) -> void { spawn(loadHead()); }
+
+    auto loadHead() -> Task<void>
+    {
+        const auto reading = co_await readHead(*m_parts.store);
+        if (reading.isOk)
+            m_state.didReadHead(reading.head, monotonicNow());
+        else
+            m_state.didFailToReadHead(monotonicNow());
+        carryOut();
+    }
+
+    auto carryOut(ReadSections action) -> void { spawn(loadSections(std::move(action))); }
+
+    auto loadSections(ReadSections action) -> Task<void>
+    {
+        const auto blobs = co_await readSections(*m_parts.store, std::move(action.hashes));
+        if (blobs)
+            m_state.didReadSections(*blobs, monotonicNow());
+        else
+            m_state.didFailToReadSections(monotonicNow());
+        carryOut();
+    }
+
+    auto carryOut(Publish) -> void
+    {
+        const auto &known = m_state.known();
+        auto next = std::make_shared<config::VersionedConfiguration>();
+        next->version = known.version();
+        next->hash = known.hash();
+        try {
+            next->configuration = config::joinSections(known.sections());
+        } catch (const config::SectionError &error) {
+            log::Line(log::Severity::Error, "configuration-unreadable")
+                    .add("version", known.version())
+                    .add("error", error.what());
+            return;
+        }
+        log::Line(log::Severity::Info, "configuration-in-force")
+                .add("version", known.version())
+                .add("hash", known.hash());
+        m_parts.didPublish(std::move(next));
+    }
+
+    auto carryOut(Alarm alarm) -> void
+    {
+        log::Line(log::Severity::Error, "configuration-alarm")
+                .add("kind", alarm.kind)
+                .add("kept_version", alarm.kept.version)
+                .add("kept_hash", toHex(alarm.kept.hash))
+                .add("seen_version", alarm.seen.version)
+                .add("seen_hash", toHex(alarm.seen.hash))
+                .add("from", alarm.from);
+    }
+
+    asio::io_context &m_control;
+    DistributionParts m_parts;
+    DistributionState<> m_state;
+    asio::steady_timer m_ticker;
+    asio::steady_timer m_watchPause;
+    Random m_random;
+    std::shared_ptr<const membership::MembershipView> m_view;
+    transport::CancellationPtr m_watch;
+    std::uint64_t m_malformedDigests = 0;
+    bool m_isStopped = false;
+};
+
+DistributionService::DistributionService(asio::io_context &control, NodeId self, std::string domain,
+                                         DistributionSettings settings, DistributionParts parts,
+                                         std::uint64_t seed)
+    : m_runner(std::make_shared<Runner>(control, std::move(self), std::move(domain), settings,
+                                        std::move(parts), seed))
+{}
+
+DistributionService::~DistributionService()
+{
+    m_runner->stop();
+}
+
+auto DistributionService::start() -> void
+{
+    m_runner->start();
+}
+
+auto DistributionService::stop() -> void
+{
+    m_runner->stop();
+}
+
+auto DistributionService::requestHandler() const -> transport::PeerServer::RequestHandler
+{
+    return [runner = m_runner](const NodeId &, std::string payload) {
+        return Runner::serveAnywhere(runner, std::move(payload));
+    };
+}
+
+auto DistributionService::digest() const -> std::string
+{
+    return m_runner->state().digest().encode();
+}
+
+auto DistributionService::didHearDigest(const NodeId &from, std::string_view bytes) -> void
+{
+    m_runner->didHearDigest(from, bytes);
+}
+
+auto DistributionService::version() const -> std::uint64_t
+{
+    return m_runner->state().known().version();
+}
+
+auto DistributionService::hash() const -> std::string
+{
+    return m_runner->state().known().hash();
+}
+
+auto DistributionService::isRelay() const -> bool
+{
+    return m_runner->state().isRelay();
+}
+
+auto DistributionService::counters() const -> DistributionCounters
+{
+    return m_runner->counters();
+}
+
+} // namespace stairspur::distribution
--- /dev/null
+++ b/tests/distribution/TestDistributionService.cpp
@@ -0,0 +1,169 @@
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <stairspur/distribution/ConfigurationPublisher.h>
+#include <stairspur/distribution/DistributionService.h>
+#include <stairspur/platform/EtcdStore.h>
+
+#include "standins/store/StoreServer.h"
+
+// After Boost, whose headers its macros break.
+#include <criterion/criterion.h>
+
+/// The whole way on loopback, on one io_context: apply, store, relay, peers.
+using namespace stairspur;
+using namespace stairspur::distribution;
+
+static auto configurationWith(int services, std::uint32_t queue) -> config::Configuration
+{
+    auto configuration = config::Configuration();
+    configuration.domains.push_back({"centre", ""});
+    configuration.classes.push_back({"paid", 0});
+    for (auto index = 0; index < services; ++index) {
+        auto service = config::Service();
+        service.name = "service-" + std::to_string(index);
+        service.limits.maxQueue = queue;
+        configuration.services.push_back(service);
+    }
+    return configuration;
+}
+
+struct ServiceNode
+{
+    ServiceNode(boost::asio::io_context &io, std::uint16_t storePort)
+        : server(io, "127.0.0.1", 0, {})
+        , store(storePort == 0 ? nullptr : openStore(io, storePort))
+    {
+        server.start();
+        id = "127.0.0.1:" + std::to_string(server.port());
+        peers = std::make_unique<transport::PeerClient>(io, transport::PeerSettings{.ownNode = id});
+        datagrams = std::make_unique<transport::DatagramChannel>(
+                io, transport::DatagramSettings{.port = server.port()});
+        service = std::make_unique<DistributionService>(
+                io, id, "centre", DistributionSettings(),
+                DistributionParts{*peers, *datagrams, store.get(), [this] { return view; },
+                                  [this](auto it) { inForce = std::move(it); }},
+                1);
+        server.setRequestHandler(ConfigTopic, service->requestHandler());
+        service->start();
+        datagrams->start();
+    }
+
+    static auto openStore(boost::asio::io_context &io, std::uint16_t port)
+            -> std::unique_ptr<platform::EtcdStore>
+    {
+        auto settings = platform::StoreSettings();
+        settings.port = port;
+        settings.callsPerSecond = 1000;
+        return std::make_unique<platform::EtcdStore>(io, settings, 1);
+    }
+
+    transport::PeerServer server;
+    std::unique_ptr<platform::EtcdStore> store;
+    NodeId id;
+    std::unique_ptr<transport::PeerClient> peers;
+    std::unique_ptr<transport::DatagramChannel> datagrams;
+    std::shared_ptr<const membership::MembershipView> view;
+    config::ConfigurationPtr inForce;
+    std::unique_ptr<DistributionService> service;
+};
+
+struct Bench
+{
+    boost::asio::io_context io{1};
+    std::shared_ptr<standin::StoreServer> server =
+            std::make_shared<standin::StoreServer>(io, std::uint16_t{0}, std::uint16_t{0});
+    std::vector<std::unique_ptr<ServiceNode>> nodes;
+    std::unique_ptr<platform::EtcdStore> store;
+
+    Bench()
+    {
+        server->start();
+        store = ServiceNode::openStore(io, server->port());
+    }
+
+    auto addNode(bool hasStore) -> void
+    {
+        nodes.push_back(std::make_unique<ServiceNode>(io, hasStore ? server->port() : 0));
+        auto view = std::make_shared<membership::MembershipView>();
+        for (const auto &it : nodes) {
+            auto member = membership::Member();
+            member.node = it->id;
+            member.domain = "centre";
+            view->members.push_back(member);
+        }
+        for (const auto &it : nodes)
+            it->view = view;
+    }
+
+    auto apply(const config::Configuration &configuration, const std::string &id) -> PublishResult
+    {
+        auto publisher = ConfigurationPublisher<platform::EtcdStore>(*store, 1);
+        auto request = PublishRequest();
+        request.sections = config::splitIntoSections(configuration);
+        request.applyId = id;
+        request.appliedBy = "test";
+        auto result = std::optional<PublishResult>();
+        boost::asio::co_spawn(io, publisher.publish(request),
+                              [&](const std::exception_ptr &, auto it) { result = it; });
+        while (!result)
+            io.run_one();
+        return *result;
+    }
+
+    auto waitForVersion(std::uint64_t version) -> void
+    {
+        for (const auto &it : nodes) {
+            while (!it->inForce || it->inForce->version < version)
+                io.run_one();
+        }
+    }
+};
+
+Test(DistributionService, anAppliedFileComesIntoForceOnEveryNode, .timeout = 60)
+{
+    auto bench = Bench();
+    for (const auto hasStore : {true, false, false, true})
+        bench.addNode(hasStore);
+    cr_assert(bench.apply(configurationWith(80, 100), "first").outcome == PublishOutcome::Applied);
+    bench.waitForVersion(1);
+    auto second = configurationWith(80, 100);
+    second.services[7].limits.maxQueue = 7;
+    const auto applied = bench.apply(second, "second");
+    cr_assert(applied.outcome == PublishOutcome::Applied);
+    bench.waitForVersion(2);
+    for (const auto &it : bench.nodes) {
+        const auto *service = it->inForce->configuration.findService("service-7");
+        cr_assert(service != nullptr);
+        cr_assert_eq(service->limits.maxQueue, 7);
+        cr_assert_eq(it->inForce->hash, applied.inForce.hash);
+    }
+}
+
+Test(DistributionService, aFreshNodeLearnsFromPeersWhileTheStoreIsDown, .timeout = 60)
+{
+    auto bench = Bench();
+    bench.addNode(true);
+    // More than one piece of a reply and far more than one datagram.
+    bench.apply(configurationWith(1500, 100), "first");
+    bench.waitForVersion(1);
+    bench.server->setFault({standin::FaultMode::Down, 0, 0, ""});
+    bench.addNode(true);
+    bench.waitForVersion(1);
+    cr_assert_eq(bench.nodes[1]->inForce->configuration.services.size(), 1500);
+    cr_assert(bench.nodes[1]->service->counters().requestsSent > 1);
+}
+
+Test(DistributionService, aLostAnswerOfTheRealProtocolIsSettled, .timeout = 60)
+{
+    auto bench = Bench();
+    bench.server->setFault({standin::FaultMode::LostAnswer, 0, 1, "txn"});
+    const auto result = bench.apply(configurationWith(3, 100), "first");
+    cr_assert(result.outcome == PublishOutcome::Applied);
+    cr_assert_eq(result.version, 1);
+}
