Distribution: Measure how a change spreads

Weighed: one process per node on loopback (ruled out: a few hundred of them say more about this machine than about the protocol).

--- a/source/distribution/DistributionService.cpp
+++ b/source/distribution/DistributionService.cpp
@@ -217,20 +217,26 @@
 
     auto request(SendRequest action) -> Task<void>
     {
-        auto reply = std::optional<std::string>();
+        const auto id = action.id;
+        const auto reply = co_await tryRequest(std::move(action));
+        if (reply)
+            m_state.didReceiveReply(id, *reply, monotonicNow());
+        else
+            m_state.didFailRequest(id, monotonicNow());
+        carryOut();
+    }
+
+    auto tryRequest(SendRequest action) -> Task<std::optional<std::string>>
+    {
         try {
-            reply = co_await m_parts.peers.request(action.to, ConfigTopic, action.payload,
-                                                   action.timeout);
+            co_return co_await m_parts.peers.request(action.to, ConfigTopic, action.payload,
+                                                     action.timeout);
         } catch (const transport::PeerError &error) {
             log::Line(log::Severity::Info, "configuration-pull-failed")
                     .add("peer", action.to)
                     .add("error", error.what());
         }
-        if (reply)
-            m_state.didReceiveReply(action.id, *reply, monotonicNow());
-        else
-            m_state.didFailRequest(action.id, monotonicNow());
-        carryOut();
+        co_return std::nullopt;
     }
 
     auto carryOut(ReadHead) -> void { spawn(loadHead()); }
--- a/tests/distribution/FakeCluster.h
+++ b/tests/distribution/FakeCluster.h
@@ -140,16 +140,17 @@
     auto runUntilCovered(Duration limit) -> bool
     {
         const auto end = now + limit;
-        while (now < end && !isCovered())
+        const auto hash = store.head().hash;
+        while (now < end && !isCovered(hash))
             run(std::chrono::milliseconds(1));
-        return isCovered();
+        return isCovered(hash);
     }
 
-    [[nodiscard]] auto isCovered() const -> bool
+    /// Whether every living node has the configuration of this hash in force.
+    [[nodiscard]] auto isCovered(const std::string &hash) const -> bool
     {
-        const auto head = store.head();
         return std::ranges::all_of(nodes, [&](const auto &it) {
-            return !it.second.isAlive || it.second.state->known().hash() == head.hash;
+            return !it.second.isAlive || it.second.state->known().hash() == hash;
         });
     }
 
@@ -249,14 +250,15 @@
     /// A membership probe of a random node of the domain and its ack, each with a digest.
     auto probe(const NodeId &id) -> void
     {
-        auto others = std::vector<NodeId>();
+        auto others = std::vector<const NodeId *>();
+        const auto &domain = nodes[id].domain;
         for (const auto &[other, node] : nodes) {
-            if (other != id && node.isAlive && node.domain == nodes[id].domain)
-                others.push_back(other);
+            if (other != id && node.isAlive && node.domain == domain)
+                others.push_back(&other);
         }
         if (others.empty())
             return;
-        const auto to = others[randomBelow(random, others.size())];
+        const auto to = *others[randomBelow(random, others.size())];
         const auto digest = nodes[id].state->digest();
         transmit(id, to, [this, id, to, digest] {
             nodes[to].state->didHearDigest(id, digest, now);
