--- a/source/transport/HttpConnection.h
+++ b/source/transport/HttpConnection.h
@@ -21,6 +21,7 @@
 #include <stairspur/log/Log.h>
 #include <stairspur/transport/HttpServer.h>
 
+#include "HttpRefusal.h"
 #include "HttpWire.h"
 
 namespace stairspur::transport {
@@ -85,7 +86,9 @@
     auto drain() -> void override
     {
         m_isDraining = true;
-        if (m_isIdle)
+        // A request that the kernel already holds is still answered.
+        auto ec = boost::system::error_code();
+        if (m_isIdle && m_stream.lowest_layer().available(ec) == 0)
             abort();
     }
 
@@ -107,13 +110,6 @@
 
     enum class ReadResult { Ready, Ended, TimedOut };
 
-    struct Refusal
-    {
-        std::uint32_t status;
-        Reason reason;
-        std::string detail;
-    };
-
     auto run(bool isRefused) -> Task<void>
     {
         if constexpr (IsEncrypted) {
@@ -153,7 +149,7 @@
     /// Whether another request may follow.
     auto serveOne() -> Task<bool>
     {
-        auto refusal = std::optional<Refusal>();
+        auto refusal = std::optional<HttpRefusal>();
         if (!co_await readRequest(refusal)) {
             if (refusal)
                 co_await refuse(std::move(*refusal));
@@ -170,7 +166,7 @@
     }
 
     /// Reads one whole request into the parser. False when there is none: with a refusal to send, or without.
-    auto readRequest(std::optional<Refusal> &refusal) -> Task<bool>
+    auto readRequest(std::optional<HttpRefusal> &refusal) -> Task<bool>
     {
         m_parser.emplace();
         m_parser->header_limit(m_context->settings.maxHeaderBytes);
@@ -189,8 +185,8 @@
             co_await sendContinueIfExpected();
             const auto result = co_await readMore(deadline);
             if (result == ReadResult::TimedOut)
-                refusal = Refusal{408, Reason::BadRequest,
-                                  "the request did not arrive in time; send it faster"};
+                refusal = HttpRefusal{408, Reason::BadRequest,
+                                      "the request did not arrive in time; send it faster"};
             if (result == ReadResult::Ended)
                 refusal = endedEarly();
             if (result != ReadResult::Ready)
@@ -251,7 +247,7 @@
             startRead();
     }
 
-    auto parseBuffer() -> std::optional<Refusal>
+    auto parseBuffer() -> std::optional<HttpRefusal>
     {
         while (m_buffer.size() > 0 && !m_parser->is_done()) {
             auto ec = boost::beast::error_code();
@@ -269,35 +265,25 @@
         return std::nullopt;
     }
 
-    static auto refusalFor(boost::beast::error_code ec) -> Refusal
-    {
-        namespace http = boost::beast::http;
-        if (ec == http::error::header_limit)
-            return {431, Reason::TooLarge, "the header fields are too large; send fewer"};
-        if (ec == http::error::body_limit)
-            return {413, Reason::TooLarge, "the body is too large; send a smaller one"};
-        return {400, Reason::BadRequest,
-                "the request is malformed (" + ec.message() + "); send HTTP/1.1 as RFC 9112 says"};
-    }
-
     /// What RFC 9112 asks for beyond what the parser checks (sections 3.2 and 6.1).
-    auto checkHeader() const -> std::optional<Refusal>
+    auto checkHeader() const -> std::optional<HttpRefusal>
     {
         namespace http = boost::beast::http;
         const auto &message = m_parser->get();
         if (message.version() == 11 && message.count(http::field::host) != 1)
-            return Refusal{400, Reason::BadRequest, "send exactly one Host field"};
+            return HttpRefusal{400, Reason::BadRequest, "send exactly one Host field"};
         if (message.count(http::field::transfer_encoding) > 0 && !m_parser->chunked())
-            return Refusal{400, Reason::BadRequest,
-                           "the transfer encoding is unknown; send chunked or a Content-Length"};
+            return HttpRefusal{
+                    400, Reason::BadRequest,
+                    "the transfer encoding is unknown; send chunked or a Content-Length"};
         return std::nullopt;
     }
 
-    auto endedEarly() -> std::optional<Refusal>
+    auto endedEarly() -> std::optional<HttpRefusal>
     {
         if (m_readError == asio::error::operation_aborted)
             return std::nullopt;
-        return Refusal{400, Reason::BadRequest, "the request ended early; send it whole"};
+        return HttpRefusal{400, Reason::BadRequest, "the request ended early; send it whole"};
     }
 
     auto sendContinueIfExpected() -> Task<void>
@@ -365,7 +351,7 @@
     }
 
     /// Answers input that cannot be served, in one log line, and closes.
-    auto refuse(Refusal refusal) -> Task<void>
+    auto refuse(HttpRefusal refusal) -> Task<void>
     {
         log::Line(log::Severity::Warning, "http-refused")
                 .add("remote", m_remoteAddress)
--- a/source/transport/PeerClientLink.cpp
+++ b/source/transport/PeerClientLink.cpp
@@ -127,6 +127,8 @@
     if (ending != Ending::Answered)
         co_return endCall(request, ending, 0);
     request.remaining -= monotonicNow() - begin;
+    if (request.remaining <= Duration(0))
+        co_return endCall(request, Ending::TimedOut, 0);
     auto fields = writeCall(request);
     if (fields.size() > PeerLink::MaxFieldBytes)
         co_return CallAnswer{.outcome = Outcome::NotRun,
--- a/source/transport/PeerLink.cpp
+++ b/source/transport/PeerLink.cpp
@@ -16,6 +16,10 @@
 /// A body's length is only announced, so its memory is taken in steps.
 static constexpr auto MaxReservedBytes = std::uint64_t{1} << 20U;
 
+/// Messages that may wait for each call that a link may carry, refusals included. Past them the far end sends without
+/// reading.
+static constexpr auto MessagesPerCall = std::size_t{2};
+
 /// Intervals without a byte after which a link is taken for broken.
 static constexpr auto MaxSilentTicks = 3U;
 
@@ -54,6 +58,11 @@
 {
     if (m_isClosing || m_isClosed)
         return;
+    const auto self = shared_from_this();
+    if (m_outgoing.size() >= MessagesPerCall * std::size_t{m_settings.maxCallsPerLink}) {
+        breakOff("the peer does not read what it is sent");
+        return;
+    }
     m_outgoing.push_back({kind, id, std::move(fields), std::move(body)});
     pump();
 }
--- /dev/null
+++ b/tests/transport/TestPeerEnds.cpp
@@ -0,0 +1,101 @@
+#include <criterion/criterion.h>
+
+#include <stairspur/transport/PeerClient.h>
+#include <stairspur/transport/PeerServer.h>
+
+#include "PeerPair.h"
+#include "Relay.h"
+
+using namespace stairspur;
+using namespace stairspur::transport;
+using namespace stairspur::transport::test;
+
+/// A running call over a relay, whose handler waits to be cancelled.
+struct RunningCall
+{
+    explicit RunningCall(Duration pingInterval)
+        : pair(
+                io,
+                [this](NodeId, CallRequest, CancellationPtr it) -> Task<CallAnswer> {
+                    auto event = Event(co_await asio::this_coro::executor);
+                    it->onCancel([&] { event.set(); });
+                    isRunning = true;
+                    co_await event.wait();
+                    isCancelled = true;
+                    co_return CallAnswer();
+                },
+                settingsOf("server", pingInterval), settingsOf("client", pingInterval))
+        , relay(io, pair.server.port())
+    {
+        pair.node = "127.0.0.1:" + std::to_string(relay.port());
+        pair.begin(callOf("x"), answer);
+        runUntil(io, [this] { return isRunning; });
+    }
+
+    static auto settingsOf(const std::string &node, Duration pingInterval) -> PeerSettings
+    {
+        auto it = settings(node);
+        it.pingInterval = pingInterval;
+        return it;
+    }
+
+    auto ensureBothEndsNotice() -> void
+    {
+        runUntil(io, [this] { return answer && isCancelled; });
+        cr_assert(answer->outcome == Outcome::Unknown);
+        cr_assert(answer->reason == Reason::LinkLost);
+        cr_assert_eq(pair.client.links(), 0);
+    }
+
+    asio::io_context io;
+    bool isRunning = false;
+    bool isCancelled = false;
+    std::optional<CallAnswer> answer;
+    Pair pair;
+    Relay relay;
+};
+
+Test(PeerEnds, cutLinkEndsTheCallAtBothEnds)
+{
+    auto call = RunningCall(LongTimeout);
+    call.relay.cut();
+    call.ensureBothEndsNotice();
+}
+
+Test(PeerEnds, silentLinkIsTakenForBrokenAtBothEnds)
+{
+    auto call = RunningCall(Duration(100'000));
+    call.relay.mute();
+    call.ensureBothEndsNotice();
+}
+
+Test(PeerEnds, idleLinkIsKeptAliveByPings)
+{
+    auto io = asio::io_context();
+    auto pair = Pair(io, echo, RunningCall::settingsOf("server", Duration(10'000)),
+                     RunningCall::settingsOf("client", Duration(10'000)));
+    pair.call(callOf("x"));
+    const auto before = pair.server.traffic().controlBytesSent;
+    // Pongs of two bytes each, well past the three silent intervals that would end the link.
+    runUntil(io, [&] { return pair.server.traffic().controlBytesSent >= before + 20; });
+    cr_assert_eq(pair.client.links(), 1);
+    cr_assert(pair.call(callOf("x")).outcome == Outcome::Answered);
+}
+
+Test(PeerEnds, callPastItsDeadlineIsNotSent)
+{
+    auto io = asio::io_context();
+    auto runs = 0;
+    auto pair = Pair(io, [&](NodeId, CallRequest, CancellationPtr) -> Task<CallAnswer> {
+        ++runs;
+        co_return CallAnswer();
+    });
+    pair.server.setRequestHandler(
+            "sync", [](NodeId, std::string it) -> Task<std::string> { co_return it; });
+    runTask(io, pair.client.request(pair.node, "sync", "", LongTimeout));
+    const auto answer = pair.call(callOf("x", Duration(0)));
+    cr_assert(answer.outcome == Outcome::NotRun);
+    cr_assert(answer.reason == Reason::DeadlineExceeded);
+    runTask(io, pair.client.request(pair.node, "sync", "", LongTimeout));
+    cr_assert_eq(runs, 0);
+}
