Transport: Keep links alive through the events that end them

Cause: on reading, three ways to outlive an owner: a link that ends while it sends a refusal was let go of in the middle of its own event; a released link that was still connecting outlived its client's settings; and large calls past the limit broke the whole link, though the contract is to refuse the call alone. Ways weighed for the second: a reference count on the client, or settings and counters in a context that its links share; the latter was taken, as on the server. Change: those; a broken link now gives one log line, not two.

--- a/source/transport/PeerClient.cpp
+++ b/source/transport/PeerClient.cpp
@@ -18,15 +18,14 @@
 {
 public:
     Links(asio::io_context &io, PeerSettings settings)
-        : m_io(io)
-        , m_settings(std::move(settings))
+        : m_context(std::make_shared<PeerClientContext>(io, std::move(settings)))
         , m_random(std::random_device()())
     {}
 
     auto call(NodeId node, CallRequest request, CancellationPtr cancellation) -> Task<CallAnswer>
     {
         const auto self = shared_from_this();
-        if (request.body.size() > m_settings.maxBodyBytes)
+        if (request.body.size() > m_context->settings.maxBodyBytes)
             co_return refuse(request, Reason::TooLarge);
         if (cancellation && cancellation->isCancelled())
             co_return refuse(request, Reason::Cancelled);
@@ -74,7 +73,7 @@
                               [](const auto &it) { return it.second.link != nullptr; }));
     }
 
-    [[nodiscard]] auto traffic() const -> PeerTraffic { return m_traffic; }
+    [[nodiscard]] auto traffic() const -> PeerTraffic { return m_context->traffic; }
 
 private:
     struct Entry
@@ -98,7 +97,7 @@
             return entry.link;
         if (monotonicNow() < entry.mayConnectAt)
             return nullptr;
-        auto link = std::make_shared<PeerClientLink>(m_io, node, m_settings, m_traffic);
+        auto link = std::make_shared<PeerClientLink>(m_context, node);
         link->setDidClose([weak = weak_from_this(), node, key = link.get()](bool wasReady) {
             if (const auto self = weak.lock())
                 self->didClose(node, key, wasReady);
@@ -128,9 +127,7 @@
         return Duration(half + randomBelow(m_random, half));
     }
 
-    asio::io_context &m_io;
-    PeerSettings m_settings;
-    PeerTraffic m_traffic;
+    std::shared_ptr<PeerClientContext> m_context;
     Random m_random;
     std::unordered_map<NodeId, Entry> m_entries;
 };
--- a/source/transport/PeerClientLink.cpp
+++ b/source/transport/PeerClientLink.cpp
@@ -62,25 +62,23 @@
     CancellationPtr m_cancellation;
 };
 
-PeerClientLink::PeerClientLink(asio::io_context &io, NodeId node, const PeerSettings &settings,
-                               PeerTraffic &traffic)
-    : m_io(io)
+PeerClientLink::PeerClientLink(std::shared_ptr<PeerClientContext> context, NodeId node)
+    : m_context(std::move(context))
     , m_node(std::move(node))
-    , m_settings(settings)
-    , m_traffic(traffic)
-    , m_socket(io)
-    , m_connectTimer(io)
+    , m_socket(m_context->io)
+    , m_connectTimer(m_context->io)
 {}
 
 auto PeerClientLink::start() -> void
 {
-    m_connectTimer.expires_after(m_settings.connectTimeout);
+    m_connectTimer.expires_after(m_context->settings.connectTimeout);
     m_connectTimer.async_wait([weak = weak_from_this()](auto ec) {
         if (const auto self = weak.lock(); self && !ec && self->m_state == State::Connecting)
             self->close(false, "connecting took too long");
     });
     asio::co_spawn(
-            m_io, [self = shared_from_this()]() -> Task<void> { co_await self->connect(); },
+            m_context->io,
+            [self = shared_from_this()]() -> Task<void> { co_await self->connect(); },
             asio::detached);
 }
 
@@ -100,8 +98,9 @@
         close(false, ec.message());
         co_return;
     }
-    m_link = std::make_shared<PeerLink>(std::move(m_socket), PeerLink::Role::Client, m_settings,
-                                        m_traffic, static_cast<PeerLink::Observer &>(*this));
+    m_link = std::make_shared<PeerLink>(std::move(m_socket), PeerLink::Role::Client,
+                                        m_context->settings, m_context->traffic,
+                                        static_cast<PeerLink::Observer &>(*this));
     m_link->start();
 }
 
@@ -121,7 +120,7 @@
 {
     const auto self = shared_from_this();
     const auto begin = monotonicNow();
-    auto waiter = LinkWaiter(m_io, request.remaining);
+    auto waiter = LinkWaiter(m_context->io, request.remaining);
     const auto guard = WakeUpGuard(std::move(cancellation), waiter);
     auto ending = co_await waitUntilReady(waiter);
     if (ending != Ending::Answered)
@@ -134,7 +133,7 @@
         co_return CallAnswer{.outcome = Outcome::NotRun,
                              .reason = Reason::TooLarge,
                              .unspentBudget = request.retryBudget};
-    if (m_pending.size() >= m_settings.maxCallsPerLink)
+    if (m_pending.size() >= m_context->settings.maxCallsPerLink)
         co_return CallAnswer{.outcome = Outcome::NotRun,
                              .reason = Reason::QueueFull,
                              .unspentBudget = request.retryBudget};
@@ -207,7 +206,7 @@
     } catch (const InputError &) {
         // Said below.
     }
-    ++m_traffic.damagedFrames;
+    ++m_context->traffic.damagedFrames;
     log::Line(log::Severity::Warning, "answer-damaged").add("peer", m_node).add("id", message.id);
     return CallAnswer{
             .outcome = Outcome::Unknown, .reason = Reason::DamagedAnswer, .wasDispatched = true};
@@ -217,11 +216,11 @@
         -> Task<std::string>
 {
     const auto self = shared_from_this();
-    auto waiter = LinkWaiter(m_io, timeout);
+    auto waiter = LinkWaiter(m_context->io, timeout);
     if (co_await waitUntilReady(waiter) != Ending::Answered)
         throw PeerError(false, "the link to " + m_node + " could not be opened",
                         "check that the node runs and is reachable");
-    if (m_pending.size() >= m_settings.maxCallsPerLink)
+    if (m_pending.size() >= m_context->settings.maxCallsPerLink)
         throw PeerError(false, "too many calls wait on the link to " + m_node, "ask later");
     const auto id = ++m_lastId;
     m_pending.emplace(id, &waiter);
@@ -246,6 +245,7 @@
 
 auto PeerClientLink::didBecomeReady() -> void
 {
+    const auto self = shared_from_this();
     m_state = State::Ready;
     m_connectTimer.cancel();
     log::Line(log::Severity::Info, "link-opened").add("peer", m_node);
@@ -261,7 +261,7 @@
                          "check that the peer runs an unchanged stairspur");
     const auto isExpected = m_pending.contains(id);
     if (!isExpected)
-        ++m_traffic.droppedAnswers;
+        ++m_context->traffic.droppedAnswers;
     return isExpected;
 }
 
@@ -269,12 +269,12 @@
 {
     const auto it = m_pending.find(message.id);
     if (it == m_pending.end()) {
-        ++m_traffic.droppedAnswers;
+        ++m_context->traffic.droppedAnswers;
         return;
     }
     // A second answer to one call finds the first, and is dropped.
     if (it->second->answer) {
-        ++m_traffic.droppedAnswers;
+        ++m_context->traffic.droppedAnswers;
         return;
     }
     m_link->withdraw(FrameKind::Call, message.id);
@@ -282,9 +282,12 @@
     it->second->wakeUp();
 }
 
-auto PeerClientLink::didRefuseBody(FrameKind kind, CallId id) -> void
+auto PeerClientLink::didRefuse(FrameKind kind, CallId id, Reason reason) -> void
 {
-    log::Line(log::Severity::Warning, "answer-too-large").add("peer", m_node).add("id", id);
+    log::Line(log::Severity::Warning, "answer-refused")
+            .add("peer", m_node)
+            .add("id", id)
+            .add("reason", reason);
     didReceive({.kind = kind, .id = id, .fields = {}, .body = {}, .isDamaged = true});
 }
 
--- a/source/transport/PeerClientLink.h
+++ b/source/transport/PeerClientLink.h
@@ -16,6 +16,14 @@
 
 namespace stairspur::transport {
 
+/// What the links of one client share. It lives as long as any of them.
+struct PeerClientContext
+{
+    asio::io_context &io;
+    PeerSettings settings;
+    PeerTraffic traffic;
+};
+
 /// The connecting end of one link.
 class PeerClientLink final
     : public std::enable_shared_from_this<PeerClientLink>
@@ -24,8 +32,7 @@
 public:
     using DidClose = std::function<void(bool wasReady)>;
 
-    PeerClientLink(asio::io_context &io, NodeId node, const PeerSettings &settings,
-                   PeerTraffic &traffic);
+    PeerClientLink(std::shared_ptr<PeerClientContext> context, NodeId node);
 
     /// Told once, when the link has closed, unless abort() ended it.
     auto setDidClose(DidClose didClose) -> void { m_didClose = std::move(didClose); }
@@ -47,7 +54,7 @@
     auto didBecomeReady() -> void override;
     auto isExpected(FrameKind kind, CallId id) -> bool override;
     auto didReceive(LinkMessage message) -> void override;
-    auto didRefuseBody(FrameKind kind, CallId id) -> void override;
+    auto didRefuse(FrameKind kind, CallId id, Reason reason) -> void override;
     auto didCancel(CallId id) -> void override;
     auto didFlush() -> void override;
     auto didClose(bool isGraceful, const std::string &why) -> void override;
@@ -60,10 +67,8 @@
     auto close(bool isGraceful, const std::string &why) -> void;
     auto closeIfReleased() -> void;
 
-    asio::io_context &m_io;
+    std::shared_ptr<PeerClientContext> m_context;
     NodeId m_node;
-    const PeerSettings &m_settings;
-    PeerTraffic &m_traffic;
     DidClose m_didClose;
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_connectTimer;
--- a/source/transport/PeerLink.cpp
+++ b/source/transport/PeerLink.cpp
@@ -1,11 +1,9 @@
 #include "PeerLink.h"
 
 #include <algorithm>
-#include <cassert>
 
 #include <stairspur/core/Error.h>
 #include <stairspur/core/Hash.h>
-#include <stairspur/log/Log.h>
 
 namespace stairspur::transport {
 
@@ -206,7 +204,7 @@
     if (!m_observer.isExpected(frame.kind, frame.id))
         return;
     if (frame.bodyLength > m_settings.maxBodyBytes) {
-        m_observer.didRefuseBody(frame.kind, frame.id);
+        m_observer.didRefuse(frame.kind, frame.id, Reason::TooLarge);
         return;
     }
     auto incoming = Incoming();
@@ -221,9 +219,10 @@
         complete(std::move(incoming));
         return;
     }
-    if (m_incoming.size() >= m_settings.maxCallsPerLink)
-        throw InputError("the peer has begun too many messages at once",
-                         "give all nodes the same limits");
+    if (m_incoming.size() >= m_settings.maxCallsPerLink) {
+        m_observer.didRefuse(frame.kind, frame.id, Reason::QueueFull);
+        return;
+    }
     m_incoming.insert_or_assign(frame.id, std::move(incoming));
 }
 
@@ -342,10 +341,6 @@
 {
     if (m_isClosed)
         return;
-    log::Line(log::Severity::Warning, "link-broken")
-            .add("peer", m_farNode)
-            .add("remote", m_stream->remoteAddress())
-            .add("detail", why);
     abort();
     m_observer.didClose(false, why);
 }
--- a/source/transport/PeerLink.h
+++ b/source/transport/PeerLink.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <stairspur/core/Identifiers.h>
+#include <stairspur/core/Outcome.h>
 #include <stairspur/transport/PeerSettings.h>
 #include <stairspur/transport/Task.h>
 
@@ -43,8 +44,8 @@
         /// Whether a message that begins is wanted; if not, it is dropped.
         virtual auto isExpected(FrameKind kind, CallId id) -> bool = 0;
         virtual auto didReceive(LinkMessage message) -> void = 0;
-        /// A message's body would be larger than the settings allow; it is dropped.
-        virtual auto didRefuseBody(FrameKind kind, CallId id) -> void = 0;
+        /// A message that begins is dropped: its body is too large, or too many others have begun.
+        virtual auto didRefuse(FrameKind kind, CallId id, Reason reason) -> void = 0;
         virtual auto didCancel(CallId id) -> void = 0;
         /// All that was sent is out.
         virtual auto didFlush() -> void = 0;
--- a/source/transport/PeerServerLink.cpp
+++ b/source/transport/PeerServerLink.cpp
@@ -38,6 +38,7 @@
 
 auto PeerServerLink::didBecomeReady() -> void
 {
+    const auto self = shared_from_this();
     log::Line(log::Severity::Info, "link-accepted")
             .add("peer", m_link->farNode())
             .add("remote", m_link->remoteAddress());
@@ -55,22 +56,27 @@
 
 auto PeerServerLink::didReceive(LinkMessage message) -> void
 {
+    const auto self = shared_from_this();
     if (message.kind == FrameKind::Call)
         beginCall(std::move(message));
     else
         beginRequest(std::move(message));
 }
 
-auto PeerServerLink::didRefuseBody(FrameKind kind, CallId id) -> void
+auto PeerServerLink::didRefuse(FrameKind kind, CallId id, Reason reason) -> void
 {
+    const auto self = shared_from_this();
     if (kind == FrameKind::Call)
-        refuse(id, Reason::TooLarge);
+        refuse(id, reason);
     else
-        reply(id, true, "the request is too large; send a smaller one");
+        reply(id, true,
+              "the request is refused (" + std::string(nameOf(reason))
+                      + "); send a smaller one, or send it later");
 }
 
 auto PeerServerLink::didCancel(CallId id) -> void
 {
+    const auto self = shared_from_this();
     m_link->forget(id);
     m_link->withdraw(FrameKind::Answer, id);
     const auto it = m_running.find(id);
@@ -85,6 +91,7 @@
 
 auto PeerServerLink::didFlush() -> void
 {
+    const auto self = shared_from_this();
     closeIfDrained();
 }
 
--- a/source/transport/PeerServerLink.h
+++ b/source/transport/PeerServerLink.h
@@ -45,10 +45,11 @@
     auto abort() -> void;
 
 private:
+    // Sending may end the link, upon which the server lets go of it; each event keeps it until it has been handled.
     auto didBecomeReady() -> void override;
     auto isExpected(FrameKind kind, CallId id) -> bool override;
     auto didReceive(LinkMessage message) -> void override;
-    auto didRefuseBody(FrameKind kind, CallId id) -> void override;
+    auto didRefuse(FrameKind kind, CallId id, Reason reason) -> void override;
     auto didCancel(CallId id) -> void override;
     auto didFlush() -> void override;
     auto didClose(bool isGraceful, const std::string &why) -> void override;
--- a/tests/transport/Relay.cpp
+++ b/tests/transport/Relay.cpp
@@ -26,7 +26,7 @@
     {
         const auto self = shared_from_this();
         auto bytes = std::array<char, 4096>();
-        while (true) {
+        while (!isStalled || &from == &near) {
             const auto n = co_await from.async_read_some(asio::buffer(bytes), asio::use_awaitable);
             if (!isMuted)
                 co_await asio::async_write(to, asio::buffer(bytes, n), asio::use_awaitable);
@@ -38,6 +38,7 @@
     asio::ip::tcp::socket near;
     asio::ip::tcp::socket far;
     bool isMuted = false;
+    bool isStalled = false;
 };
 
 Relay::Relay(asio::io_context &io, std::uint16_t port)
@@ -62,6 +63,11 @@
     m_state->isMuted = true;
 }
 
+auto Relay::stall() -> void
+{
+    m_state->isStalled = true;
+}
+
 auto Relay::cut() -> void
 {
     m_state->near.close();
--- a/tests/transport/Relay.h
+++ b/tests/transport/Relay.h
@@ -21,6 +21,8 @@
     [[nodiscard]] auto port() const -> std::uint16_t;
     /// Passes nothing on from here on, and closes nothing.
     auto mute() -> void;
+    /// Reads nothing more of what the far end sends, so that it is stuck there.
+    auto stall() -> void;
     auto cut() -> void;
 
 private:
--- a/tests/transport/TestPeerEnds.cpp
+++ b/tests/transport/TestPeerEnds.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <criterion/criterion.h>
 
 #include <stairspur/transport/PeerClient.h>
@@ -99,3 +101,79 @@
     runTask(io, pair.client.request(pair.node, "sync", "", LongTimeout));
     cr_assert_eq(runs, 0);
 }
+
+Test(PeerEnds, peerThatReadsNothingIsCutOff)
+{
+    static constexpr auto MostCalls = 200;
+    auto io = asio::io_context();
+    auto few = RunningCall::settingsOf("server", LongTimeout);
+    few.maxCallsPerLink = 2;
+    auto isCut = false;
+    auto runs = 0;
+    auto pair = Pair(
+            io,
+            [&](NodeId, CallRequest request, CancellationPtr it) -> Task<CallAnswer> {
+                ++runs;
+                auto event = Event(co_await asio::this_coro::executor);
+                it->onCancel([&] { event.set(); });
+                if (request.body != "wait")
+                    co_return CallAnswer{.outcome = Outcome::Answered, .body = bodyOf(1'000'000)};
+                co_await event.wait();
+                isCut = true;
+                co_return CallAnswer();
+            },
+            few, RunningCall::settingsOf("client", LongTimeout));
+    auto relay = Relay(io, pair.server.port());
+    pair.node = "127.0.0.1:" + std::to_string(relay.port());
+    auto answers = std::vector<std::optional<CallAnswer>>(MostCalls);
+    pair.begin(callOf("wait"), answers[0]);
+    runUntil(io, [&] { return runs == 1; });
+    relay.stall();
+    // The kernel's buffers take the first answers; then they wait at the server, up to its bound.
+    for (auto n = 1; n < MostCalls && !isCut; ++n) {
+        pair.begin(callOf("large"), answers[n]);
+        runUntil(io, [&] { return runs == n + 1 || isCut; });
+    }
+    cr_assert(isCut);
+}
+
+Test(PeerEnds, largeCallsPastTheLimitAreRefusedAndTheLinkLives)
+{
+    auto io = asio::io_context();
+    auto few = settings("server");
+    few.maxCallsPerLink = 2;
+    auto pair = Pair(io, echo, few);
+    auto answers = std::vector<std::optional<CallAnswer>>(6);
+    for (auto &it : answers)
+        pair.begin(callOf(bodyOf(500'000)), it);
+    runUntil(io, [&] {
+        return std::all_of(answers.begin(), answers.end(), [](const auto &it) { return !!it; });
+    });
+    for (const auto &it : answers) {
+        const auto isWhole = it->outcome == Outcome::Answered && it->body == bodyOf(500'000);
+        const auto isRefused = it->outcome == Outcome::NotRun && it->reason == Reason::QueueFull;
+        cr_assert(isWhole || isRefused);
+    }
+    cr_assert(answers[0]->outcome == Outcome::Answered);
+    cr_assert(answers[5]->outcome == Outcome::NotRun);
+    cr_assert_eq(pair.client.links(), 1);
+}
+
+Test(PeerEnds, linkReleasedWhileItConnectsIsClosed)
+{
+    auto io = asio::io_context();
+    auto acceptor = asio::ip::tcp::acceptor(io, {asio::ip::address_v4::loopback(), 0});
+    const auto node = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    auto client = std::make_unique<PeerClient>(io, settings("client"));
+    const auto answer = runTask(io, client->call(node, callOf("x", Duration(1000)), nullptr));
+    cr_assert(answer.outcome == Outcome::NotRun);
+    cr_assert(answer.reason == Reason::DeadlineExceeded);
+    client->release(node);
+    cr_assert_eq(client->links(), 0);
+    client.reset();
+    auto socket = acceptor.accept();
+    auto isClosed = false;
+    auto bytes = std::string();
+    asio::async_read(socket, asio::dynamic_buffer(bytes), [&](auto, auto) { isClosed = true; });
+    runUntil(io, [&] { return isClosed; });
+}
