Membership: Test announcements and rendezvous slots

Rendezvous slots: forty nodes and a fake store that is down, loses answers, or sees its holder paused, killed or leaving; in the end three running nodes hold the slots, and nobody believes in a lease that has lapsed. Three mutants (lapse unnoticed, claim without a second look, no backoff) are noticed. Ruled out: a real store in these tests; the adapter has its own contract tests. Conclusion: a domain of forty that starts at once claims at most fifteen times, and asks a store that is down some twenty times in ten minutes.

--- a/include/stairspur/membership/RendezvousSlots.h
+++ b/include/stairspur/membership/RendezvousSlots.h
@@ -4,6 +4,7 @@
 #include <concepts>
 #include <cstdint>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include <stairspur/core/Identifiers.h>
--- a/tests/membership/FaultMatrix.h
+++ b/tests/membership/FaultMatrix.h
@@ -107,6 +107,7 @@
 
     auto runAll() -> void
     {
+        m_network.recordedNode = Subject;
         m_network.didHappen = [this](const auto &observer, const auto &event) {
             check(observer, event);
         };
@@ -227,7 +228,7 @@
             break;
         case Fault::KillWithLateDuplicates:
             kill();
-            m_network.replaysFrom = Subject;
+            m_network.isReplaying = true;
             break;
         case Fault::PauseShort:
         case Fault::PauseLong:
@@ -296,7 +297,7 @@
         m_network.duplicateShare = 0;
         m_network.maximumDelay = Duration{2'000};
         m_network.nodes()[Subject].extraDelay = Duration{0};
-        m_network.replaysFrom.clear();
+        m_network.isReplaying = false;
         if (subject().isPaused)
             m_network.resume(Subject);
         if (m_isKilled && (m_fault == Fault::Restart || m_fault == Fault::RestartWithClockBehind)) {
--- a/tests/membership/TestMembershipState.cpp
+++ b/tests/membership/TestMembershipState.cpp
@@ -51,3 +51,68 @@
             cr_assert(node.state->find("192.0.2.9:7100")->liveness == Liveness::Dead);
     }
 }
+
+Test(MembershipState, garbageAndForgedSendersAreCountedAndChangeNothing)
+{
+    auto network = VirtualNetwork<StandardPolicy>(3);
+    startDomain(network, 2);
+    network.run(5 * Period);
+    auto &state = *network.node("192.0.2.1:7100").state;
+    const auto before = state.view().members;
+    auto forged = Message();
+    forged.self = *state.find("192.0.2.2:7100");
+    forged.self.incarnation += 9;
+    state.receive(network.now(), "192.0.2.77:7100", encode(forged));
+    state.receive(network.now(), "192.0.2.1:7100", encode(forged));
+    state.receive(network.now(), "192.0.2.2:7100", "");
+    state.receive(network.now(), "192.0.2.2:7100", std::string(60'000, '\x81'));
+    cr_assert_eq(state.counters().rejectedDatagrams, 4U);
+    cr_assert(state.view().members == before);
+}
+
+Test(MembershipState, annotationsTravelWithProbes)
+{
+    auto network = VirtualNetwork<StandardPolicy>(4);
+    startDomain(network, 2);
+    network.node("192.0.2.2:7100").state->setAnnotation("version 7");
+    cr_assert_throw(network.node("192.0.2.2:7100").state->setAnnotation(std::string(25, 'x')),
+                    InputError);
+    network.run(5 * Period);
+    const auto &events = network.node("192.0.2.1:7100").events;
+    cr_assert(std::any_of(events.begin(), events.end(), [](const MembershipEvent &it) {
+        return it.kind == MembershipEventKind::Annotation && it.member.node == "192.0.2.2:7100"
+               && it.annotation == "version 7";
+    }));
+}
+
+Test(MembershipState, deadMembersAreForgottenInTheEnd)
+{
+    auto network = VirtualNetwork<StandardPolicy>(5);
+    for (std::size_t index = 1; index <= 3; ++index) {
+        auto settings = settingsOf(index);
+        settings.deadRetention = 60 * Period;
+        network.start(settings);
+    }
+    network.run(10 * Period);
+    network.kill("192.0.2.3:7100");
+    network.run(30 * Period);
+    cr_assert_not_null(network.node("192.0.2.1:7100").state->find("192.0.2.3:7100"));
+    network.run(90 * Period);
+    cr_assert_null(network.node("192.0.2.1:7100").state->find("192.0.2.3:7100"));
+}
+
+Test(MembershipState, aNodeWhoseBackendServerLeftStaysAMember)
+{
+    auto network = VirtualNetwork<StandardPolicy>(6);
+    startDomain(network, 4);
+    network.run(10 * Period);
+    network.node("192.0.2.4:7100").state->setSelf(network.now(), "booking", 60, ServingState::Left);
+    network.run(30 * Period);
+    const auto *member = network.node("192.0.2.1:7100").state->find("192.0.2.4:7100");
+    cr_assert(member->state == ServingState::Left && member->liveness == Liveness::Alive);
+    network.node("192.0.2.4:7100")
+            .state->setSelf(network.now(), "booking", 60, ServingState::Serving);
+    network.run(5 * Period);
+    cr_assert(network.node("192.0.2.1:7100").state->find("192.0.2.4:7100")->state
+              == ServingState::Serving);
+}
--- /dev/null
+++ b/tests/membership/TestRendezvousSlots.cpp
@@ -0,0 +1,194 @@
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include <stairspur/membership/RendezvousSlots.h>
+
+using namespace stairspur;
+using namespace stairspur::membership;
+
+static constexpr auto Second = Duration{1'000'000};
+static constexpr auto Nodes = std::size_t{40};
+
+/// The keys of one domain, and a store that is down or loses answers at times.
+struct FakeStore
+{
+    struct Key
+    {
+        std::size_t holder;
+        TimePoint leaseEnd;
+    };
+    std::map<std::uint32_t, Key> keys;
+    bool isDown = false;
+    bool losesAnswers = false;
+    std::size_t calls = 0;
+    std::size_t claims = 0;
+};
+
+enum class StoreFault {
+    None,
+    DownAtStart,
+    DownLater,
+    LostAnswers,
+    HolderPaused, ///< Its lease lapses and another takes the slot.
+    HolderKilled,
+    HolderLeaves,
+};
+
+template <typename Policy>
+class RendezvousCell
+{
+public:
+    explicit RendezvousCell(StoreFault fault)
+        : m_fault(fault)
+    {
+        for (std::size_t index = 0; index < Nodes; ++index)
+            m_nodes.push_back(std::make_unique<BasicRendezvousSlots<Policy>>(RendezvousSettings(),
+                                                                             index, m_now));
+    }
+
+    auto run() -> std::vector<std::string>
+    {
+        m_store.isDown = m_fault == StoreFault::DownAtStart;
+        m_store.losesAnswers = m_fault == StoreFault::LostAnswers;
+        runFor(600);
+        // Each has tried for ten minutes: with backoff that is some ten calls, and not six hundred.
+        if (m_fault == StoreFault::DownAtStart && m_store.calls > Nodes * 20)
+            m_violations.emplace_back("the store was asked too often while it was down");
+        m_store.isDown = m_fault == StoreFault::DownLater;
+        m_store.losesAnswers = false;
+        const auto holder = firstHolder();
+        if (m_fault == StoreFault::HolderPaused || m_fault == StoreFault::HolderKilled)
+            m_stopped = holder;
+        if (m_fault == StoreFault::HolderLeaves)
+            m_nodes[holder]->leave(m_now);
+        runFor(600);
+        m_store.isDown = false;
+        if (m_fault == StoreFault::HolderPaused)
+            m_stopped = Nodes;
+        runFor(1800);
+        check(holder);
+        return m_violations;
+    }
+
+private:
+    auto firstHolder() -> std::size_t
+    {
+        return m_store.keys.empty() ? 0 : m_store.keys.begin()->second.holder;
+    }
+
+    auto runFor(int seconds) -> void
+    {
+        for (auto count = 0; count < seconds; ++count) {
+            m_now += Second;
+            std::erase_if(m_store.keys,
+                          [&](const auto &it) { return it.second.leaseEnd <= m_now; });
+            for (std::size_t index = 0; index < Nodes; ++index) {
+                if (index != m_stopped)
+                    step(index);
+            }
+        }
+    }
+
+    auto step(std::size_t index) -> void
+    {
+        auto &node = *m_nodes[index];
+        const auto action = node.next(m_now);
+        if (node.isHolding() && !holds(index, node.slot()))
+            m_violations.emplace_back("a node believes in a lease that has lapsed");
+        if (action == RendezvousAction::None)
+            return;
+        ++m_store.calls;
+        if (m_store.isDown) {
+            node.didFail(m_now);
+            return;
+        }
+        carryOut(index, action);
+    }
+
+    auto carryOut(std::size_t index, RendezvousAction action) -> void
+    {
+        auto &node = *m_nodes[index];
+        const auto end = m_now + RendezvousSettings().leaseTime;
+        const auto isHeld = holds(index, node.slot());
+        auto isCreated = false;
+        if (action == RendezvousAction::Claim) {
+            ++m_store.claims;
+            isCreated = m_store.keys.emplace(node.slot(), FakeStore::Key{index, end}).second;
+        } else if (action == RendezvousAction::Renew && isHeld) {
+            m_store.keys.at(node.slot()).leaseEnd = end;
+        } else if (action == RendezvousAction::Release && isHeld) {
+            m_store.keys.erase(node.slot());
+        }
+        if (m_store.losesAnswers)
+            node.didFail(m_now);
+        else if (action == RendezvousAction::Claim)
+            node.didClaim(isCreated, m_now, m_now);
+        else if (action == RendezvousAction::Renew)
+            node.didRenew(isHeld, m_now, m_now);
+        else if (action == RendezvousAction::Read)
+            node.didRead(holders(), m_now);
+    }
+
+    auto holds(std::size_t index, std::uint32_t slot) const -> bool
+    {
+        const auto it = m_store.keys.find(slot);
+        return it != m_store.keys.end() && it->second.holder == index;
+    }
+
+    auto holders() const -> std::vector<std::optional<NodeId>>
+    {
+        auto list = std::vector<std::optional<NodeId>>(RendezvousSettings().slots);
+        for (const auto &[slot, key] : m_store.keys)
+            list.at(slot) = "node-" + std::to_string(key.holder);
+        return list;
+    }
+
+    auto check(std::size_t holder) -> void
+    {
+        if (m_store.keys.size() != RendezvousSettings().slots)
+            m_violations.emplace_back("not every slot has a holder in the end");
+        const auto isGone =
+                m_fault == StoreFault::HolderKilled || m_fault == StoreFault::HolderLeaves;
+        for (const auto &[slot, key] : m_store.keys) {
+            if (isGone && key.holder == holder)
+                m_violations.emplace_back("a node that is gone holds a slot");
+        }
+        static constexpr auto MaxClaims = std::size_t{15};
+        if (m_fault != StoreFault::LostAnswers && m_store.claims > MaxClaims)
+            m_violations.emplace_back("too many nodes wrote to the store");
+    }
+
+    StoreFault m_fault;
+    TimePoint m_now{1000 * Second};
+    FakeStore m_store;
+    std::size_t m_stopped = Nodes;
+    std::vector<std::unique_ptr<BasicRendezvousSlots<Policy>>> m_nodes;
+    std::vector<std::string> m_violations;
+};
+
+Test(RendezvousSlots, everyFaultEndsWithEverySlotHeldByARunningNode)
+{
+    for (const auto fault :
+         {StoreFault::None, StoreFault::DownAtStart, StoreFault::DownLater, StoreFault::LostAnswers,
+          StoreFault::HolderPaused, StoreFault::HolderKilled, StoreFault::HolderLeaves}) {
+        for (const auto &it : RendezvousCell<StandardRendezvousPolicy>(fault).run())
+            cr_expect_fail("fault %d: %s", static_cast<int>(fault), it.c_str());
+    }
+}
+
+// clang-format off
+struct NoLapse : StandardRendezvousPolicy { static constexpr auto noticesLapse = false; };
+struct NoLook : StandardRendezvousPolicy { static constexpr auto readsBeforeClaim = false; };
+struct NoBackoff : StandardRendezvousPolicy { static constexpr auto backsOff = false; };
+// clang-format on
+
+Test(RendezvousSlots, eachGuardThatIsSwitchedOffIsNoticed)
+{
+    cr_expect(!RendezvousCell<NoLapse>(StoreFault::HolderPaused).run().empty());
+    cr_expect(!RendezvousCell<NoLook>(StoreFault::None).run().empty());
+    cr_expect(!RendezvousCell<NoBackoff>(StoreFault::DownAtStart).run().empty());
+}
--- a/tests/membership/VirtualNetwork.h
+++ b/tests/membership/VirtualNetwork.h
@@ -44,8 +44,9 @@
     std::function<bool(const NodeId &, const NodeId &)> isOpen = [](const auto &, const auto &) {
         return true;
     };
-    /// What this node has sent keeps arriving, each time in another order.
-    NodeId replaysFrom;
+    /// What this node sends is kept, and keeps arriving while `isReplaying`.
+    NodeId recordedNode;
+    bool isReplaying = false;
     /// Called for each event of a node.
     std::function<void(const NodeId &, const MembershipEvent &)> didHappen;
 
@@ -124,7 +125,8 @@
 
     auto transmit(const NodeId &from, const OutgoingDatagram &datagram) -> void
     {
-        m_sent[{from, datagram.to}].push_back(datagram.payload);
+        if (from == recordedNode)
+            m_sent[datagram.to].push_back(datagram.payload);
         const auto copies = randomUnit(m_random) < duplicateShare ? 2 : 1;
         const auto isKnown = m_nodes.contains(datagram.to);
         if (!isKnown || !isOpen(from, datagram.to) || randomUnit(m_random) < lossShare)
@@ -149,7 +151,7 @@
                 m_held[delivery.to].emplace_back(delivery.from, delivery.payload);
             return;
         }
-        if (!replaysFrom.empty() && delivery.from.empty())
+        if (isReplaying && delivery.from.empty())
             replayTo(delivery.to);
         if (!delivery.from.empty()) {
             node.state->receive(m_now, delivery.from, delivery.payload);
@@ -165,9 +167,9 @@
     auto replayTo(const NodeId &to) -> void
     {
         static constexpr auto Share = 0.1;
-        for (const auto &it : m_sent[{replaysFrom, to}]) {
+        for (const auto &it : m_sent[to]) {
             if (randomUnit(m_random) < Share)
-                m_nodes.at(to).state->receive(m_now, replaysFrom, it);
+                m_nodes.at(to).state->receive(m_now, recordedNode, it);
         }
     }
 
@@ -178,7 +180,7 @@
     std::uint64_t m_order = 0;
     std::priority_queue<Delivery> m_queue;
     std::map<NodeId, Node> m_nodes;
-    std::map<std::pair<NodeId, NodeId>, std::vector<std::string>> m_sent;
+    std::map<NodeId, std::vector<std::string>> m_sent;
     std::map<NodeId, TimePoint> m_nextTick;
     std::map<NodeId, std::vector<std::pair<NodeId, std::string>>> m_held;
 };
