Node: Bring the configuration in force to the traffic threads

Cause: the whole path lacked the operators' file. Weighed: Configuration's own searches run from front to back; the index built once per version is what calls look up. Change: DistributionService on the control thread, digests as annotations of probes, the index on the blackboard, versions in force by failure domain in the status. Conclusion: the path is whole.

--- a/include/stairspur/config/ConfigurationIndex.h
+++ b/include/stairspur/config/ConfigurationIndex.h
@@ -20,6 +20,12 @@
 
     [[nodiscard]] auto configuration() const -> const ConfigurationPtr & { return m_configuration; }
 
+    /// What the index was built from, without its version.
+    [[nodiscard]] auto whole() const -> const Configuration &
+    {
+        return m_configuration->configuration;
+    }
+
     [[nodiscard]] auto findService(std::string_view name) const -> const Service *;
     [[nodiscard]] auto findClass(std::string_view name) const -> const PriorityClass *;
     [[nodiscard]] auto findCallerByKeyHash(std::string_view keySha256) const -> const Caller *;
--- a/source/node/CallIntake.cpp
+++ b/source/node/CallIntake.cpp
@@ -35,7 +35,7 @@
 }
 
 static auto findCaller(const transport::HeaderList &headers,
-                       const config::Configuration &configuration) -> const config::Caller &
+                       const config::ConfigurationIndex &configuration) -> const config::Caller &
 {
     const auto authorization = headers.find(header::Authorization);
     if (!authorization.starts_with(BearerScheme)) {
@@ -54,7 +54,8 @@
 
 /// The class that a caller asks for, or its first. A caller cannot name itself a class that it did not pay for.
 static auto chooseClass(const config::Caller &caller, std::string_view wanted,
-                        const config::Configuration &configuration) -> const config::PriorityClass *
+                        const config::ConfigurationIndex &configuration)
+        -> const config::PriorityClass *
 {
     const auto name = wanted.empty() ? std::string_view(caller.classes.front()) : wanted;
     const auto *found = configuration.findClass(name);
@@ -95,7 +96,8 @@
 }
 
 static auto standingOfCaller(const transport::HeaderList &headers,
-                             const config::Configuration &configuration, Random &random) -> Standing
+                             const config::ConfigurationIndex &configuration, Random &random)
+        -> Standing
 {
     const auto &caller = findCaller(headers, configuration);
     auto standing = Standing();
@@ -107,7 +109,8 @@
 
 /// The lower of the parent's class and the one that is asked for.
 static auto lowerClass(const RunningCall &parent, std::string_view wanted,
-                       const config::Configuration &configuration) -> const config::PriorityClass *
+                       const config::ConfigurationIndex &configuration)
+        -> const config::PriorityClass *
 {
     const auto *inherited = configuration.findClass(parent.className);
     const auto *asked = wanted.empty() ? nullptr : configuration.findClass(wanted);
@@ -118,12 +121,13 @@
     }
     if (!inherited)
         return asked ? asked
-                     : &configuration.classes.back(); // The class went with a newer configuration.
+                     : &configuration.whole()
+                                .classes.back(); // The class went with a newer configuration.
     return asked && asked->rank > inherited->rank ? asked : inherited;
 }
 
 static auto standingOfParent(CallId parentId, const transport::HeaderList &headers,
-                             const config::Configuration &configuration,
+                             const config::ConfigurationIndex &configuration,
                              const RunningCalls &running) -> Standing
 {
     const auto parent = running.find(parentId);
@@ -155,7 +159,7 @@
 }
 
 static auto findService(const transport::HeaderList &headers,
-                        const config::Configuration &configuration) -> const config::Service &
+                        const config::ConfigurationIndex &configuration) -> const config::Service &
 {
     const auto name = headers.find(header::Service);
     if (name.empty()) {
@@ -203,7 +207,7 @@
     return service.isIdempotent ? std::string() : std::string(key);
 }
 
-auto readCall(transport::HttpRequest request, const config::Configuration &configuration,
+auto readCall(transport::HttpRequest request, const config::ConfigurationIndex &configuration,
               const RunningCalls &running, TimePoint now, Random &random) -> IncomingCall
 {
     const auto &headers = request.headers;
@@ -229,7 +233,7 @@
     call.request.root = standing.root;
     call.request.level = makeLevel(standing.priorityClass->rank, standing.root.hash());
     call.request.caller = standing.caller;
-    call.request.retryBudget = configuration.retry.extraAttempts;
+    call.request.retryBudget = configuration.whole().retry.extraAttempts;
     call.request.headers = endToEndHeaders(headers);
     call.request.method = std::move(request.method);
     call.request.target = std::move(request.target);
--- a/source/node/CallIntake.h
+++ b/source/node/CallIntake.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include <stairspur/config/Configuration.h>
+#include <stairspur/config/ConfigurationIndex.h>
 #include <stairspur/core/Error.h>
 #include <stairspur/core/Random.h>
 #include <stairspur/core/Time.h>
@@ -43,7 +43,7 @@
 /// Reads what a caller or this host's backend server sent: who, what, how important, until when. Throws CallRejected.
 ///
 /// A deeper call inherits class, root and deadline from its parent in `running`, and can lower them, never raise them.
-auto readCall(transport::HttpRequest request, const config::Configuration &configuration,
+auto readCall(transport::HttpRequest request, const config::ConfigurationIndex &configuration,
               const RunningCalls &running, TimePoint now, Random &random) -> IncomingCall;
 
 } // namespace stairspur::node
--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -82,11 +82,46 @@
         m_rendezvous.emplace(io, *m_store, settings.nodeId(), settings.failureDomain,
                              std::move(didRead), seed + 2);
     }
+    makeDistribution(io, seed + 3);
 }
 
 ControlPlane::~ControlPlane() = default;
 
-auto ControlPlane::registerRequests(transport::PeerServer & /*server*/) -> void {}
+auto ControlPlane::makeDistribution(asio::io_context &io, std::uint64_t seed) -> void
+{
+    auto parts = distribution::DistributionParts{
+            m_peers, m_datagrams, m_store ? &*m_store : nullptr,
+            [this] { return m_membership.view(); },
+            [this](config::ConfigurationPtr it) { didPublish(std::move(it)); }};
+    m_distribution.emplace(io, m_settings.nodeId(), m_settings.failureDomain,
+                           distribution::DistributionSettings(), std::move(parts), seed);
+    m_membership.setAnnotationCallback([this](const NodeId &from, const std::string &bytes) {
+        m_distribution->didHearDigest(from, bytes);
+        m_versionsHeard.didHear(from, bytes, monotonicNow());
+    });
+}
+
+auto ControlPlane::registerRequests(transport::PeerServer &server) -> void
+{
+    server.setRequestHandler(distribution::ConfigTopic, m_distribution->requestHandler());
+}
+
+/// A configuration came into force: the traffic threads get it, and the other nodes hear of it with the next probe.
+auto ControlPlane::didPublish(config::ConfigurationPtr configuration) -> void
+{
+    auto services = std::set<std::string>();
+    for (const auto &it : configuration->configuration.services)
+        services.insert(it.name);
+    log::Line(log::Severity::Info, "configuration")
+            .add("version", configuration->version)
+            .add("hash", configuration->hash)
+            .add("services", services.size());
+    m_board.configuration.publish(
+            std::make_shared<const config::ConfigurationIndex>(std::move(configuration)));
+    // Every entry may be asked for every service, and spills to other failure domains.
+    m_membership.setServicesOfInterest(services);
+    m_membership.setAnnotation(m_distribution->digest());
+}
 
 auto ControlPlane::start() -> void
 {
@@ -94,6 +129,7 @@
     m_adminServer.start();
     m_membership.setViewCallback([this](const auto &view) { didChangeView(*view); });
     m_membership.start();
+    m_distribution->start();
     if (m_rendezvous)
         m_rendezvous->start();
     scheduleTick();
@@ -171,7 +207,7 @@
 
 auto ControlPlane::renderStatus() const -> std::string
 {
-    return statusReport(m_settings, m_board);
+    return statusReport(m_settings, m_board, m_versionsHeard.recent(monotonicNow()));
 }
 
 auto ControlPlane::renderMetrics() const -> std::string
--- a/source/node/ControlPlane.h
+++ b/source/node/ControlPlane.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <stairspur/distribution/DistributionService.h>
 #include <stairspur/membership/BackendAnnouncements.h>
 #include <stairspur/membership/MembershipService.h>
 #include <stairspur/node/NodeSettings.h>
@@ -22,6 +23,7 @@
 #include "NodeBoard.h"
 #include "NodeMetrics.h"
 #include "RendezvousKeeper.h"
+#include "VersionsHeard.h"
 
 namespace stairspur::node {
 
@@ -64,6 +66,8 @@
     auto didAnnounce(const std::string &body) -> void;
     auto publishBackend() -> void;
     auto didChangeView(const membership::MembershipView &view) -> void;
+    auto didPublish(config::ConfigurationPtr configuration) -> void;
+    auto makeDistribution(transport::asio::io_context &io, std::uint64_t seed) -> void;
     auto scheduleTick() -> void;
     [[nodiscard]] auto isReady() const -> bool;
     [[nodiscard]] auto renderStatus() const -> std::string;
@@ -78,6 +82,8 @@
     std::optional<platform::EtcdStore> m_store;
     membership::MembershipService m_membership;
     std::optional<RendezvousKeeper> m_rendezvous;
+    std::optional<distribution::DistributionService> m_distribution;
+    VersionsHeard m_versionsHeard;
     membership::BackendAnnouncements m_announcements;
     AdminApi m_adminApi;
     transport::HttpServer m_adminServer;
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -59,8 +59,7 @@
     }
     auto call = IncomingCall();
     try {
-        call = readCall(std::move(request), configuration->configuration, m_running, start,
-                        m_random);
+        call = readCall(std::move(request), *configuration, m_running, start, m_random);
     } catch (const CallRejected &error) {
         m_metrics.didRefuseAtEntry(error.reason());
         log::Line(log::Severity::Info, "call-rejected")
@@ -195,7 +194,7 @@
     settings.ownDomain = m_settings.failureDomain;
     settings.subsetSize = m_settings.subsetSize;
     const auto configuration = *m_board.configuration.read();
-    const auto limits = configuration ? configuration->configuration.retry : config::RetryLimits();
+    const auto limits = configuration ? configuration->whole().retry : config::RetryLimits();
     auto routes = std::make_unique<ServiceRoutes>(
             ServiceRoutes{routing::UpstreamPool(service, settings),
                           retry::RetryTokenBucket(limits.successShare, limits.bucketSize)});
@@ -260,9 +259,9 @@
         return;
     const auto now = monotonicNow();
     auto floors = std::vector<Level>();
-    for (const auto &it : configuration->configuration.classes) {
+    for (const auto &it : configuration->whole().classes) {
         auto floor = LowestLevel;
-        for (const auto &deeper : configuration->configuration.deeperServices(service, it.rank)) {
+        for (const auto &deeper : configuration->deeperServices(service, it.rank)) {
             const auto found = m_routes.find(deeper);
             if (found != m_routes.end())
                 floor = std::max(floor, found->second->pool.floorFor(it.rank, now));
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -51,8 +51,7 @@
     m_configurationGeneration = configurationGeneration;
     const auto backend = *m_board.backend.read();
     const auto configuration = *m_board.configuration.read();
-    const auto *service =
-            configuration ? configuration->configuration.findService(backend.service) : nullptr;
+    const auto *service = configuration ? configuration->findService(backend.service) : nullptr;
     const auto limits = service ? service->limits : config::ServiceLimits();
 
     if (backend.port != m_backend.port || backend.service != m_backend.service) {
--- a/source/node/NodeBoard.h
+++ b/source/node/NodeBoard.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include <stairspur/blackboard/Blackboard.h>
-#include <stairspur/config/Configuration.h>
+#include <stairspur/config/ConfigurationIndex.h>
 #include <stairspur/core/Level.h>
 #include <stairspur/membership/Member.h>
 
@@ -27,10 +27,13 @@
     Stopping, ///< Nothing runs any more; connections are being closed.
 };
 
+/// The configuration in force; null before there is any.
+using ConfigurationIndexPtr = std::shared_ptr<const config::ConfigurationIndex>;
+
 /// What the controllers and the traffic threads know in common. Each key has one writer.
 struct NodeBoard
 {
-    blackboard::Entry<config::ConfigurationPtr>
+    blackboard::Entry<ConfigurationIndexPtr>
             configuration; ///< Written by the distribution controller.
     blackboard::Entry<membership::MembershipView>
             members;                                    ///< Written by the membership controller.
--- a/source/node/StatusReport.cpp
+++ b/source/node/StatusReport.cpp
@@ -1,18 +1,35 @@
 #include "StatusReport.h"
 
+#include <map>
+
 #include <nlohmann/json.hpp>
 
 namespace stairspur::node {
 
-static auto configurationReport(const NodeSettings &settings, const NodeBoard &board)
-        -> nlohmann::json
+/// How many nodes of each failure domain have which version in force, this node included.
+static auto versionsByDomain(const NodeSettings &settings, const NodeBoard &board,
+                             const HeardVersions &heard, std::uint64_t ownVersion) -> nlohmann::json
+{
+    auto counts = std::map<std::string, std::map<std::string, std::uint64_t>>();
+    counts[settings.failureDomain][std::to_string(ownVersion)] = 1;
+    const auto view = board.members.read();
+    for (const auto &it : view->members) {
+        const auto found = heard.find(it.node);
+        if (it.node != settings.nodeId() && found != heard.end())
+            ++counts[it.domain][std::to_string(found->second)];
+    }
+    return counts;
+}
+
+static auto configurationReport(const NodeSettings &settings, const NodeBoard &board,
+                                const HeardVersions &heard) -> nlohmann::json
 {
-    const auto configuration = *board.configuration.read();
-    const auto version = configuration ? configuration->version : 0;
+    const auto index = *board.configuration.read();
+    const auto version = index ? index->configuration()->version : 0;
     return {
             {"version", version},
-            {"hash", configuration ? configuration->hash : std::string()},
-            {"domains", {{settings.failureDomain, {{std::to_string(version), 1}}}}},
+            {"hash", index ? index->configuration()->hash : std::string()},
+            {"domains", versionsByDomain(settings, board, heard, version)},
     };
 }
 
@@ -39,7 +56,8 @@
     };
 }
 
-auto statusReport(const NodeSettings &settings, const NodeBoard &board) -> std::string
+auto statusReport(const NodeSettings &settings, const NodeBoard &board, const HeardVersions &heard)
+        -> std::string
 {
     auto members = nlohmann::json::array();
     const auto view = board.members.read();
@@ -49,7 +67,7 @@
             {"node", settings.nodeId()},
             {"failureDomain", settings.failureDomain},
             {"state", nameOf(*board.stage.read())},
-            {"configuration", configurationReport(settings, board)},
+            {"configuration", configurationReport(settings, board, heard)},
             {"backend", backendReport(*board.backend.read())},
             {"members", std::move(members)},
     };
--- a/source/node/StatusReport.h
+++ b/source/node/StatusReport.h
@@ -5,10 +5,13 @@
 #include <stairspur/node/NodeSettings.h>
 
 #include "NodeBoard.h"
+#include "VersionsHeard.h"
 
 namespace stairspur::node {
 
-/// `GET /status`: what this node is, what it has in force and whom it knows, as JSON.
-auto statusReport(const NodeSettings &settings, const NodeBoard &board) -> std::string;
+/// `GET /status`, as JSON: what this node is, what it has in force and whom it knows. `heard`: what other
+/// nodes said lately that they have in force.
+auto statusReport(const NodeSettings &settings, const NodeBoard &board, const HeardVersions &heard)
+        -> std::string;
 
 } // namespace stairspur::node
--- a/tests/node/CallPathHarness.h
+++ b/tests/node/CallPathHarness.h
@@ -68,8 +68,10 @@
                                                 {.name = "orders", .isIdempotent = false}};
         configuration.configuration.callers = {
                 {.name = "kitchen", .keySha256 = sha256Hex("key"), .classes = {"orders"}}};
+        auto shared =
+                std::make_shared<const config::VersionedConfiguration>(std::move(configuration));
         board.configuration.publish(
-                std::make_shared<const config::VersionedConfiguration>(std::move(configuration)));
+                std::make_shared<const config::ConfigurationIndex>(std::move(shared)));
     }
 
     auto addHost(const std::string &service, Backend handler) -> Host &
--- a/tests/node/TestCallIntake.cpp
+++ b/tests/node/TestCallIntake.cpp
@@ -11,9 +11,10 @@
 
 static constexpr auto Now = TimePoint(std::chrono::seconds(1000));
 
-static auto sampleConfiguration() -> config::Configuration
+static auto sampleConfiguration() -> config::ConfigurationIndex
 {
-    auto configuration = config::Configuration();
+    auto versioned = config::VersionedConfiguration();
+    auto &configuration = versioned.configuration;
     configuration.classes = {{"settlement", 0}, {"orders", 1}, {"browse", 2}};
     configuration.services = {{.name = "menu-catalogue"},
                               {.name = "order-intake", .isIdempotent = false}};
@@ -21,7 +22,8 @@
     configuration.callers = {{.name = "kitchen",
                               .keySha256 = sha256Hex("kitchen-key"),
                               .classes = {"orders", "browse"}}};
-    return configuration;
+    return config::ConfigurationIndex(
+            std::make_shared<const config::VersionedConfiguration>(std::move(versioned)));
 }
 
 static auto sampleRequest() -> transport::HttpRequest
