--- /dev/null
+++ b/Meta/example/__init__.py
@@ -0,0 +1,1 @@
+"""The Association's example as separate processes on loopback: fleet, load, scenarios and report."""
