--- a/Meta/example/fleet.py
+++ b/Meta/example/fleet.py
@@ -70,6 +70,7 @@
         self.store_fault_port = free_port(random)
         self.store: Child | None = None
         self.hosts = self._place_hosts()
+        self.extra_entries: list[str] = []
         self.direct: dict[str, tuple[str, int, Child]] = {}
 
     def _place_hosts(self) -> list[Host]:
@@ -166,11 +167,11 @@
         return status == 200
 
     def entries(self, per_domain: int = 2) -> list[str]:
-        """Entries through which the load comes: some of each failure domain."""
-        chosen = []
+        """Entries through which the load comes: some of each failure domain, and those asked for besides."""
+        chosen = list(self.extra_entries)
         for domain in DOMAINS:
             chosen += [it.entry for it in self.hosts if it.domain == domain][:per_domain]
-        return chosen
+        return sorted(set(chosen))
 
     def backends_of(self, service: str) -> list[Host]:
         return [it for it in self.hosts if it.service.name == service]
@@ -181,6 +182,16 @@
             if status != 200:
                 raise RunError(f"the backend server of {it.name} does not take /control")
 
+    def members_line(self) -> str:
+        """How many of the fleet's nodes each node knows."""
+        known = []
+        for it in self.hosts:
+            status = http.get_json(it.address, ADMIN_PORT, "/status") if it.node.is_running() else None
+            if status:
+                known.append(len({member["node"] for member in status["members"]}))
+        return (f"members that a node knows: {min(known)} to {max(known)} of {len(self.hosts)}"
+                if known else "members that a node knows: no node tells")
+
     def node_cpu_seconds(self) -> float:
         return sum(it.node.cpu_seconds() for it in self.hosts)
 
--- a/Meta/example/load.py
+++ b/Meta/example/load.py
@@ -21,12 +21,12 @@
         return f"{self.name}:{self.key}:{self.class_name}:{'>'.join(self.chain)}:{self.rate * share:g}"
 
 
-# In the order of the classes' ranks. The first chain is three services deep.
+# In the order of the classes' ranks; each chain is a call path of examples/association.toml. The first is three deep.
 STREAMS = [
     Stream("orders", "example-kitchen-key", "paid-orders", ["order-intake", "courier-maps", "courier-payouts"], 60),
     Stream("payouts", "example-courier-key", "payouts", ["courier-payouts"], 30),
     Stream("routes", "example-courier-key", "route-packs", ["courier-maps"], 80),
-    Stream("menus", "example-diner-key", "menu-views", ["menu-catalogue"], 150),
+    Stream("menus", "example-diner-key", "menu-views", ["menu-catalogue", "courier-maps"], 150),
     Stream("lookups", "example-back-office-key", "internal-lookups", ["menu-catalogue", "courier-maps"], 40),
 ]
 
--- a/Meta/example/scenarios.py
+++ b/Meta/example/scenarios.py
@@ -10,7 +10,7 @@
 
 from . import http_requests as http
 from . import report as tables
-from .fleet import ADMIN_PORT, Fleet, Host, ServiceKind
+from .fleet import ADMIN_PORT, SERVICES, Fleet, Host, ServiceKind
 from .load import LoadOptions, Stream
 
 
@@ -61,15 +61,27 @@
 class NodeScenario(Scenario):
     """Something happens to one node; the load comes through it as well."""
 
+    SERVICE_MS = 60  # Long runs, so that the node has calls in its hands.
+
     def __init__(self, seconds: float, streams: list[Stream], service: str):
         super().__init__(seconds, streams)
         self.service = service
         self.has_direct = False
         self.at = seconds / 3
 
+    def service_overrides(self) -> dict[str, ServiceKind]:
+        kind = next(it for it in SERVICES if it.name == self.service)
+        return {self.service: dataclasses.replace(kind, service_ms=self.SERVICE_MS)}
+
     def target(self, fleet: Fleet) -> Host:
-        entries = fleet.entries()
-        return next(it for it in fleet.backends_of(self.service) if it.entry in entries)
+        """The first host of the service; the load comes through its entry too."""
+        host = fleet.backends_of(self.service)[0]
+        fleet.extra_entries = [host.entry]
+        return host
+
+    def options(self, fleet: Fleet) -> LoadOptions:
+        self.target(fleet)
+        return LoadOptions(self.seconds)
 
 
 class KillNode(NodeScenario):
@@ -129,6 +141,7 @@
     """An operator's drain in mid-run: no call is cut, and the process ends by itself with 0."""
 
     STOP_SECONDS = 40
+    SETTLED = 3.0  # Seconds after the drain; by then everything goes elsewhere.
 
     def __init__(self, seconds: float, streams: list[Stream], service: str):
         super().__init__(seconds, streams, service)
@@ -150,6 +163,10 @@
         cut = [it for it in bad if not it["ending"].startswith("not-run/")]
         if cut:
             findings.faults.append(f"{len(cut)} calls were cut: {count_endings(cut)}")
+        later = [it for it in bad if it["dueMs"] / 1000 > self.at + self.SETTLED]
+        if later:
+            findings.faults.append(f"{len(later)} calls due {self.SETTLED:.0f} s after the drain or later were refused "
+                                   f"though others serve: {count_endings(later)}")
         return findings
 
 
@@ -270,7 +287,7 @@
             findings.faults.append(f"expected one winner and one conflict, got exit codes {self.codes}")
         if len(self.versions) != 1:
             findings.faults.append(f"hosts do not agree after {self.SPREAD_SECONDS} s: {self.versions}")
-        bad = [it for it in unanswered(record)]
+        bad = unanswered(record)
         if bad:
             findings.faults.append(f"{len(bad)} calls suffered from the change: {count_endings(bad)}")
         return findings
--- a/Meta/run-example.py
+++ b/Meta/run-example.py
@@ -20,7 +20,7 @@
 sys.dont_write_bytecode = True  # The tree stays clean.
 
 from example import audit, load, report, scenarios  # noqa: E402
-from example.fleet import Fleet  # noqa: E402
+from example.fleet import SERVICES, Fleet  # noqa: E402
 from example.processes import Children, RunError  # noqa: E402
 
 DIRECT_SHARE = 0.5  # Of each stream's rate, straight to backend servers of the same kind.
@@ -38,12 +38,13 @@
     parser.add_argument("--keep-logs", action="store_true", help="leave the processes' logs in place")
     parser.add_argument("--seed", type=int, default=1, help="seed of the arrivals")
     parser.add_argument("--node-flag", action="append", default=[], help="one more flag for every node")
+    services = [it.name for it in SERVICES]
     only_one = parser.add_mutually_exclusive_group()
-    only_one.add_argument("--kill-node", nargs="?", const="menu-catalogue", metavar="SERVICE",
+    only_one.add_argument("--kill-node", nargs="?", const="menu-catalogue", choices=services,
                           help="SIGKILL a node of the service in mid-run")
-    only_one.add_argument("--pause-node", nargs="?", const="menu-catalogue", metavar="SERVICE",
+    only_one.add_argument("--pause-node", nargs="?", const="menu-catalogue", choices=services,
                           help="SIGSTOP a node of the service for a third of the run")
-    only_one.add_argument("--drain-node", nargs="?", const="menu-catalogue", metavar="SERVICE",
+    only_one.add_argument("--drain-node", nargs="?", const="menu-catalogue", choices=services,
                           help="drain a node of the service in mid-run")
     only_one.add_argument("--store-down", action="store_true", help="no store for the middle half of the run")
     only_one.add_argument("--overload", type=float, metavar="FACTOR",
@@ -95,7 +96,8 @@
     faults: list[str] = []
     caller = load.start_load(fleet, "caller", scenario.streams, options)
     straight = load.start_direct_load(fleet, scenario.streams, DIRECT_SHARE, options) if scenario.has_direct else []
-    beside = threading.Thread(target=disturb_safely, args=(scenario, fleet, time.monotonic(), faults))
+    beside = threading.Thread(target=disturb_safely, args=(scenario, fleet, time.monotonic(), faults),
+                              daemon=True)
     beside.start()
     result = load.finish_load(caller, options)
     direct = {}
@@ -134,6 +136,7 @@
         calls = sum(it["offered"] for it in result["streams"].values())
         for line in report.cost_lines(cpu, calls, sum(it["total"] for it in runs) - runs_before, resident):
             print(line)
+    print(fleet.members_line())
     findings = scenario.check(fleet, result, record)
     for line in findings.lines:
         print(line)
