Meta: Hold every call of the example to its retry budget

Cause: The bound on retries of one request over its whole chain is promised but was not looked at in the run.

Ways weighed: metrics of the nodes (the judged one judges itself) or the runs that backend servers recorded. Taken: the latter, by the root nonce.

Change: each attempt of a caller may run once at every service of its chain and the file's extra-attempts more; anything beyond is a fault of the run.

--- a/Meta/example/audit.py
+++ b/Meta/example/audit.py
@@ -26,6 +26,17 @@
     return faults
 
 
+def over_budget(record: list[dict], runs: list[dict], hops: dict[str, int], extra: int) -> list[str]:
+    """Calls that ran more often, over their whole chain, than the retry budget allows: each attempt of the caller may
+    run once at every service of its chain, and `extra` times more."""
+    spent = collections.Counter()
+    for it in runs:
+        for nonce, count in it["nonces"].items():
+            spent[nonce.split("/", 1)[0]] += count
+    return _describe([it for it in record if spent[it["nonce"]] > it["attempts"] * (hops[it["stream"]] + extra)],
+                     f"run more often than their services and {extra} extra attempts")
+
+
 def _describe(calls: list[dict], what: str) -> list[str]:
     if not calls:
         return []
--- a/Meta/run-example.py
+++ b/Meta/run-example.py
@@ -16,6 +16,7 @@
 import tempfile
 import threading
 import time
+import tomllib
 
 sys.dont_write_bytecode = True  # The tree stays clean.
 
@@ -141,7 +142,10 @@
     for line in findings.lines:
         print(line)
     faults += load_faults + findings.faults
-    faults += audit.audit(record + load.read_record(fleet, "warm-up"), runs)
+    record += load.read_record(fleet, "warm-up")
+    hops = {it.name: len(it.chain) for it in scenario.streams}
+    extra = tomllib.loads(arguments.config.read_text())["retry"]["extra-attempts"]
+    faults += audit.audit(record, runs) + audit.over_budget(record, runs, hops, extra)
     faults += [f"{it.name} ended by itself with {it.process.returncode}: {it.log_tail(2)}"
                for it in fleet.children.dead()]
     faults += fleet.stop()
