--- a/source/cli/StatusCommand.cpp
+++ b/source/cli/StatusCommand.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 
+#include <stairspur/cli/StoreCommands.h>
 #include <stairspur/core/Error.h>
 
 namespace stairspur::cli {
@@ -107,8 +108,9 @@
     for (const auto &[domain, versions] : node.domains) {
         report.text += "failure domain " + domain + ':';
         for (const auto &[version, nodes] : versions) {
-            report.text += " version " + std::to_string(version) + " on " + std::to_string(nodes)
-                           + (nodes == 1 ? " node" : " nodes");
+            report.text += report.text.back() == ':' ? " " : ", ";
+            report.text += version == 0 ? "no configuration" : "version " + std::to_string(version);
+            report.text += " on " + std::to_string(nodes) + (nodes == 1 ? " node" : " nodes");
             json[domain][std::to_string(version)] = nodes;
         }
         report.text += '\n';
@@ -143,10 +145,9 @@
     return report;
 }
 
-// FIXME: Read the head from the store once the module distribution offers it.
 auto runStatus() -> CommandReport
 {
-    return status({}, makeAdminSenderFromFlags());
+    return status(makeHeadReaderFromFlags(), makeAdminSenderFromFlags());
 }
 
 } // namespace stairspur::cli
--- a/source/transport/PeerClientLink.h
+++ b/source/transport/PeerClientLink.h
@@ -2,7 +2,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -12,27 +11,17 @@
 
 #include <stairspur/transport/PeerClient.h>
 
+#include "LinkWaiter.h"
 #include "PeerLink.h"
 
 namespace stairspur::transport {
 
-/// Somebody who waits for a link to be ready and then for an answer, each at most up to one deadline.
-class LinkWaiter
+/// What the links of one client share. It lives as long as any of them.
+struct PeerClientContext
 {
-public:
-    LinkWaiter(asio::io_context &io, Duration atMost)
-        : m_timer(io, atMost)
-    {}
-
-    /// Waits for wakeUp(). Whether the deadline has passed.
-    auto wait() -> Task<bool>;
-    auto wakeUp() -> void { m_timer.cancel(); }
-
-    std::optional<LinkMessage> answer;
-    bool isCancelled = false;
-
-private:
-    asio::steady_timer m_timer;
+    asio::io_context &io;
+    PeerSettings settings;
+    PeerTraffic traffic;
 };
 
 /// The connecting end of one link.
@@ -43,8 +32,7 @@
 public:
     using DidClose = std::function<void(bool wasReady)>;
 
-    PeerClientLink(asio::io_context &io, NodeId node, const PeerSettings &settings,
-                   PeerTraffic &traffic);
+    PeerClientLink(std::shared_ptr<PeerClientContext> context, NodeId node);
 
     /// Told once, when the link has closed, unless abort() ended it.
     auto setDidClose(DidClose didClose) -> void { m_didClose = std::move(didClose); }
@@ -66,7 +54,7 @@
     auto didBecomeReady() -> void override;
     auto isExpected(FrameKind kind, CallId id) -> bool override;
     auto didReceive(LinkMessage message) -> void override;
-    auto didRefuseBody(FrameKind kind, CallId id) -> void override;
+    auto didRefuse(FrameKind kind, CallId id, Reason reason) -> void override;
     auto didCancel(CallId id) -> void override;
     auto didFlush() -> void override;
     auto didClose(bool isGraceful, const std::string &why) -> void override;
@@ -79,10 +67,8 @@
     auto close(bool isGraceful, const std::string &why) -> void;
     auto closeIfReleased() -> void;
 
-    asio::io_context &m_io;
+    std::shared_ptr<PeerClientContext> m_context;
     NodeId m_node;
-    const PeerSettings &m_settings;
-    PeerTraffic &m_traffic;
     DidClose m_didClose;
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_connectTimer;
--- a/source/transport/PeerLink.cpp
+++ b/source/transport/PeerLink.cpp
@@ -1,11 +1,9 @@
 #include "PeerLink.h"
 
 #include <algorithm>
-#include <cassert>
 
 #include <stairspur/core/Error.h>
 #include <stairspur/core/Hash.h>
-#include <stairspur/log/Log.h>
 
 namespace stairspur::transport {
 
@@ -16,6 +14,10 @@
 /// A body's length is only announced, so its memory is taken in steps.
 static constexpr auto MaxReservedBytes = std::uint64_t{1} << 20U;
 
+/// Messages that may wait for each call that a link may carry, refusals included. Past them the far end sends without
+/// reading.
+static constexpr auto MessagesPerCall = std::size_t{2};
+
 /// Intervals without a byte after which a link is taken for broken.
 static constexpr auto MaxSilentTicks = 3U;
 
@@ -54,6 +56,11 @@
 {
     if (m_isClosing || m_isClosed)
         return;
+    const auto self = shared_from_this();
+    if (m_outgoing.size() >= MessagesPerCall * std::size_t{m_settings.maxCallsPerLink}) {
+        breakOff("the peer does not read what it is sent");
+        return;
+    }
     m_outgoing.push_back({kind, id, std::move(fields), std::move(body)});
     pump();
 }
@@ -197,7 +204,7 @@
     if (!m_observer.isExpected(frame.kind, frame.id))
         return;
     if (frame.bodyLength > m_settings.maxBodyBytes) {
-        m_observer.didRefuseBody(frame.kind, frame.id);
+        m_observer.didRefuse(frame.kind, frame.id, Reason::TooLarge);
         return;
     }
     auto incoming = Incoming();
@@ -212,9 +219,10 @@
         complete(std::move(incoming));
         return;
     }
-    if (m_incoming.size() >= m_settings.maxCallsPerLink)
-        throw InputError("the peer has begun too many messages at once",
-                         "give all nodes the same limits");
+    if (m_incoming.size() >= m_settings.maxCallsPerLink) {
+        m_observer.didRefuse(frame.kind, frame.id, Reason::QueueFull);
+        return;
+    }
     m_incoming.insert_or_assign(frame.id, std::move(incoming));
 }
 
@@ -333,10 +341,6 @@
 {
     if (m_isClosed)
         return;
-    log::Line(log::Severity::Warning, "link-broken")
-            .add("peer", m_farNode)
-            .add("remote", m_stream->remoteAddress())
-            .add("detail", why);
     abort();
     m_observer.didClose(false, why);
 }
