Admission: Lower the floor by what idle places can take

Cause: once the queue of one gate had emptied, its floor fell by steps that doubled in each window, faster than answers carry a floor to the entries. As the service's floor is the lowest of its gates', everything was let in and then refused by the deepest gate, after the work above it. Ruled out: steps of two levels while calls wait, doubling ones after. Change: a step is no greater than what the idle places take by the demand per level above the floor, times a gain of 0.15.

--- a/source/admission/FloorEstimator.cpp
+++ b/source/admission/FloorEstimator.cpp
@@ -26,9 +26,15 @@
 /// Visible levels of a class that are enough to tell the demand of the others.
 constexpr auto LevelsToExtrapolate = std::size_t{8};
 
-/// The first step of a falling floor; each further one may be twice as great. A class whose demand is not known is
-/// opened with care.
-constexpr auto FirstLowering = std::size_t{8};
+/// Share of the idle places that one step of a falling floor may fill, going by the demand above it: the levels below
+/// may bring more than is known, and what they bring shows only some windows later.
+constexpr auto LoweringGain = 0.15;
+
+/// The step of a floor that falls while no place is idle.
+constexpr auto BusyLowering = 2.0;
+
+/// Keeps a step finite where nobody calls, in calls per second and level.
+constexpr auto LeastRate = 1e-3;
 
 auto weightOf(Duration length, Duration memory) -> double
 {
@@ -76,7 +82,8 @@
         auto window = load;
         const auto microseconds = static_cast<double>(length.count());
         window.wait = Duration(std::llround(m_waitSum / microseconds));
-        moveFloor(fittingRate(window, m_busyMicroseconds / microseconds));
+        const auto used = m_busyMicroseconds / microseconds;
+        moveFloor(fittingRate(window, used), (1.0 - used) * load.capacity);
     }
     m_floors[m_nextFloor] = m_floor;
     m_nextFloor = (m_nextFloor + 1) % FloorsUnderWay;
@@ -122,17 +129,19 @@
                                     : share * load.capacity;
 }
 
-auto FloorEstimator::moveFloor(double fitting) -> void
+auto FloorEstimator::moveFloor(double fitting, double idle) -> void
 {
     const auto target = lowestLevelFor(fitting);
     if (target >= m_floor.value) {
         m_floor = Level{static_cast<std::uint16_t>(target)};
-        m_mostLowered = FirstLowering;
         return;
     }
-    const auto step = std::min(m_floor.value - target, m_mostLowered);
-    m_floor = Level{static_cast<std::uint16_t>(m_floor.value - step)};
-    m_mostLowered = std::min(m_mostLowered * 2, LevelCount);
+    const auto above = std::min<std::size_t>(m_floor.value + HashesPerClass, LevelCount);
+    const auto levels = static_cast<double>(above - m_floor.value);
+    const auto density = (sumFrom(m_floor.value) - sumFrom(above)) / std::max(levels, 1.0);
+    const auto careful = BusyLowering + LoweringGain * idle / std::max(density, LeastRate);
+    const auto step = std::min(static_cast<double>(m_floor.value - target), careful);
+    m_floor = Level{static_cast<std::uint16_t>(m_floor.value - static_cast<std::size_t>(step))};
 }
 
 auto FloorEstimator::visibleFrom() const -> std::size_t
--- a/source/admission/FloorEstimator.h
+++ b/source/admission/FloorEstimator.h
@@ -46,7 +46,7 @@
     auto endWindow(const Load &load, Duration length) -> void;
     auto learnRates(std::size_t visible, Duration length) -> void;
     auto extrapolate(std::size_t visible, Duration length) -> void;
-    auto moveFloor(double fitting) -> void;
+    auto moveFloor(double fitting, double idle) -> void;
     [[nodiscard]] auto fittingRate(const Load &load, double used) const -> double;
     [[nodiscard]] auto visibleFrom() const -> std::size_t;
     [[nodiscard]] auto sumFrom(std::size_t level) const -> double;
@@ -60,7 +60,6 @@
     std::array<Level, FloorsUnderWay> m_floors{};
     std::size_t m_nextFloor = 0;
     Level m_floor = LowestLevel;
-    std::size_t m_mostLowered = 0; ///< Levels by which the next step may lower the floor at most.
     TimePoint m_windowStart{};
     TimePoint m_lastObserved{};
     double m_busyMicroseconds = 0; ///< Sum over the window of the share of the limit in use.
