Admission: Keep the floor out of a class while a lower one waits here

Cause: at 5x the estimate put the floor into the top class for a second at a time, while the same gate had calls of the class below waiting: entries then refused important calls that the gate would have served first. Ruled out: a cap at the very level that waits. One old call could hold the floor down for its whole deadline, and all of its class would be let in. Change: the floor is no higher than the start of the class above the lowest call that waits.

--- a/source/admission/FloorEstimator.cpp
+++ b/source/admission/FloorEstimator.cpp
@@ -83,7 +83,9 @@
         const auto microseconds = static_cast<double>(length.count());
         window.wait = Duration(std::llround(m_waitSum / microseconds));
         const auto used = m_busyMicroseconds / microseconds;
-        moveFloor(fittingRate(window, used), (1.0 - used) * load.capacity);
+        const auto target = std::min(lowestLevelFor(fittingRate(window, used)),
+                                     highestFloorBeside(load.lowestWaiting));
+        moveFloor(target, (1.0 - used) * load.capacity);
     }
     m_floors[m_nextFloor] = m_floor;
     m_nextFloor = (m_nextFloor + 1) % FloorsUnderWay;
@@ -129,9 +131,16 @@
                                     : share * load.capacity;
 }
 
-auto FloorEstimator::moveFloor(double fitting, double idle) -> void
+auto FloorEstimator::highestFloorBeside(std::optional<Level> lowestWaiting) -> std::size_t
+{
+    // Entries must not refuse a class while this gate has calls of a lower one to serve.
+    if (!lowestWaiting)
+        return LevelCount;
+    return (lowestWaiting->value / HashesPerClass + 1U) * HashesPerClass;
+}
+
+auto FloorEstimator::moveFloor(std::size_t target, double idle) -> void
 {
-    const auto target = lowestLevelFor(fitting);
     if (target >= m_floor.value) {
         m_floor = Level{static_cast<std::uint16_t>(target)};
         return;
--- a/source/admission/FloorEstimator.h
+++ b/source/admission/FloorEstimator.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 
 #include <stairspur/core/Level.h>
 #include <stairspur/core/Time.h>
@@ -24,7 +25,8 @@
         Duration targetWait{0};     ///< The queue that is wanted under overload.
         std::uint32_t inFlight = 0; ///< Calls that run.
         std::uint32_t limit = 1;    ///< Calls that may run.
-        double capacity = 0;        ///< Calls per second when `limit` calls run.
+        std::optional<Level> lowestWaiting; ///< Of the calls that wait.
+        double capacity = 0;                ///< Calls per second when `limit` calls run.
     };
 
     /// A call came, whatever becomes of it.
@@ -46,7 +48,8 @@
     auto endWindow(const Load &load, Duration length) -> void;
     auto learnRates(std::size_t visible, Duration length) -> void;
     auto extrapolate(std::size_t visible, Duration length) -> void;
-    auto moveFloor(double fitting, double idle) -> void;
+    auto moveFloor(std::size_t target, double idle) -> void;
+    [[nodiscard]] static auto highestFloorBeside(std::optional<Level> lowestWaiting) -> std::size_t;
     [[nodiscard]] auto fittingRate(const Load &load, double used) const -> double;
     [[nodiscard]] auto visibleFrom() const -> std::size_t;
     [[nodiscard]] auto sumFrom(std::size_t level) const -> double;
--- a/source/admission/State.cpp
+++ b/source/admission/State.cpp
@@ -233,6 +233,8 @@
     auto load = FloorEstimator::Load();
     load.wait = m_queue.isEmpty() ? Duration(0) : waitBehind(queued() - 1);
     load.targetWait = targetWait(serviceTime);
+    if (!m_queue.isEmpty())
+        load.lowestWaiting = m_queue.last().level;
     load.inFlight = inFlight();
     load.limit = limit;
     if (serviceTime > Duration(0))
