Admission: Report the wait with those who overtake

Cause: two of three gates held all of the top class's calls while the third served the class below. Entries spill by the reported wait, which left out that a call at the floor lets all pass that come later and are greater. Calls of the top class with low hashes waited 1.6 s and were then refused. Ruled out here: spilling sooner at the entries, from a sixteenth of the time left on. Change: the reported wait is the queue over the places that calls at the floor and above leave over, one fifth at the least.

--- a/source/admission/FloorEstimator.h
+++ b/source/admission/FloorEstimator.h
@@ -39,6 +39,9 @@
     /// The lowest level to send.
     [[nodiscard]] auto floor() const -> Level { return m_floor; }
 
+    /// Calls per second that come at `level` and above, smoothed.
+    [[nodiscard]] auto rateFrom(Level level) const -> double { return sumFrom(level.value); }
+
 private:
     static constexpr auto LevelCount = std::size_t{ClosedLevel.value};
 
--- a/source/admission/State.cpp
+++ b/source/admission/State.cpp
@@ -20,6 +20,9 @@
 constexpr auto TargetShareOfServiceTime = 0.5;
 constexpr auto LeastTargetWait = Duration(5'000);
 
+/// Places that those who come later and are more important leave over, at the least: the arrivals are an estimate.
+constexpr auto LeastLeftShare = 0.2;
+
 auto targetWait(Duration serviceTime) -> Duration
 {
     const auto share = TargetShareOfServiceTime * static_cast<double>(serviceTime.count());
@@ -106,7 +109,7 @@
     report.inFlight = inFlight();
     report.queued = queued();
     const auto isFree = queued() == 0 && inFlight() < report.limit;
-    report.estimatedWait = isFree ? Duration(0) : waitBehind(queued());
+    report.estimatedWait = isFree ? Duration(0) : waitAtFloor();
     report.isDraining = m_isDraining;
     if (m_isDraining) {
         report.floors.assign(1, ClosedLevel);
@@ -214,6 +217,16 @@
     return m_serviceTime.mean() * (ahead + 1) / m_limit.limit();
 }
 
+auto AdmissionController::State::waitAtFloor() const -> Duration
+{
+    // A call at the floor lets all pass that come while it waits.
+    const auto serviceTime = static_cast<double>(m_serviceTime.mean().count());
+    const auto overtaking = m_floor.rateFrom(m_floor.floor()) * serviceTime / 1e6 / m_limit.limit();
+    const auto left = std::max(1.0 - overtaking, LeastLeftShare);
+    const auto wait = static_cast<double>(waitBehind(queued()).count()) / left;
+    return Duration(static_cast<Duration::rep>(wait));
+}
+
 auto AdmissionController::State::queueBound() const -> std::uint32_t
 {
     const auto serviceTime = m_serviceTime.mean();
--- a/source/admission/State.h
+++ b/source/admission/State.h
@@ -52,6 +52,7 @@
 
     /// Time until a waiting call is dispatched that has `ahead` calls before it, while no place is free.
     [[nodiscard]] auto waitBehind(std::uint32_t ahead) const -> Duration;
+    [[nodiscard]] auto waitAtFloor() const -> Duration;
     [[nodiscard]] auto isBelowDeeperFloor(Level level) const -> bool;
     [[nodiscard]] auto queueBound() const -> std::uint32_t;
 
