Admission: Send overtaken calls elsewhere while there is time

Cause: with the own failure domain first, one gate gets nearly as many calls of the top class as it can serve. Its calls with low hashes were overtaken for 1.6 s and refused when no other upstream could answer in time any more. Ruled out: spilling sooner at the entries. Change: a call that has waited for longer than the bound of the queue stands for is refused as evicted, with all that are lower, and none that is lower is let in before a call has left.

--- a/source/admission/State.cpp
+++ b/source/admission/State.cpp
@@ -48,7 +48,7 @@
     settle(std::nullopt, now, random, progress);
     const auto refusal = refusalOf(offer, now);
     if (refusal == Reason::None)
-        m_queue.push(offer);
+        m_queue.push(offer, now);
     else
         refuse(offer.id, refusal, random, progress);
     settle(offer.id, now, random, progress);
@@ -140,8 +140,9 @@
     if (isBelowDeeperFloor(offer.level))
         return Reason::BelowFloor;
     // Whoever is greater than a call that waits comes before it, whatever the floor.
-    const auto wouldBeLast = !m_queue.isEmpty() && offer.level <= m_queue.last().level;
-    if (wouldBeLast && offer.level < m_enforcedFloor)
+    const auto comesBefore = !m_queue.isEmpty() && offer.level > m_queue.last().level;
+    const auto isFree = inFlight() < m_limit.limit();
+    if (!comesBefore && !isFree && offer.level < m_enforcedFloor)
         return Reason::BelowFloor;
     return Reason::None;
 }
@@ -157,6 +158,7 @@
     if (!newcomer && queued() < before)
         didDropLoad();
     boundQueue(newcomer, random, progress);
+    refuseOvertaken(now, random, progress);
 }
 
 auto AdmissionController::State::refuseBelowDeeperFloors(Random &random, Progress &progress) -> void
@@ -207,6 +209,22 @@
     }
 }
 
+auto AdmissionController::State::refuseOvertaken(TimePoint now, Random &random, Progress &progress)
+        -> void
+{
+    const auto level = m_queue.greatestLevelSince(now - longestWait());
+    if (!level)
+        return;
+    // Greater calls keep coming in its place here, but another upstream may have room while there is time. Those behind
+    // it have even less to hope for, and must not be served in its stead.
+    const auto isOvertaken = [&](const CallOffer &call, std::uint32_t) {
+        return call.level <= *level;
+    };
+    for (const auto &it : m_queue.removeIf(isOvertaken))
+        refuse(it.id, Reason::Evicted, random, progress);
+    m_enforcedFloor = std::max(m_enforcedFloor, *level);
+}
+
 auto AdmissionController::State::boundQueue(std::optional<CallId> newcomer, Random &random,
                                             Progress &progress) -> void
 {
@@ -229,6 +247,11 @@
     return m_serviceTime.mean() * (ahead + 1) / m_limit.limit();
 }
 
+auto AdmissionController::State::longestWait() const -> Duration
+{
+    return std::max(m_serviceTime.mean() * BoundInServiceTimes, ShortestBound);
+}
+
 auto AdmissionController::State::waitAtFloor() const -> Duration
 {
     // A call at the floor lets all pass that come while it waits.
@@ -244,8 +267,7 @@
     const auto serviceTime = m_serviceTime.mean();
     if (serviceTime <= Duration(0))
         return m_settings.maxQueue;
-    const auto longest = std::max(serviceTime * BoundInServiceTimes, ShortestBound);
-    const auto calls = longest.count() * m_limit.limit() / serviceTime.count();
+    const auto calls = longestWait().count() * m_limit.limit() / serviceTime.count();
     const auto least = std::min(LeastQueueBound, m_settings.maxQueue);
     return static_cast<std::uint32_t>(std::clamp<Duration::rep>(calls, least, m_settings.maxQueue));
 }
--- a/source/admission/WaitingQueue.cpp
+++ b/source/admission/WaitingQueue.cpp
@@ -6,13 +6,13 @@
 
 namespace stairspur::admission {
 
-auto WaitingQueue::push(const CallOffer &offer) -> void
+auto WaitingQueue::push(const CallOffer &offer, TimePoint now) -> void
 {
     const auto key = Key{offer.level, m_nextArrival++};
     const auto isNew = m_keys.emplace(offer.id, key).second;
     assert(isNew && "a call id waits only once");
     if (isNew)
-        m_calls.emplace(key, offer);
+        m_calls.emplace(key, Waiting{offer, now});
 }
 
 auto WaitingQueue::popFirst() -> CallOffer
@@ -30,7 +30,7 @@
 auto WaitingQueue::last() const -> const CallOffer &
 {
     assert(!isEmpty());
-    return m_calls.rbegin()->second;
+    return m_calls.rbegin()->second.offer;
 }
 
 auto WaitingQueue::remove(CallId id) -> bool
@@ -43,6 +43,15 @@
     return true;
 }
 
+auto WaitingQueue::greatestLevelSince(TimePoint time) const -> std::optional<Level>
+{
+    for (const auto &[key, waiting] : m_calls) {
+        if (waiting.since < time)
+            return key.level;
+    }
+    return std::nullopt;
+}
+
 auto WaitingQueue::countAhead(Level level) const -> std::uint32_t
 {
     // The queue is bounded to a few hundred calls, so that walking it costs less than keeping counts by level.
@@ -55,9 +64,9 @@
     return static_cast<std::uint32_t>(m_calls.size());
 }
 
-auto WaitingQueue::take(std::map<Key, CallOffer>::iterator it) -> CallOffer
+auto WaitingQueue::take(std::map<Key, Waiting>::iterator it) -> CallOffer
 {
-    const auto offer = it->second;
+    const auto offer = it->second.offer;
     m_keys.erase(offer.id);
     m_calls.erase(it);
     return offer;
--- a/source/admission/WaitingQueue.h
+++ b/source/admission/WaitingQueue.h
@@ -15,7 +15,7 @@
 class WaitingQueue
 {
 public:
-    auto push(const CallOffer &offer) -> void;
+    auto push(const CallOffer &offer, TimePoint now) -> void;
 
     /// Takes the call that is next. The queue is not empty.
     auto popFirst() -> CallOffer;
@@ -29,6 +29,9 @@
     /// Takes out one call. False when it does not wait here.
     auto remove(CallId id) -> bool;
 
+    /// The greatest level of the calls that came before `time`; nothing when there is none.
+    [[nodiscard]] auto greatestLevelSince(TimePoint time) const -> std::optional<Level>;
+
     /// How many waiting calls would be served before a call of `level` that came now.
     [[nodiscard]] auto countAhead(Level level) const -> std::uint32_t;
 
@@ -43,13 +46,13 @@
         auto removed = std::vector<CallOffer>();
         auto position = std::uint32_t{0};
         for (auto it = m_calls.begin(); it != m_calls.end();) {
-            if (!shouldRemove(it->second, position)) {
+            if (!shouldRemove(it->second.offer, position)) {
                 ++position;
                 ++it;
                 continue;
             }
-            removed.push_back(it->second);
-            m_keys.erase(it->second.id);
+            removed.push_back(it->second.offer);
+            m_keys.erase(it->second.offer.id);
             it = m_calls.erase(it);
         }
         return removed;
@@ -67,9 +70,15 @@
         }
     };
 
-    auto take(std::map<Key, CallOffer>::iterator it) -> CallOffer;
+    struct Waiting
+    {
+        CallOffer offer;
+        TimePoint since;
+    };
+
+    auto take(std::map<Key, Waiting>::iterator it) -> CallOffer;
 
-    std::map<Key, CallOffer> m_calls;
+    std::map<Key, Waiting> m_calls;
     std::unordered_map<CallId, Key> m_keys;
     std::uint64_t m_nextArrival = 0;
 };
