Admission: Count dispatches, not time, to tell who is overtaken

Cause: a backend server that stops for a moment dispatches nothing, and its waiting calls were refused as overtaken though nobody had passed them. Ruled out: a longer time, which only moves the same fault. Change: a call is overtaken once as many calls as the queue holds have been dispatched since it came.

--- a/source/admission/State.cpp
+++ b/source/admission/State.cpp
@@ -48,7 +48,7 @@
     settle(std::nullopt, now, random, progress);
     const auto refusal = refusalOf(offer, now);
     if (refusal == Reason::None)
-        m_queue.push(offer, now);
+        m_queue.push(offer);
     else
         refuse(offer.id, refusal, random, progress);
     settle(offer.id, now, random, progress);
@@ -158,7 +158,7 @@
     if (!newcomer && queued() < before)
         didDropLoad();
     boundQueue(newcomer, random, progress);
-    refuseOvertaken(now, random, progress);
+    refuseOvertaken(random, progress);
 }
 
 auto AdmissionController::State::refuseBelowDeeperFloors(Random &random, Progress &progress) -> void
@@ -209,10 +209,9 @@
     }
 }
 
-auto AdmissionController::State::refuseOvertaken(TimePoint now, Random &random, Progress &progress)
-        -> void
+auto AdmissionController::State::refuseOvertaken(Random &random, Progress &progress) -> void
 {
-    const auto level = m_queue.greatestLevelSince(now - longestWait());
+    const auto level = m_queue.greatestOvertaken(queueBound());
     if (!level)
         return;
     // Greater calls keep coming in its place here, but another upstream may have room while there is time. Those behind
@@ -247,11 +246,6 @@
     return m_serviceTime.mean() * (ahead + 1) / m_limit.limit();
 }
 
-auto AdmissionController::State::longestWait() const -> Duration
-{
-    return std::max(m_serviceTime.mean() * BoundInServiceTimes, ShortestBound);
-}
-
 auto AdmissionController::State::waitAtFloor() const -> Duration
 {
     // A call at the floor lets all pass that come while it waits.
@@ -267,7 +261,8 @@
     const auto serviceTime = m_serviceTime.mean();
     if (serviceTime <= Duration(0))
         return m_settings.maxQueue;
-    const auto calls = longestWait().count() * m_limit.limit() / serviceTime.count();
+    const auto longest = std::max(serviceTime * BoundInServiceTimes, ShortestBound);
+    const auto calls = longest.count() * m_limit.limit() / serviceTime.count();
     const auto least = std::min(LeastQueueBound, m_settings.maxQueue);
     return static_cast<std::uint32_t>(std::clamp<Duration::rep>(calls, least, m_settings.maxQueue));
 }
--- a/source/admission/State.h
+++ b/source/admission/State.h
@@ -47,15 +47,12 @@
     auto refuseBelowDeeperFloors(Random &random, Progress &progress) -> void;
     auto dispatchFree(TimePoint now, Random &random, Progress &progress) -> void;
     auto refuseHopeless(TimePoint now, Random &random, Progress &progress) -> void;
-    auto refuseOvertaken(TimePoint now, Random &random, Progress &progress) -> void;
+    auto refuseOvertaken(Random &random, Progress &progress) -> void;
     auto boundQueue(std::optional<CallId> newcomer, Random &random, Progress &progress) -> void;
     auto refuse(CallId id, Reason reason, Random &random, Progress &progress) -> void;
 
     /// Time until a waiting call is dispatched that has `ahead` calls before it, while no place is free.
     [[nodiscard]] auto waitBehind(std::uint32_t ahead) const -> Duration;
-
-    /// The longest that a call waits here: it may go elsewhere instead.
-    [[nodiscard]] auto longestWait() const -> Duration;
     [[nodiscard]] auto waitAtFloor() const -> Duration;
     [[nodiscard]] auto isBelowDeeperFloor(Level level) const -> bool;
     [[nodiscard]] auto queueBound() const -> std::uint32_t;
--- a/source/admission/WaitingQueue.cpp
+++ b/source/admission/WaitingQueue.cpp
@@ -6,18 +6,19 @@
 
 namespace stairspur::admission {
 
-auto WaitingQueue::push(const CallOffer &offer, TimePoint now) -> void
+auto WaitingQueue::push(const CallOffer &offer) -> void
 {
     const auto key = Key{offer.level, m_nextArrival++};
     const auto isNew = m_keys.emplace(offer.id, key).second;
     assert(isNew && "a call id waits only once");
     if (isNew)
-        m_calls.emplace(key, Waiting{offer, now});
+        m_calls.emplace(key, Waiting{offer, m_taken});
 }
 
 auto WaitingQueue::popFirst() -> CallOffer
 {
     assert(!isEmpty());
+    ++m_taken;
     return take(m_calls.begin());
 }
 
@@ -43,10 +44,10 @@
     return true;
 }
 
-auto WaitingQueue::greatestLevelSince(TimePoint time) const -> std::optional<Level>
+auto WaitingQueue::greatestOvertaken(std::uint64_t count) const -> std::optional<Level>
 {
     for (const auto &[key, waiting] : m_calls) {
-        if (waiting.since < time)
+        if (m_taken - waiting.takenBefore >= count)
             return key.level;
     }
     return std::nullopt;
--- a/source/admission/WaitingQueue.h
+++ b/source/admission/WaitingQueue.h
@@ -15,7 +15,7 @@
 class WaitingQueue
 {
 public:
-    auto push(const CallOffer &offer, TimePoint now) -> void;
+    auto push(const CallOffer &offer) -> void;
 
     /// Takes the call that is next. The queue is not empty.
     auto popFirst() -> CallOffer;
@@ -29,8 +29,9 @@
     /// Takes out one call. False when it does not wait here.
     auto remove(CallId id) -> bool;
 
-    /// The greatest level of the calls that came before `time`; nothing when there is none.
-    [[nodiscard]] auto greatestLevelSince(TimePoint time) const -> std::optional<Level>;
+    /// The greatest level of the calls that saw at least `count` others taken by popFirst() since they came; nothing when
+    /// there is none.
+    [[nodiscard]] auto greatestOvertaken(std::uint64_t count) const -> std::optional<Level>;
 
     /// How many waiting calls would be served before a call of `level` that came now.
     [[nodiscard]] auto countAhead(Level level) const -> std::uint32_t;
@@ -73,7 +74,7 @@
     struct Waiting
     {
         CallOffer offer;
-        TimePoint since;
+        std::uint64_t takenBefore = 0; ///< Calls that popFirst() had taken when it came.
     };
 
     auto take(std::map<Key, Waiting>::iterator it) -> CallOffer;
@@ -81,6 +82,7 @@
     std::map<Key, Waiting> m_calls;
     std::unordered_map<CallId, Key> m_keys;
     std::uint64_t m_nextArrival = 0;
+    std::uint64_t m_taken = 0; ///< By popFirst().
 };
 
 } // namespace stairspur::admission
