--- a/tests/admission/Gate.h
+++ b/tests/admission/Gate.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <vector>
 
 #include <stairspur/admission/AdmissionController.h>
@@ -23,12 +24,14 @@
 
     auto offer(CallId id, Level level, Duration remaining = 2000_ms) -> Progress
     {
+        levels[id] = level;
         return note(controller.offer({id, level, now + remaining}, now, random));
     }
 
     auto complete(CallId id, Completion completion = Completion::Succeeded,
                   Duration latency = 10_ms) -> Progress
     {
+        ended.insert(id);
         running.erase(std::find(running.begin(), running.end(), id));
         return note(controller.didComplete(id, completion, latency, now, random));
     }
@@ -40,6 +43,18 @@
         return complete(running.front(), completion, latency);
     }
 
+    /// The lowest level that waits; ClosedLevel when nobody does.
+    [[nodiscard]] auto lowestWaiting() const -> Level
+    {
+        auto lowest = ClosedLevel;
+        for (const auto &[id, level] : levels) {
+            const auto isRunning = std::find(running.begin(), running.end(), id) != running.end();
+            if (!isRunning && !refused.contains(id) && !ended.contains(id))
+                lowest = std::min(lowest, level);
+        }
+        return lowest;
+    }
+
     auto pass(Duration time) -> Progress
     {
         now += time;
@@ -60,6 +75,8 @@
     TimePoint now{1000_ms};
     std::vector<CallId> running; ///< In the order of dispatch.
     std::map<CallId, Reason> refused;
+    std::map<CallId, Level> levels;
+    std::set<CallId> ended;
 };
 
 /// A gate whose limit stands at `slots` and whose service time is known to be 10 ms.
--- a/tests/admission/TestAdmissionController.cpp
+++ b/tests/admission/TestAdmissionController.cpp
@@ -243,3 +243,32 @@
     cr_assert(after.inFlight == 2 && after.queued == 3);
     cr_assert(after.estimatedWait == 20_ms);
 }
+
+Test(AdmissionController, overtakenCallsAreRefusedWithAllBelow)
+{
+    auto gate = warmGate(1, 6);
+    gate.offer(1, makeLevel(0, 0));
+    gate.offer(2, makeLevel(1, 5)); // Is overtaken by all that follow.
+    gate.offer(3, makeLevel(1, 4));
+    gate.offer(4, makeLevel(1, 6));
+    for (auto id = CallId{10}; id < 15; ++id) {
+        gate.offer(id, makeLevel(0, 0));
+        gate.completeOldest();
+        cr_assert(gate.refused.empty(), "refused after %lu", id);
+    }
+    gate.offer(15, makeLevel(0, 0));
+    gate.completeOldest();
+    cr_assert(gate.refused.contains(2) && gate.refused.contains(3));
+    cr_assert(gate.refused[4] == Reason::Evicted && gate.refused[2] == Reason::Evicted);
+    gate.offer(20, makeLevel(1, 3));
+    cr_assert(gate.refused[20] == Reason::BelowFloor, "must not take the place of the refused");
+}
+
+Test(AdmissionController, stalledBackendRefusesNobodyBeforeItsTime)
+{
+    auto gate = warmGate(2);
+    for (auto id = CallId{1}; id <= 6; ++id)
+        gate.offer(id, makeLevel(0, 0), 2000_ms);
+    gate.pass(1500_ms);
+    cr_assert(gate.refused.empty());
+}
--- a/tests/admission/TestFloors.cpp
+++ b/tests/admission/TestFloors.cpp
@@ -169,3 +169,33 @@
     cr_assert(gate.refused.empty());
     cr_assert_eq(gate.controller.report(gate.now).floorFor(0).value, LowestLevel.value);
 }
+
+Test(Floors, stayOutOfAClassWhileALowerOneWaits)
+{
+    auto gate = warmGate(2);
+    auto next = CallId{1};
+    for (auto i = 0; i < 200; ++i) {
+        gate.pass(5_ms);
+        if (!gate.running.empty())
+            gate.completeOldest();
+        for (auto n = 0; n < 4; ++n, ++next)
+            gate.offer(next, makeLevel(n < 3 ? 0 : 1, next * 7));
+        const auto report = gate.controller.report(gate.now);
+        const auto hasLower = gate.lowestWaiting() < makeLevel(0, 0);
+        cr_assert(!hasLower || report.floorFor(0) <= makeLevel(0, 0));
+    }
+    cr_assert(gate.controller.report(gate.now).floorFor(0) > makeLevel(1, 0));
+}
+
+Test(Floors, areEnforcedOnWhoWouldBeLastInAFullGate)
+{
+    auto demand = Demand();
+    demand.run(3.0, 2000_ms);
+    auto &gate = demand.gate;
+    const auto floor = demand.floor();
+    cr_assert(gate.controller.queued() > 0 && floor > makeLevel(2, 127));
+    gate.offer(1'000'001, makeLevel(3, 0));
+    cr_assert(gate.refused[1'000'001] == Reason::BelowFloor);
+    gate.offer(1'000'002, makeLevel(0, 127));
+    cr_assert(!gate.refused.contains(1'000'002));
+}
