Admission: Keep the settings of the compared gate private

Cause: the linter asks another name for protected members. Ruled out: a NOLINT, since nothing needs the access. Change: the member is private; nothing else differs. Conclusion: lint clean.

--- a/tests/measure/overload/Gates.h
+++ b/tests/measure/overload/Gates.h
@@ -92,9 +92,6 @@
         return report;
     }
 
-protected:
-    AdmissionSettings m_settings; // NOLINT(misc-non-private-member-variables-in-classes)
-
 private:
     auto dispatch(TimePoint now, Progress &progress) -> void
     {
@@ -111,6 +108,7 @@
         }
     }
 
+    AdmissionSettings m_settings;
     std::deque<CallOffer> m_queue;
     std::unordered_set<CallId> m_running;
     std::uint64_t m_sequence = 0;
