Admission: Let the measurement overstate the reported slots

Cause: load endpoints mislead; the limit trusts the slots as its upper bound. Ruled out: a model of its own for it; the deepest service just reports a multiple of the slots that it works on, and queues the rest in itself.

--- a/tests/measure/overload/Host.h
+++ b/tests/measure/overload/Host.h
@@ -24,6 +24,7 @@
         NodeId node;
         std::string domain;
         std::uint32_t maxQueue = 256;
+        std::uint32_t reportedSlots = 1;
         bool hasFloors = true;
         std::uint32_t classes = 1;
     };
@@ -33,7 +34,7 @@
         , m_events(events)
         , m_random(random)
         , m_backend(model, events, random)
-        , m_gate(admissionSettings(settings, model))
+        , m_gate(admissionSettings(settings))
     {
         tick();
     }
@@ -80,12 +81,11 @@
 
     static constexpr auto TickLength = Duration(5'000);
 
-    static auto admissionSettings(const Settings &settings, const ServiceModel &model)
-            -> AdmissionSettings
+    static auto admissionSettings(const Settings &settings) -> AdmissionSettings
     {
         auto result = AdmissionSettings();
         result.maxQueue = settings.maxQueue;
-        result.reportedSlots = model.slots;
+        result.reportedSlots = settings.reportedSlots;
         return result;
     }
 
--- a/tests/measure/overload/Main.cpp
+++ b/tests/measure/overload/Main.cpp
@@ -13,6 +13,8 @@
 DEFINE_bool(honour_retry_after, false, "Clients wait as long as a refusal tells them");
 DEFINE_string(deployment, "", "Only this deployment: association or kargoleaf");
 DEFINE_string(policy, "", "Only this policy");
+DEFINE_double(reported_slots, 1,
+              "Slots that the deepest backend servers report, over those they have");
 DEFINE_double(overload, 0, "Only this overload; 0 runs 2 and 5");
 
 using namespace stairspur;
@@ -44,6 +46,7 @@
                 scenario.deployment = deployment;
                 scenario.overload = overload;
                 scenario.seed = FLAGS_seed;
+                scenario.reportedSlots = FLAGS_reported_slots;
                 scenario.clients.honoursRetryAfter = FLAGS_honour_retry_after;
                 runs.push_back({scenario, policy, runScenario(scenario, policy)});
             }
--- a/tests/measure/overload/Simulation.h
+++ b/tests/measure/overload/Simulation.h
@@ -24,6 +24,8 @@
     double slowdown = 1.5;         ///< Of the deepest service's work during the surge.
     double loadBefore = 0.7;       ///< Demand before and after, as a share of the capacity.
     std::uint32_t retryBudget = 3; ///< Extra dispatches of one root request.
+    double reportedSlots =
+            1.0; ///< What the deepest backend servers report, over the slots that they have.
     std::uint64_t seed = 1;
     Phases phases;
     ClientSettings clients;
@@ -95,9 +97,17 @@
         settings.hasFloors = m_traits.hasFloors;
         settings.classes = static_cast<std::uint32_t>(m_scenario.clients.classShares.size());
         const auto &model = m_scenario.deployment.chain[service];
+        settings.reportedSlots = reportedSlotsOf(service);
         m_hosts[service].push_back(std::make_unique<Node>(settings, model, m_events, m_random));
     }
 
+    [[nodiscard]] auto reportedSlotsOf(std::size_t service) const -> std::uint32_t
+    {
+        const auto &chain = m_scenario.deployment.chain;
+        const auto factor = service + 1 == chain.size() ? m_scenario.reportedSlots : 1.0;
+        return static_cast<std::uint32_t>(chain[service].slots * factor);
+    }
+
     auto connectHosts() -> void
     {
         for (std::size_t service = 0; service + 1 < m_hosts.size(); ++service) {
@@ -121,7 +131,7 @@
         settings.isRoot = isRoot;
         auto upstreams = std::vector<routing::Upstream>();
         for (const auto &it : m_hosts[service])
-            upstreams.push_back({it->node(), it->domain(), 1, model.slots, false});
+            upstreams.push_back({it->node(), it->domain(), 1, reportedSlotsOf(service), false});
         return std::make_unique<Entry<Node>>(settings, m_hosts[service], upstreams, m_events,
                                              m_random);
     }
