--- a/source/admission/FloorEstimator.h
+++ b/source/admission/FloorEstimator.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
+#include <optional>
 
 #include <stairspur/core/Level.h>
 #include <stairspur/core/Time.h>
@@ -9,7 +11,7 @@
 namespace stairspur::admission {
 
 /// The level from which on the gate can serve what comes: what it advertises, so that entries refuse the rest before any
-/// work. It enforces nothing; the order of the queue decides who is served.
+/// work. The order of the queue decides who is served; the gate itself refuses only what no entry should have sent.
 ///
 /// Like DAGOR (Zhou et al., SoCC 2018) it counts the calls of each level, and puts the floor where the levels above it
 /// bring as many calls as fit. What fits is the capacity, less what a long queue has to make up for, more what a short
@@ -24,7 +26,8 @@
         Duration targetWait{0};     ///< The queue that is wanted under overload.
         std::uint32_t inFlight = 0; ///< Calls that run.
         std::uint32_t limit = 1;    ///< Calls that may run.
-        double capacity = 0;        ///< Calls per second when `limit` calls run.
+        std::optional<Level> lowestWaiting; ///< Of the calls that wait.
+        double capacity = 0;                ///< Calls per second when `limit` calls run.
     };
 
     /// A call came, whatever becomes of it.
@@ -37,6 +40,15 @@
     /// The lowest level to send.
     [[nodiscard]] auto floor() const -> Level { return m_floor; }
 
+    /// The lowest floor that some entry may still go by: a call below it was not sent in good faith.
+    [[nodiscard]] auto oldestFloor() const -> Level
+    {
+        return *std::min_element(m_floors.begin(), m_floors.end());
+    }
+
+    /// Calls per second that come at `level` and above, smoothed.
+    [[nodiscard]] auto rateFrom(Level level) const -> double { return sumFrom(level.value); }
+
 private:
     static constexpr auto LevelCount = std::size_t{ClosedLevel.value};
 
@@ -46,7 +58,8 @@
     auto endWindow(const Load &load, Duration length) -> void;
     auto learnRates(std::size_t visible, Duration length) -> void;
     auto extrapolate(std::size_t visible, Duration length) -> void;
-    auto moveFloor(double fitting) -> void;
+    auto moveFloor(std::size_t target, double idle) -> void;
+    [[nodiscard]] static auto highestFloorBeside(std::optional<Level> lowestWaiting) -> std::size_t;
     [[nodiscard]] auto fittingRate(const Load &load, double used) const -> double;
     [[nodiscard]] auto visibleFrom() const -> std::size_t;
     [[nodiscard]] auto sumFrom(std::size_t level) const -> double;
@@ -60,7 +73,6 @@
     std::array<Level, FloorsUnderWay> m_floors{};
     std::size_t m_nextFloor = 0;
     Level m_floor = LowestLevel;
-    std::size_t m_mostLowered = 0; ///< Levels by which the next step may lower the floor at most.
     TimePoint m_windowStart{};
     TimePoint m_lastObserved{};
     double m_busyMicroseconds = 0; ///< Sum over the window of the share of the limit in use.
--- a/source/admission/State.cpp
+++ b/source/admission/State.cpp
@@ -20,6 +20,9 @@
 constexpr auto TargetShareOfServiceTime = 0.5;
 constexpr auto LeastTargetWait = Duration(5'000);
 
+/// Places that those who come later and are more important leave over, at the least: the arrivals are an estimate.
+constexpr auto LeastLeftShare = 0.2;
+
 auto targetWait(Duration serviceTime) -> Duration
 {
     const auto share = TargetShareOfServiceTime * static_cast<double>(serviceTime.count());
@@ -41,6 +44,8 @@
     auto progress = Progress();
     m_retryAfter.didOffer();
     m_floor.didArrive(offer.level);
+    // Those who have become hopeless leave first: the newcomer is judged by the queue that it really meets.
+    settle(std::nullopt, now, random, progress);
     const auto refusal = refusalOf(offer, now);
     if (refusal == Reason::None)
         m_queue.push(offer);
@@ -60,6 +65,7 @@
         assert(false && "only a dispatched call can complete, and only once");
         return progress;
     }
+    didDropLoad();
     m_limit.didComplete({completion, latency, m_serviceTime.mean(), inFlightBefore}, now);
     if (completion == Completion::Succeeded)
         m_serviceTime.didMeasure(latency);
@@ -73,6 +79,7 @@
 {
     observe(now);
     auto progress = Progress();
+    didDropLoad();
     if (m_queue.remove(id))
         settle(std::nullopt, now, random, progress);
     return progress;
@@ -106,7 +113,7 @@
     report.inFlight = inFlight();
     report.queued = queued();
     const auto isFree = queued() == 0 && inFlight() < report.limit;
-    report.estimatedWait = isFree ? Duration(0) : waitBehind(queued());
+    report.estimatedWait = isFree ? Duration(0) : waitAtFloor();
     report.isDraining = m_isDraining;
     if (m_isDraining) {
         report.floors.assign(1, ClosedLevel);
@@ -132,6 +139,11 @@
         return Reason::DeadlineExceeded;
     if (isBelowDeeperFloor(offer.level))
         return Reason::BelowFloor;
+    // Whoever is greater than a call that waits comes before it, whatever the floor.
+    const auto comesBefore = !m_queue.isEmpty() && offer.level > m_queue.last().level;
+    const auto isFree = inFlight() < m_limit.limit();
+    if (!comesBefore && !isFree && offer.level < m_enforcedFloor)
+        return Reason::BelowFloor;
     return Reason::None;
 }
 
@@ -140,8 +152,13 @@
 {
     refuseBelowDeeperFloors(random, progress);
     dispatchFree(now, random, progress);
+    const auto before = queued();
     refuseHopeless(now, random, progress);
+    // Where a newcomer makes others hopeless, load has grown.
+    if (!newcomer && queued() < before)
+        didDropLoad();
     boundQueue(newcomer, random, progress);
+    refuseOvertaken(random, progress);
 }
 
 auto AdmissionController::State::refuseBelowDeeperFloors(Random &random, Progress &progress) -> void
@@ -192,6 +209,21 @@
     }
 }
 
+auto AdmissionController::State::refuseOvertaken(Random &random, Progress &progress) -> void
+{
+    const auto level = m_queue.greatestOvertaken(queueBound());
+    if (!level)
+        return;
+    // Greater calls keep coming in its place here, but another upstream may have room while there is time. Those behind
+    // it have even less to hope for, and must not be served in its stead.
+    const auto isOvertaken = [&](const CallOffer &call, std::uint32_t) {
+        return call.level <= *level;
+    };
+    for (const auto &it : m_queue.removeIf(isOvertaken))
+        refuse(it.id, Reason::Evicted, random, progress);
+    m_enforcedFloor = std::max(m_enforcedFloor, *level);
+}
+
 auto AdmissionController::State::boundQueue(std::optional<CallId> newcomer, Random &random,
                                             Progress &progress) -> void
 {
@@ -214,6 +246,16 @@
     return m_serviceTime.mean() * (ahead + 1) / m_limit.limit();
 }
 
+auto AdmissionController::State::waitAtFloor() const -> Duration
+{
+    // A call at the floor lets all pass that come while it waits.
+    const auto serviceTime = static_cast<double>(m_serviceTime.mean().count());
+    const auto overtaking = m_floor.rateFrom(m_floor.floor()) * serviceTime / 1e6 / m_limit.limit();
+    const auto left = std::max(1.0 - overtaking, LeastLeftShare);
+    const auto wait = static_cast<double>(waitBehind(queued()).count()) / left;
+    return Duration(static_cast<Duration::rep>(wait));
+}
+
 auto AdmissionController::State::queueBound() const -> std::uint32_t
 {
     const auto serviceTime = m_serviceTime.mean();
@@ -233,11 +275,19 @@
     auto load = FloorEstimator::Load();
     load.wait = m_queue.isEmpty() ? Duration(0) : waitBehind(queued() - 1);
     load.targetWait = targetWait(serviceTime);
+    if (!m_queue.isEmpty())
+        load.lowestWaiting = m_queue.last().level;
     load.inFlight = inFlight();
     load.limit = limit;
     if (serviceTime > Duration(0))
         load.capacity = 1e6 * limit / static_cast<double>(serviceTime.count());
     m_floor.didObserve(load, now);
+    m_enforcedFloor = std::max(m_enforcedFloor, m_floor.oldestFloor());
+}
+
+auto AdmissionController::State::didDropLoad() -> void
+{
+    m_enforcedFloor = m_floor.oldestFloor();
 }
 
 } // namespace stairspur::admission
--- a/source/admission/State.h
+++ b/source/admission/State.h
@@ -47,22 +47,30 @@
     auto refuseBelowDeeperFloors(Random &random, Progress &progress) -> void;
     auto dispatchFree(TimePoint now, Random &random, Progress &progress) -> void;
     auto refuseHopeless(TimePoint now, Random &random, Progress &progress) -> void;
+    auto refuseOvertaken(Random &random, Progress &progress) -> void;
     auto boundQueue(std::optional<CallId> newcomer, Random &random, Progress &progress) -> void;
     auto refuse(CallId id, Reason reason, Random &random, Progress &progress) -> void;
 
     /// Time until a waiting call is dispatched that has `ahead` calls before it, while no place is free.
     [[nodiscard]] auto waitBehind(std::uint32_t ahead) const -> Duration;
+    [[nodiscard]] auto waitAtFloor() const -> Duration;
     [[nodiscard]] auto isBelowDeeperFloor(Level level) const -> bool;
     [[nodiscard]] auto queueBound() const -> std::uint32_t;
 
     /// Lets everything that follows time know of it. Call before any change.
     auto observe(TimePoint now) -> void;
 
+    /// A call has left: the enforced floor may fall.
+    auto didDropLoad() -> void;
+
     AdmissionSettings m_settings;
     AdaptiveLimit m_limit;
     ServiceTime m_serviceTime;
     WaitingQueue m_queue;
     FloorEstimator m_floor;
+    /// Arriving calls below it are refused, unless they come before one that waits. Follows the floors that entries may
+    /// still go by, but never falls while load only grows: what was refused must not be let in from others.
+    Level m_enforcedFloor = LowestLevel;
     DeeperFloors m_deeper;
     RetryAfter m_retryAfter;
     std::unordered_set<CallId> m_running;
--- a/source/admission/WaitingQueue.cpp
+++ b/source/admission/WaitingQueue.cpp
@@ -12,12 +12,13 @@
     const auto isNew = m_keys.emplace(offer.id, key).second;
     assert(isNew && "a call id waits only once");
     if (isNew)
-        m_calls.emplace(key, offer);
+        m_calls.emplace(key, Waiting{offer, m_taken});
 }
 
 auto WaitingQueue::popFirst() -> CallOffer
 {
     assert(!isEmpty());
+    ++m_taken;
     return take(m_calls.begin());
 }
 
@@ -30,7 +31,7 @@
 auto WaitingQueue::last() const -> const CallOffer &
 {
     assert(!isEmpty());
-    return m_calls.rbegin()->second;
+    return m_calls.rbegin()->second.offer;
 }
 
 auto WaitingQueue::remove(CallId id) -> bool
@@ -43,6 +44,15 @@
     return true;
 }
 
+auto WaitingQueue::greatestOvertaken(std::uint64_t count) const -> std::optional<Level>
+{
+    for (const auto &[key, waiting] : m_calls) {
+        if (m_taken - waiting.takenBefore >= count)
+            return key.level;
+    }
+    return std::nullopt;
+}
+
 auto WaitingQueue::countAhead(Level level) const -> std::uint32_t
 {
     // The queue is bounded to a few hundred calls, so that walking it costs less than keeping counts by level.
@@ -55,9 +65,9 @@
     return static_cast<std::uint32_t>(m_calls.size());
 }
 
-auto WaitingQueue::take(std::map<Key, CallOffer>::iterator it) -> CallOffer
+auto WaitingQueue::take(std::map<Key, Waiting>::iterator it) -> CallOffer
 {
-    const auto offer = it->second;
+    const auto offer = it->second.offer;
     m_keys.erase(offer.id);
     m_calls.erase(it);
     return offer;
--- a/source/admission/WaitingQueue.h
+++ b/source/admission/WaitingQueue.h
@@ -29,6 +29,10 @@
     /// Takes out one call. False when it does not wait here.
     auto remove(CallId id) -> bool;
 
+    /// The greatest level of the calls that saw at least `count` others taken by popFirst() since they came; nothing when
+    /// there is none.
+    [[nodiscard]] auto greatestOvertaken(std::uint64_t count) const -> std::optional<Level>;
+
     /// How many waiting calls would be served before a call of `level` that came now.
     [[nodiscard]] auto countAhead(Level level) const -> std::uint32_t;
 
@@ -43,13 +47,13 @@
         auto removed = std::vector<CallOffer>();
         auto position = std::uint32_t{0};
         for (auto it = m_calls.begin(); it != m_calls.end();) {
-            if (!shouldRemove(it->second, position)) {
+            if (!shouldRemove(it->second.offer, position)) {
                 ++position;
                 ++it;
                 continue;
             }
-            removed.push_back(it->second);
-            m_keys.erase(it->second.id);
+            removed.push_back(it->second.offer);
+            m_keys.erase(it->second.offer.id);
             it = m_calls.erase(it);
         }
         return removed;
@@ -67,11 +71,18 @@
         }
     };
 
-    auto take(std::map<Key, CallOffer>::iterator it) -> CallOffer;
+    struct Waiting
+    {
+        CallOffer offer;
+        std::uint64_t takenBefore = 0; ///< Calls that popFirst() had taken when it came.
+    };
+
+    auto take(std::map<Key, Waiting>::iterator it) -> CallOffer;
 
-    std::map<Key, CallOffer> m_calls;
+    std::map<Key, Waiting> m_calls;
     std::unordered_map<CallId, Key> m_keys;
     std::uint64_t m_nextArrival = 0;
+    std::uint64_t m_taken = 0; ///< By popFirst().
 };
 
 } // namespace stairspur::admission
