--- a/include/stairspur/transport/HttpServer.h
+++ b/include/stairspur/transport/HttpServer.h
@@ -23,8 +23,9 @@
     std::uint64_t maxBodyBytes = 8U << 20U;
     Duration requestTimeout{
             10'000'000}; ///< For a whole request to arrive once its first byte has: slow callers.
-    Duration idleTimeout{60'000'000}; ///< For the next request on a kept connection.
-    std::string certificateFile;      ///< PEM; empty: no TLS.
+    /// For the next request on a kept connection, and for the caller to take an answer.
+    Duration idleTimeout{60'000'000};
+    std::string certificateFile; ///< PEM; empty: no TLS.
     std::string keyFile;
 };
 
--- a/source/transport/HttpConnection.h
+++ b/source/transport/HttpConnection.h
@@ -21,30 +21,12 @@
 #include <stairspur/log/Log.h>
 #include <stairspur/transport/HttpServer.h>
 
+#include "HttpConnectionBase.h"
 #include "HttpRefusal.h"
 #include "HttpWire.h"
 
 namespace stairspur::transport {
 
-/// What a listener needs to do with a connection, whatever its stream.
-class HttpConnectionBase
-{
-public:
-    virtual ~HttpConnectionBase() = default;
-    /// Closes at once when idle, else after the answer to the running request.
-    virtual auto drain() -> void = 0;
-    /// Closes at once; a running handler is cancelled.
-    virtual auto abort() -> void = 0;
-};
-
-/// What the connections of one listener share.
-struct HttpConnectionContext
-{
-    HttpServerSettings settings;
-    HttpServer::Handler handler;
-    std::function<void(HttpConnectionBase *)> didEnd;
-};
-
 /// One caller's connection: reads a request, has it answered, and again.
 ///
 /// Reading goes on while a handler runs, which is how a caller's leaving is noticed; what arrives meanwhile belongs to
@@ -127,23 +109,34 @@
 
     auto handshake() -> Task<bool>
     {
-        auto isInTime = std::make_shared<bool>(true);
-        m_timer.expires_after(m_context->settings.requestTimeout);
-        m_timer.async_wait([self = this->shared_from_this(), isInTime](auto ec) {
-            if (!ec && std::exchange(*isInTime, false))
-                self->abort();
-        });
+        abortAfter(m_context->settings.requestTimeout);
         auto ec = boost::system::error_code();
         if constexpr (IsEncrypted)
             std::tie(ec) = co_await m_stream.async_handshake(asio::ssl::stream_base::server,
                                                              asio::as_tuple(asio::use_awaitable));
-        const auto isDone = std::exchange(*isInTime, false) && !ec;
-        m_timer.cancel();
-        if (!isDone)
+        disarm();
+        if (ec)
             log::Line(log::Severity::Warning, "tls-refused")
                     .add("remote", m_remoteAddress)
                     .add("error", ec.message());
-        co_return isDone;
+        co_return !ec;
+    }
+
+    auto abortAfter(Duration timeout) -> void
+    {
+        const auto generation = ++m_generation;
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([self = this->shared_from_this(), generation](auto ec) {
+            // A timer that was already due when it was disarmed must not end what came after.
+            if (!ec && self->m_generation == generation)
+                self->abort();
+        });
+    }
+
+    auto disarm() -> void
+    {
+        ++m_generation;
+        m_timer.cancel();
     }
 
     /// Whether another request may follow.
@@ -212,12 +205,16 @@
     {
         const auto size = m_buffer.size();
         m_timer.expires_at(deadline);
+        m_isWaitingForRead = true;
         while (!m_readError && m_buffer.size() == size) {
             startRead();
             const auto [ec] = co_await m_timer.async_wait(asio::as_tuple(asio::use_awaitable));
-            if (!ec && m_buffer.size() == size && !m_readError)
+            if (!ec && m_buffer.size() == size && !m_readError) {
+                m_isWaitingForRead = false;
                 co_return ReadResult::TimedOut;
+            }
         }
+        m_isWaitingForRead = false;
         co_return m_buffer.size() > size ? ReadResult::Ready : ReadResult::Ended;
     }
 
@@ -238,7 +235,8 @@
         const auto space = m_buffer.prepare(n);
         asio::buffer_copy(space, asio::buffer(m_chunk, n));
         m_buffer.commit(n);
-        m_timer.cancel();
+        if (m_isWaitingForRead)
+            m_timer.cancel();
         if (!m_cancellation)
             return;
         if (ec)
@@ -345,8 +343,11 @@
         const auto buffers = std::array<asio::const_buffer, 2>{
                 asio::buffer(head),
                 isBodySent ? asio::buffer(response.body) : asio::const_buffer()};
+        // A caller that does not read its answer must not hold its connection, nor a drain, for ever.
+        abortAfter(m_context->settings.idleTimeout);
         const auto [ec, n] =
                 co_await asio::async_write(m_stream, buffers, asio::as_tuple(asio::use_awaitable));
+        disarm();
         co_return !ec;
     }
 
@@ -378,7 +379,9 @@
     std::optional<Parser> m_parser;
     boost::system::error_code m_readError;
     CancellationPtr m_cancellation;
+    std::uint64_t m_generation = 0;
     bool m_isReading = false;
+    bool m_isWaitingForRead = false;
     bool m_isIdle = false;
     bool m_isDraining = false;
     bool m_isContinueSent = false;
--- /dev/null
+++ b/source/transport/HttpConnectionBase.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <functional>
+
+#include <stairspur/transport/HttpServer.h>
+
+namespace stairspur::transport {
+
+/// What a listener needs to do with a connection, whatever its stream.
+class HttpConnectionBase
+{
+public:
+    virtual ~HttpConnectionBase() = default;
+    /// Closes at once when idle, else after the answer to the running request.
+    virtual auto drain() -> void = 0;
+    /// Closes at once; a running handler is cancelled.
+    virtual auto abort() -> void = 0;
+};
+
+/// What the connections of one listener share.
+struct HttpConnectionContext
+{
+    HttpServerSettings settings;
+    HttpServer::Handler handler;
+    std::function<void(HttpConnectionBase *)> didEnd;
+};
+
+} // namespace stairspur::transport
--- a/source/transport/PeerLink.cpp
+++ b/source/transport/PeerLink.cpp
@@ -14,9 +14,10 @@
 /// A body's length is only announced, so its memory is taken in steps.
 static constexpr auto MaxReservedBytes = std::uint64_t{1} << 20U;
 
-/// Messages that may wait for each call that a link may carry, refusals included. Past them the far end sends without
-/// reading.
+/// Messages that may wait beyond two for each call that a link may carry. A far end with greater limits than ours sends
+/// more than we admit, and a refusal waits for each while bodies are under way; one past all these does not read.
 static constexpr auto MessagesPerCall = std::size_t{2};
+static constexpr auto SpareMessages = std::size_t{1024};
 
 /// Intervals without a byte after which a link is taken for broken.
 static constexpr auto MaxSilentTicks = 3U;
@@ -57,7 +58,7 @@
     if (m_isClosing || m_isClosed)
         return;
     const auto self = shared_from_this();
-    if (m_outgoing.size() >= MessagesPerCall * std::size_t{m_settings.maxCallsPerLink}) {
+    if (m_outgoing.size() >= MessagesPerCall * m_settings.maxCallsPerLink + SpareMessages) {
         breakOff("the peer does not read what it is sent");
         return;
     }
--- a/tests/transport/TestHttpServer.cpp
+++ b/tests/transport/TestHttpServer.cpp
@@ -199,6 +199,28 @@
     runUntil(io, [&] { return cancelled.isSet() && server.connections() == 0; });
 }
 
+Test(HttpServer, callerThatReadsNothingIsCutOff)
+{
+    auto io = asio::io_context();
+    auto impatient = settings();
+    impatient.idleTimeout = Duration(100'000);
+    auto isRunning = false;
+    auto server =
+            HttpServer(io, impatient, [&](HttpRequest, CancellationPtr) -> Task<HttpResponse> {
+                isRunning = true;
+                // More than the kernel's buffers hold.
+                co_return HttpResponse{
+                        .status = 200, .headers = {}, .body = std::string(50'000'000, 'x')};
+            });
+    server.start();
+    auto peer = RawPeer(io, server.port());
+    peer.write(GoodRequest);
+    runUntil(io, [&] { return isRunning; });
+    auto isDrained = false;
+    server.drain([&] { isDrained = true; });
+    runUntil(io, [&] { return isDrained; });
+}
+
 Test(HttpServer, connectionsPastTheLimitAreRefused)
 {
     auto io = asio::io_context();
