Admission: Keep the rate above the floor between windows

Cause: each report summed up to 4096 levels to tell the wait at the floor. Ruled out: a tree of sums, since the rates change only once in 20 ms. Change: the sum is kept when a window ends.

--- a/source/admission/FloorEstimator.cpp
+++ b/source/admission/FloorEstimator.cpp
@@ -87,6 +87,7 @@
                                      highestFloorBeside(load.lowestWaiting));
         moveFloor(target, (1.0 - used) * load.capacity);
     }
+    m_rateAboveFloor = sumFrom(m_floor.value);
     m_floors[m_nextFloor] = m_floor;
     m_nextFloor = (m_nextFloor + 1) % FloorsUnderWay;
 }
--- a/source/admission/FloorEstimator.h
+++ b/source/admission/FloorEstimator.h
@@ -46,8 +46,8 @@
         return *std::min_element(m_floors.begin(), m_floors.end());
     }
 
-    /// Calls per second that come at `level` and above, smoothed.
-    [[nodiscard]] auto rateFrom(Level level) const -> double { return sumFrom(level.value); }
+    /// Calls per second that come at the floor and above, smoothed.
+    [[nodiscard]] auto rateAboveFloor() const -> double { return m_rateAboveFloor; }
 
 private:
     static constexpr auto LevelCount = std::size_t{ClosedLevel.value};
@@ -72,6 +72,7 @@
     std::array<std::uint8_t, LevelCount> m_windowsSeen{}; ///< Windows that a level has been let in.
     std::array<Level, FloorsUnderWay> m_floors{};
     std::size_t m_nextFloor = 0;
+    double m_rateAboveFloor = 0; ///< Kept, since each report asks for it.
     Level m_floor = LowestLevel;
     TimePoint m_windowStart{};
     TimePoint m_lastObserved{};
--- a/source/admission/State.cpp
+++ b/source/admission/State.cpp
@@ -250,7 +250,7 @@
 {
     // A call at the floor lets all pass that come while it waits.
     const auto serviceTime = static_cast<double>(m_serviceTime.mean().count());
-    const auto overtaking = m_floor.rateFrom(m_floor.floor()) * serviceTime / 1e6 / m_limit.limit();
+    const auto overtaking = m_floor.rateAboveFloor() * serviceTime / 1e6 / m_limit.limit();
     const auto left = std::max(1.0 - overtaking, LeastLeftShare);
     const auto wait = static_cast<double>(waitBehind(queued()).count()) / left;
     return Duration(static_cast<Duration::rep>(wait));
