Node: Confirm the deeper floors to the gate four times a second

Cause: admission lets floors lapse that nobody confirms for a second; the entry told them only when they changed, so that a steady overload below would have been forgotten. Ruled out: a longer life of unconfirmed floors, which would refuse calls after an entry's thread has stalled. Change: unchanged floors are published again after 250 ms. Conclusion: a steady floor stays in force.

--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -20,6 +20,8 @@
 
 /// How often the gate is told what the deeper services refuse.
 static constexpr auto FloorInterval = std::chrono::milliseconds(20);
+/// How often unchanged floors are told again: those that nobody confirms lapse after a second.
+static constexpr auto FloorConfirmInterval = Duration{250'000};
 /// When to come back to a node that has no configuration yet.
 static constexpr auto NoConfigurationRetryAfter = Duration{1'000'000};
 
@@ -268,8 +270,9 @@
         }
         floors.push_back(floor);
     }
-    if (floors == m_toldFloors)
+    if (floors == m_toldFloors && now - m_toldAt < FloorConfirmInterval)
         return;
+    m_toldAt = now;
     m_toldFloors = floors;
     m_board.deeperFloors.publish(std::move(floors));
 }
--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -96,6 +96,7 @@
     std::unordered_map<std::string, std::unique_ptr<ServiceRoutes>> m_routes;
     transport::asio::steady_timer m_floorTimer;
     std::vector<Level> m_toldFloors;
+    TimePoint m_toldAt;
 };
 
 } // namespace stairspur::node
