Admission: Start cold with a replaced backend server

Cause: a backend server that restarts behind the same gate met the limit that its predecessor had earned, and a newer configuration could not change the bound of the queue. Ruled out: making a new controller, which would not know the calls that still run at the former backend server. Change: didReplaceBackend() and setMaxQueue(), with a test each. Conclusion: both are additions; no signature changed.

--- a/include/stairspur/admission/AdmissionController.h
+++ b/include/stairspur/admission/AdmissionController.h
@@ -83,6 +83,13 @@
     /// The backend server reports another number of slots.
     auto setReportedSlots(std::uint32_t slots) -> void;
 
+    /// Another bound for the calls that wait, from a newer configuration. Those above it leave with the next event.
+    auto setMaxQueue(std::uint32_t maxQueue) -> void;
+
+    /// Another backend server has taken the place of the former one, or it has restarted: the limit starts cold, and what
+    /// was learnt of its service time is forgotten. Calls that still run at the former one count until they end.
+    auto didReplaceBackend() -> void;
+
     /// The greatest floor of the deeper services, by class rank, for the next reports and admissions. Tell it again at
     /// least twice a second, changed or not: floors that nobody confirms lapse after one second.
     auto setDeeperFloors(std::vector<Level> floors) -> void;
--- a/source/admission/AdmissionController.cpp
+++ b/source/admission/AdmissionController.cpp
@@ -41,6 +41,16 @@
     m_state->setReportedSlots(slots);
 }
 
+auto AdmissionController::setMaxQueue(std::uint32_t maxQueue) -> void
+{
+    m_state->setMaxQueue(maxQueue);
+}
+
+auto AdmissionController::didReplaceBackend() -> void
+{
+    m_state->didReplaceBackend();
+}
+
 auto AdmissionController::setDeeperFloors(std::vector<Level> floors) -> void
 {
     m_state->setDeeperFloors(std::move(floors));
--- a/source/admission/State.cpp
+++ b/source/admission/State.cpp
@@ -104,6 +104,12 @@
     return progress;
 }
 
+auto AdmissionController::State::didReplaceBackend() -> void
+{
+    m_limit = AdaptiveLimit(m_settings.coldLimit, m_settings.reportedSlots);
+    m_serviceTime = ServiceTime();
+}
+
 auto AdmissionController::State::report(TimePoint now) -> LoadReport
 {
     observe(now);
--- a/source/admission/State.h
+++ b/source/admission/State.h
@@ -30,7 +30,13 @@
     auto startDraining(TimePoint now, Random &random) -> Progress;
     auto report(TimePoint now) -> LoadReport;
 
-    auto setReportedSlots(std::uint32_t slots) -> void { m_limit.setSlots(slots); }
+    auto didReplaceBackend() -> void;
+    auto setMaxQueue(std::uint32_t maxQueue) -> void { m_settings.maxQueue = maxQueue; }
+    auto setReportedSlots(std::uint32_t slots) -> void
+    {
+        m_settings.reportedSlots = slots;
+        m_limit.setSlots(slots);
+    }
     auto setDeeperFloors(std::vector<Level> floors) -> void { m_deeper.set(std::move(floors)); }
 
     [[nodiscard]] auto inFlight() const -> std::uint32_t;
--- a/tests/admission/TestAdmissionController.cpp
+++ b/tests/admission/TestAdmissionController.cpp
@@ -272,3 +272,34 @@
     gate.pass(1500_ms);
     cr_assert(gate.refused.empty());
 }
+
+Test(AdmissionController, replacedBackendStartsCold)
+{
+    auto settings = AdmissionSettings();
+    settings.reportedSlots = 8;
+    auto gate = Gate(settings);
+    gate.controller.setReportedSlots(32);
+    for (auto id = CallId{1}; id <= 200; ++id) {
+        gate.offer(id, makeLevel(0, 0));
+        if (gate.controller.queued() > 0)
+            gate.completeOldest();
+    }
+    const auto running = gate.controller.inFlight();
+    cr_assert(running > 20 && gate.controller.report(gate.now).limit == 32);
+    gate.controller.didReplaceBackend();
+    cr_assert_eq(gate.controller.report(gate.now).limit, 4);
+    cr_assert_eq(gate.controller.inFlight(), running, "they have not ended");
+    gate.completeOldest();
+    cr_assert_eq(gate.controller.inFlight(), running - 1, "nobody takes the place above the limit");
+}
+
+Test(AdmissionController, smallerQueueLetsTheLowestGo)
+{
+    auto gate = warmGate(1);
+    for (auto id = CallId{1}; id <= 5; ++id)
+        gate.offer(id, makeLevel(0, 10 - id));
+    gate.controller.setMaxQueue(2);
+    gate.pass(1_ms);
+    cr_assert(gate.refused.contains(4) && gate.refused.contains(5));
+    cr_assert_eq(gate.controller.queued(), 2);
+}
