Distribution: Tell in rounds and ask by request when datagrams are lost

With nearly a third of all datagrams lost, none of six changes reached each of 80 nodes within 5 s (the new scenario, which failed first): backoff grew while asks got lost. Now an unanswered ask is sent once more, then the same peer is asked by control request, and a node tells one more peer in each of two later rounds. Weighed: more peers at once (more duplicates).

--- a/include/stairspur/distribution/DistributionContext.h
+++ b/include/stairspur/distribution/DistributionContext.h
@@ -17,9 +17,11 @@
 
 struct DistributionSettings
 {
-    std::uint32_t fanout = 3;        ///< Peers told of a new version at once.
+    std::uint32_t fanout = 2;      ///< Peers told of a new version at once.
+    std::uint32_t laterRounds = 2; ///< In each of them one more peer is told.
+    Duration roundInterval{250'000};
     Duration askTimeout{200'000};    ///< For a datagram's answer.
-    Duration pullTimeout{2'000'000}; ///< For a control request.
+    Duration pullTimeout{1'000'000}; ///< For a control request.
     Duration minBackoff{100'000};    ///< Between failed fetches.
     Duration maxBackoff{3'000'000};
     std::size_t pieceBytes = 64U << 10U;     ///< Of sections in one reply.
--- a/include/stairspur/distribution/DistributionState.h
+++ b/include/stairspur/distribution/DistributionState.h
@@ -19,7 +19,7 @@
 /// One node's part in bringing configurations into force everywhere, without I/O or clock: events go in, actions come
 /// out of takeActions().
 ///
-/// A node that takes a version into force tells a few random peers of its domain, once. Those who miss that learn from
+/// A node that takes a version into force tells a few random peers of its domain. Those who miss that learn from
 /// the digest on membership's probes and acks. Whoever hears of a newer version fetches what changed. A few relays in
 /// each domain follow the store's head, and tell relays of the other domains, so that a domain cut off from the store
 /// still learns. Versions only go forward.
@@ -159,6 +159,8 @@
     {
         m_fetch.tick(now);
         m_follower.tick(now);
+        if (m_roundsLeft > 0 && now >= m_nextRound)
+            tellOneMore(now);
         if (Policy::TellsOtherDomains && m_context.isRelay && now >= m_nextCrossDomain)
             tellAnotherDomain(now);
     }
@@ -230,6 +232,8 @@
         m_context.counters.adoptions += 1;
         m_context.actions.emplace_back(Publish{});
         tellPeers(adoption->from);
+        m_roundsLeft = m_context.settings.laterRounds;
+        m_nextRound = now + m_context.settings.roundInterval;
         m_fetch.didAdopt(now);
         adopt(m_follower.didAdopt(now), now);
     }
@@ -247,6 +251,16 @@
         }
     }
 
+    /// Later rounds reach most of those whom the first left out, sooner than membership's next probe.
+    auto tellOneMore(TimePoint now) -> void
+    {
+        m_roundsLeft -= 1;
+        m_nextRound = now + m_context.settings.roundInterval;
+        const auto &peers = m_context.domainPeers;
+        if (!peers.empty())
+            m_context.tell(peers[randomBelow(m_context.random, peers.size())]);
+    }
+
     /// One other domain at a time, in turn: the bytes don't grow with changes or domains.
     auto tellAnotherDomain(TimePoint now) -> void
     {
@@ -264,6 +278,8 @@
     std::vector<std::vector<NodeId>> m_otherRelays; ///< One entry for each other domain.
     std::size_t m_turn = 0;
     TimePoint m_nextCrossDomain{};
+    std::uint32_t m_roundsLeft = 0;
+    TimePoint m_nextRound{};
     Digest m_alarmed;
 };
 
--- a/include/stairspur/distribution/PeerFetch.h
+++ b/include/stairspur/distribution/PeerFetch.h
@@ -105,7 +105,7 @@
     auto tick(TimePoint now) -> void
     {
         if (m_stage != Stage::Idle && now >= m_deadline)
-            didFail(now);
+            didTimeOut(now);
         startIfDue(now);
     }
 
@@ -118,6 +118,7 @@
 
     static constexpr auto MaxSources = std::size_t{8};
     static constexpr auto MaxRestarts = 5U;
+    static constexpr auto MaxAsks = 2U;
 
     [[nodiscard]] auto isFresh() const -> bool { return m_context.known.version() == 0; }
 
@@ -141,6 +142,7 @@
         if (m_peer.empty())
             return;
         m_restarts = 0;
+        m_unanswered = 0;
         if (isFresh())
             pull(0, now);
         else
@@ -164,6 +166,18 @@
         m_context.send(m_peer, {DatagramKind::Ask, m_context.known.digest(), 0, {}});
     }
 
+    /// An unanswered datagram is sent once more; then a control request asks the same peer, since TCP sends again what
+    /// a bad network loses.
+    auto didTimeOut(TimePoint now) -> void
+    {
+        if (m_stage == Stage::Pulling)
+            return didFail(now);
+        if (++m_unanswered < MaxAsks)
+            ask(now);
+        else
+            pull(m_context.known.version(), now);
+    }
+
     auto pull(std::uint64_t since, TimePoint now) -> void
     {
         m_since = since;
@@ -247,6 +261,7 @@
     std::size_t m_collectedBytes = 0;
     bool m_isWhole = false;
     std::uint32_t m_restarts = 0;
+    std::uint32_t m_unanswered = 0; ///< Datagrams to the peer of this fetch.
 };
 
 } // namespace stairspur::distribution
--- a/source/distribution/DistributionService.cpp
+++ b/source/distribution/DistributionService.cpp
@@ -243,7 +243,7 @@
 
     auto loadHead() -> Task<void>
     {
-        const auto reading = co_await readHead(*m_parts.store);
+        const auto reading = headIn(co_await m_parts.store->range({.key = std::string(HeadKey)}));
         if (reading.isOk)
             m_state.didReadHead(reading.head, monotonicNow());
         else
--- a/source/distribution/StoreReader.cpp
+++ b/source/distribution/StoreReader.cpp
@@ -22,14 +22,13 @@
     }
 }
 
-auto readHead(platform::EtcdStore &store) -> Task<HeadReading>
+auto headIn(const platform::StoreResult<platform::RangeAnswer> &answer) -> HeadReading
 {
-    const auto answer = co_await store.range({.key = std::string(HeadKey)});
     if (!answer.isOk())
-        co_return HeadReading{};
+        return {};
     if (answer.value.pairs.empty())
-        co_return HeadReading{true, std::nullopt};
-    co_return readHeadValue(answer.value.pairs[0].value);
+        return {true, std::nullopt};
+    return readHeadValue(answer.value.pairs[0].value);
 }
 
 static auto addBlobs(Blobs &blobs, const std::vector<platform::KeyValue> &pairs) -> void
@@ -38,38 +37,44 @@
         blobs[it.key.substr(SectionPrefix.size())] = it.value;
 }
 
-static auto readAll(platform::EtcdStore &store) -> Task<std::optional<Blobs>>
+/// One key for each hash; the whole prefix, page by page, without any.
+static auto requestsFor(const std::vector<std::string> &hashes)
+        -> std::vector<platform::RangeRequest>
 {
+    auto requests = std::vector<platform::RangeRequest>();
+    for (const auto &it : hashes)
+        requests.push_back({.key = sectionKey(it)});
     const auto prefix = std::string(SectionPrefix);
-    auto request = platform::RangeRequest{
-            .key = prefix, .rangeEnd = platform::endOfPrefix(prefix), .limit = SectionsPerPage};
-    auto blobs = Blobs();
-    auto hasMore = true;
-    while (hasMore) {
-        const auto answer = co_await store.range(request);
-        if (!answer.isOk())
-            co_return std::nullopt;
-        addBlobs(blobs, answer.value.pairs);
-        hasMore = answer.value.hasMore && !answer.value.pairs.empty();
-        if (hasMore)
-            request.key = answer.value.pairs.back().key + '\0';
-    }
-    co_return blobs;
+    if (hashes.empty())
+        requests.push_back({.key = prefix,
+                            .rangeEnd = platform::endOfPrefix(prefix),
+                            .limit = SectionsPerPage});
+    return requests;
+}
+
+/// Takes in one answer and leaves the request for the next page, if there is one. False: the store failed.
+static auto takeAnswer(const platform::StoreResult<platform::RangeAnswer> &answer,
+                       std::vector<platform::RangeRequest> &requests, Blobs &blobs) -> bool
+{
+    if (!answer.isOk())
+        return false;
+    addBlobs(blobs, answer.value.pairs);
+    if (answer.value.hasMore && !answer.value.pairs.empty())
+        requests.back().key = answer.value.pairs.back().key + '\0';
+    else
+        requests.pop_back();
+    return true;
 }
 
 auto readSections(platform::EtcdStore &store, std::vector<std::string> hashes)
         -> Task<std::optional<Blobs>>
 {
-    if (hashes.empty())
-        co_return co_await readAll(store);
+    auto requests = requestsFor(hashes);
     auto blobs = Blobs();
-    for (const auto &it : hashes) {
-        const auto answer = co_await store.range({.key = sectionKey(it)});
-        if (!answer.isOk())
-            co_return std::nullopt;
-        addBlobs(blobs, answer.value.pairs);
-    }
-    co_return blobs;
+    auto isOk = true;
+    while (isOk && !requests.empty())
+        isOk = takeAnswer(co_await store.range(requests.back()), requests, blobs);
+    co_return isOk ? std::optional(std::move(blobs)) : std::nullopt;
 }
 
 } // namespace stairspur::distribution
--- a/source/distribution/StoreReader.h
+++ b/source/distribution/StoreReader.h
@@ -21,7 +21,8 @@
 /// The head in a key's value. Unreadable ones are logged and count as a failure.
 auto readHeadValue(const std::string &value) -> HeadReading;
 
-auto readHead(platform::EtcdStore &store) -> transport::Task<HeadReading>;
+/// The head in the answer to a read of its key.
+auto headIn(const platform::StoreResult<platform::RangeAnswer> &answer) -> HeadReading;
 
 /// The values of these hashes, or of all, page by page. Nothing when the store failed.
 auto readSections(platform::EtcdStore &store, std::vector<std::string> hashes)
