Distribution: Keep the reading of store answers apart from I/O

The analyzer took the first co_await of a free coroutine for a read of an uninitialised frame (in Boost's header, where no comment can answer it).

--- a/source/distribution/DistributionService.cpp
+++ b/source/distribution/DistributionService.cpp
@@ -13,7 +13,7 @@
 #include <stairspur/core/Hex.h>
 #include <stairspur/log/Log.h>
 
-#include "StoreReader.h"
+#include "StoreReading.h"
 
 namespace stairspur::distribution {
 
@@ -255,9 +255,13 @@
 
     auto loadSections(ReadSections action) -> Task<void>
     {
-        const auto blobs = co_await readSections(*m_parts.store, std::move(action.hashes));
-        if (blobs)
-            m_state.didReadSections(*blobs, monotonicNow());
+        auto requests = requestsFor(action.hashes);
+        auto blobs = Blobs();
+        auto isOk = true;
+        while (isOk && !requests.empty())
+            isOk = takeAnswer(co_await m_parts.store->range(requests.back()), requests, blobs);
+        if (isOk)
+            m_state.didReadSections(blobs, monotonicNow());
         else
             m_state.didFailToReadSections(monotonicNow());
         carryOut();
--- a/source/distribution/StoreReader.cpp
+++ b/source/distribution/StoreReading.cpp
@@ -1,4 +1,4 @@
-#include "StoreReader.h"
+#include "StoreReading.h"
 
 #include <utility>
 
@@ -7,8 +7,6 @@
 
 namespace stairspur::distribution {
 
-using transport::Task;
-
 /// A page of sections, some hundred bytes each, stays well below the client's limit for an answer.
 static constexpr auto SectionsPerPage = std::int64_t{500};
 
@@ -37,9 +35,7 @@
         blobs[it.key.substr(SectionPrefix.size())] = it.value;
 }
 
-/// One key for each hash; the whole prefix, page by page, without any.
-static auto requestsFor(const std::vector<std::string> &hashes)
-        -> std::vector<platform::RangeRequest>
+auto requestsFor(const std::vector<std::string> &hashes) -> std::vector<platform::RangeRequest>
 {
     auto requests = std::vector<platform::RangeRequest>();
     for (const auto &it : hashes)
@@ -52,9 +48,8 @@
     return requests;
 }
 
-/// Takes in one answer and leaves the request for the next page, if there is one. False: the store failed.
-static auto takeAnswer(const platform::StoreResult<platform::RangeAnswer> &answer,
-                       std::vector<platform::RangeRequest> &requests, Blobs &blobs) -> bool
+auto takeAnswer(const platform::StoreResult<platform::RangeAnswer> &answer,
+                std::vector<platform::RangeRequest> &requests, Blobs &blobs) -> bool
 {
     if (!answer.isOk())
         return false;
@@ -66,15 +61,4 @@
     return true;
 }
 
-auto readSections(platform::EtcdStore &store, std::vector<std::string> hashes)
-        -> Task<std::optional<Blobs>>
-{
-    auto requests = requestsFor(hashes);
-    auto blobs = Blobs();
-    auto isOk = true;
-    while (isOk && !requests.empty())
-        isOk = takeAnswer(co_await store.range(requests.back()), requests, blobs);
-    co_return isOk ? std::optional(std::move(blobs)) : std::nullopt;
-}
-
 } // namespace stairspur::distribution
--- a/source/distribution/StoreReader.h
+++ b/source/distribution/StoreReading.h
@@ -6,8 +6,7 @@
 
 #include <stairspur/distribution/Head.h>
 #include <stairspur/distribution/HeadFollower.h>
-#include <stairspur/platform/EtcdStore.h>
-#include <stairspur/transport/Task.h>
+#include <stairspur/platform/StoreTypes.h>
 
 namespace stairspur::distribution {
 
@@ -24,8 +23,12 @@
 /// The head in the answer to a read of its key.
 auto headIn(const platform::StoreResult<platform::RangeAnswer> &answer) -> HeadReading;
 
-/// The values of these hashes, or of all, page by page. Nothing when the store failed.
-auto readSections(platform::EtcdStore &store, std::vector<std::string> hashes)
-        -> transport::Task<std::optional<Blobs>>;
+/// The reads that give these sections: one key for each hash; the whole prefix, page by page, without any.
+auto requestsFor(const std::vector<std::string> &hashes) -> std::vector<platform::RangeRequest>;
+
+/// Takes in the answer to the last of `requests`, and leaves the one for the next page if there is one. False: the store
+/// failed.
+auto takeAnswer(const platform::StoreResult<platform::RangeAnswer> &answer,
+                std::vector<platform::RangeRequest> &requests, Blobs &blobs) -> bool;
 
 } // namespace stairspur::distribution
