--- a/include/stairspur/log/Log.h
+++ b/include/stairspur/log/Log.h
@@ -50,8 +50,8 @@
 ///
 ///     log::Line(Severity::Info, "route").add("service", name).add("reason", nameOf(reason));
 ///
-/// Values are quoted and escaped where they hold a space, a quote, '=' or a control character, so that a caller's input
-/// cannot forge a line or a pair.
+/// Values are quoted where they hold a space, a quote, '=', a backslash or anything that is no printable ASCII, and
+/// escaped there (`\"`, `\\`, `\x0a`), so that a caller's input cannot forge a line or a pair.
 class Line
 {
 public:
--- a/source/log/Log.cpp
+++ b/source/log/Log.cpp
@@ -190,12 +190,19 @@
         writer().push(m_severity, std::move(m_text) + writer().suffix());
 }
 
+/// Bytes beyond ASCII are none: some readers of logs end lines at U+0085 or U+2028, and a caller's bytes need not be
+/// UTF-8 at all.
+static auto isPrintable(char c) -> bool
+{
+    return c >= ' ' && c <= '~';
+}
+
 static auto needsQuotes(std::string_view value) -> bool
 {
     if (value.empty())
         return true;
     for (const auto it : value) {
-        if (it <= ' ' || it == '"' || it == '=' || it == '\\' || it == '\x7f')
+        if (!isPrintable(it) || it == ' ' || it == '"' || it == '=' || it == '\\')
             return true;
     }
     return false;
@@ -210,7 +217,7 @@
         if (it == '"' || it == '\\') {
             text.push_back('\\');
             text.push_back(it);
-        } else if (byte < ' ' || byte == 0x7f) {
+        } else if (!isPrintable(it)) {
             text += "\\x";
             text.push_back(Digits[byte >> 4]);
             text.push_back(Digits[byte & 0xf]);
--- /dev/null
+++ b/tests/log/CapturedLog.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <array>
+#include <cassert>
+#include <string>
+
+#include <unistd.h>
+
+#include <stairspur/log/Log.h>
+
+namespace stairspur::log {
+
+/// The log of this process while it lives, in place of standard error. The pipe holds the few lines of a test; Criterion
+/// gives each test a process of its own, so that no other one is disturbed.
+class CapturedLog
+{
+public:
+    explicit CapturedLog(const LogSettings &settings)
+        : m_standardError(::dup(STDERR_FILENO))
+    {
+        [[maybe_unused]] const auto made = ::pipe(m_ends.data());
+        assert(made == 0);
+        ::dup2(m_ends[1], STDERR_FILENO);
+        start(settings);
+    }
+
+    CapturedLog(const CapturedLog &) = delete;
+    CapturedLog(CapturedLog &&) = delete;
+    auto operator=(const CapturedLog &) -> CapturedLog & = delete;
+    auto operator=(CapturedLog &&) -> CapturedLog & = delete;
+
+    ~CapturedLog()
+    {
+        ::close(m_ends[0]);
+        ::close(m_standardError);
+    }
+
+    /// Stops the writer and returns all that it wrote.
+    auto finish() -> std::string
+    {
+        stop();
+        std::fflush(stderr);
+        ::dup2(m_standardError, STDERR_FILENO);
+        ::close(m_ends[1]);
+        auto text = std::string();
+        auto buf = std::array<char, 4096>{};
+        for (auto n = ::read(m_ends[0], buf.data(), buf.size()); n > 0;
+             n = ::read(m_ends[0], buf.data(), buf.size()))
+            text.append(buf.data(), static_cast<std::size_t>(n));
+        return text;
+    }
+
+private:
+    int m_standardError;
+    std::array<int, 2> m_ends{};
+};
+
+} // namespace stairspur::log
