Node: Count each decision and outcome; show the control plane's counters

Cause: /metrics held five counters of the traffic threads, without latencies, classes, retries, traffic or the control plane. Status did not say how long ago a node was heard, nor that a failure domain is cut off. Change: the traffic threads count through metrics::Registry, with references found once and the class looked up in a list that one thread owns (64 classes at most, since names come with other nodes' calls). The control thread renders its own counters at each scrape. The entry's and the gate's thread publish their state to the blackboard once a second. Status tells, for each member, when it was heard and since when it is judged, and for each domain whether it is cut off. Ruled out: atomic counters in the peer links, which every frame would pay for; a lock around the gate; a timer for rendering. Tests: names, types and no duplicates of the whole exposition, each metric in the operators' page, counts of a real call path, the admin port's table of paths and methods, announcements that are refused, cut-off domains. Conclusion: what an entry and the network add is not measured yet: an answer does not carry the backend server's latency.

--- /dev/null
+++ b/source/node/ByClass.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <stairspur/metrics/Registry.h>
+
+namespace stairspur::node {
+
+/// The same metrics once for each service class. Belongs to one thread: a class is looked up without a lock, and only
+/// its first call asks the registry. Configurations have a handful of classes, so a list is searched.
+template <typename Metrics>
+class ByClass
+{
+public:
+    explicit ByClass(metrics::Registry &registry)
+        : m_registry(registry)
+    {}
+
+    /// What counts for `className`; made at its first call.
+    auto operator[](std::string_view className) -> Metrics &
+    {
+        const auto it = std::ranges::find(m_classes, className, &Class::first);
+        if (it != m_classes.end())
+            return *it->second;
+        // Names come with the calls of other nodes: their number is bounded, whatever those send.
+        return m_classes.size() < MaxClasses ? add(className) : other();
+    }
+
+private:
+    /// Twice as many as one configuration can have, for those that have been renamed.
+    static constexpr std::size_t MaxClasses = 64;
+    static constexpr std::string_view OtherClasses = "other";
+
+    using Class = std::pair<std::string, std::unique_ptr<Metrics>>;
+
+    auto add(std::string_view name) -> Metrics &
+    {
+        auto metrics = std::make_unique<Metrics>(m_registry,
+                                                 metrics::Labels{{"class", std::string(name)}});
+        return *m_classes.emplace_back(name, std::move(metrics)).second;
+    }
+
+    auto other() -> Metrics &
+    {
+        if (!m_other)
+            m_other = std::make_unique<Metrics>(
+                    m_registry, metrics::Labels{{"class", std::string(OtherClasses)}});
+        return *m_other;
+    }
+
+    metrics::Registry &m_registry;
+    std::vector<Class> m_classes;
+    std::unique_ptr<Metrics> m_other;
+};
+
+} // namespace stairspur::node
--- /dev/null
+++ b/source/node/ControlMetrics.cpp
@@ -0,0 +1,225 @@
+#include "ControlMetrics.h"
+
+#include <array>
+#include <cstdio>
+#include <initializer_list>
+
+#include <stairspur/metrics/Registry.h>
+
+namespace stairspur::node {
+
+using metrics::Registry;
+
+/// One of several counters that a label tells apart.
+struct Labelled
+{
+    const char *label;
+    std::uint64_t value;
+};
+
+static auto addCounter(Registry &registry, const metrics::MetricText &text, std::uint64_t value)
+        -> void
+{
+    registry.counter(text).increment(value);
+}
+
+static auto addCounters(Registry &registry, const metrics::MetricText &text,
+                        const std::string &label, std::initializer_list<Labelled> values) -> void
+{
+    for (const auto &it : values)
+        registry.counter(text, {{label, it.label}}).increment(it.value);
+}
+
+static auto addGauge(Registry &registry, const metrics::MetricText &text, std::uint64_t value)
+        -> void
+{
+    registry.gauge(text).set(static_cast<std::int64_t>(value));
+}
+
+static auto addMembers(Registry &registry, const membership::MembershipView &view) -> void
+{
+    using membership::Liveness;
+    using membership::ServingState;
+    const auto text = metrics::MetricText{"stairspur_members",
+                                          "Nodes known now, by liveness and serving state."};
+    for (const auto liveness : enumNames<Liveness>) {
+        for (const auto state : enumNames<ServingState>)
+            registry.gauge(text,
+                           {{"liveness", std::string(liveness)}, {"state", std::string(state)}});
+    }
+    for (const auto &it : view.members)
+        registry.gauge(text, {{"liveness", std::string(nameOf(it.liveness))},
+                              {"state", std::string(nameOf(it.state))}})
+                .add(1);
+}
+
+static auto addMembership(Registry &registry, const membership::MembershipCounters &counters)
+        -> void
+{
+    addCounters(registry,
+                {"stairspur_membership_probes_total", "Probes of other nodes, by kind and end."},
+                "kind",
+                {{"direct", counters.probes},
+                 {"indirect", counters.indirectProbes},
+                 {"failed", counters.failedProbes}});
+    addCounters(
+            registry,
+            {"stairspur_membership_judgements_total",
+             "What this node itself stated: suspicions and deaths of others, and refutations of "
+             "suspicions about it."},
+            "judgement",
+            {{"suspicion", counters.suspicions},
+             {"death", counters.deaths},
+             {"refutation", counters.refutations}});
+    addCounters(registry,
+                {"stairspur_membership_exchanges_total",
+                 "Comparisons of whole views with another node."},
+                "kind",
+                {{"all", counters.exchanges},
+                 {"unequal", counters.unequalExchanges},
+                 {"relay", counters.relayExchanges}});
+    addCounters(registry,
+                {"stairspur_membership_rejected_total",
+                 "Membership datagrams and records passed over."},
+                "what",
+                {{"datagram", counters.rejectedDatagrams}, {"record", counters.rejectedRecords}});
+    addCounter(registry,
+               {"stairspur_membership_pauses_total",
+                "Times that this process itself had stood still, so that it judged nobody."},
+               counters.pauses);
+    addCounters(registry, {"stairspur_membership_bytes_total", "Payload of membership datagrams."},
+                "direction", {{"sent", counters.bytesSent}, {"received", counters.bytesReceived}});
+}
+
+static auto addDistribution(Registry &registry, const ControlState &state) -> void
+{
+    const auto &counters = state.distribution;
+    addGauge(registry, {"stairspur_configuration_version", "Version in force; 0: none."},
+             state.version);
+    addGauge(registry, {"stairspur_ready", "1 while /readyz answers 200."}, state.isReady ? 1 : 0);
+    addGauge(registry,
+             {"stairspur_distribution_relay", "1 while this node asks the store for its domain."},
+             state.isRelay ? 1 : 0);
+    addCounters(registry,
+                {"stairspur_distribution_events_total", "What happened to configurations here."},
+                "event",
+                {{"adoption", counters.adoptions},
+                 {"whole-load", counters.wholeLoads},
+                 {"failed-fetch", counters.failedFetches},
+                 {"rejected-hash", counters.rejectedHashes},
+                 {"malformed", counters.malformed},
+                 {"alarm", counters.alarms},
+                 {"head-read", counters.headReads},
+                 {"section-read", counters.sectionReads},
+                 {"datagram-sent", counters.datagramsSent},
+                 {"request-sent", counters.requestsSent}});
+    addCounters(registry,
+                {"stairspur_distribution_bytes_total",
+                 "Payload of the distribution's datagrams and requests."},
+                "direction",
+                {{"sent", counters.datagramBytesSent + counters.requestBytesSent},
+                 {"received", counters.datagramBytesReceived + counters.requestBytesReceived}});
+}
+
+static auto addStore(Registry &registry, const platform::StoreCounters &counters) -> void
+{
+    using platform::StoreCall;
+    using platform::StoreStatus;
+    const auto text = metrics::MetricText{"stairspur_store_calls_total",
+                                          "Attempts at calls to the store, by kind and end."};
+    for (std::size_t call = 0; call < counters.calls.size(); ++call) {
+        for (std::size_t status = 0; status < counters.calls[call].size(); ++status)
+            registry.counter(text, {{"call", std::string(enumNames<StoreCall>[call])},
+                                    {"status", std::string(enumNames<StoreStatus>[status])}})
+                    .increment(counters.calls[call][status]);
+    }
+    addCounter(registry, {"stairspur_store_delayed_total", "Calls that waited for the rate limit."},
+               counters.delayed);
+    addCounter(registry,
+               {"stairspur_store_watch_messages_total", "Messages of watches, with events."},
+               counters.watchMessages);
+}
+
+/// Both kinds of control bytes on the wire count against the budget; calls do not.
+static auto addTraffic(Registry &registry, const ControlState &state) -> void
+{
+    const auto links = std::array{&state.controlTraffic, &state.entry.traffic, &state.gate.traffic};
+    auto sum = transport::PeerTraffic();
+    for (const auto *it : links) {
+        sum.callBytesSent += it->callBytesSent;
+        sum.callBytesReceived += it->callBytesReceived;
+        sum.controlBytesSent += it->controlBytesSent;
+        sum.controlBytesReceived += it->controlBytesReceived;
+        sum.droppedAnswers += it->droppedAnswers;
+        sum.damagedFrames += it->damagedFrames;
+    }
+    addCounters(registry,
+                {"stairspur_control_bytes_total",
+                 "Bytes of datagrams and of control requests, without the headers of TCP, UDP and "
+                 "IP."},
+                "direction",
+                {{"sent", state.datagrams.bytesSent + sum.controlBytesSent},
+                 {"received", state.datagrams.bytesReceived + sum.controlBytesReceived}});
+    addCounters(registry,
+                {"stairspur_call_bytes_total", "Bytes of calls and answers on peer links."},
+                "direction", {{"sent", sum.callBytesSent}, {"received", sum.callBytesReceived}});
+    addCounters(registry, {"stairspur_datagrams_total", "Datagrams, by what became of them."},
+                "what",
+                {{"sent", state.datagrams.sent},
+                 {"received", state.datagrams.received},
+                 {"rejected", state.datagrams.rejected}});
+    addCounter(registry,
+               {"stairspur_dropped_answers_total", "Answers that nobody waited for any more."},
+               sum.droppedAnswers);
+    addCounter(registry, {"stairspur_damaged_frames_total", "Frames whose hash was wrong."},
+               sum.damagedFrames);
+}
+
+static auto addPresent(Registry &registry, const ControlState &state) -> void
+{
+    const auto &load = state.gate.load;
+    addGauge(registry, {"stairspur_gate_limit", "Calls that the gate lets run at once."},
+             load.limit);
+    addGauge(registry, {"stairspur_gate_in_flight", "Calls that run at the backend server."},
+             load.inFlight);
+    addGauge(registry, {"stairspur_gate_queued", "Calls that wait for a place."}, load.queued);
+    for (std::size_t rank = 0; rank < load.floors.size(); ++rank)
+        registry.gauge({"stairspur_gate_floor",
+                        "Lowest level admitted, by class rank (0: the most important)."},
+                       {{"rank", std::to_string(rank)}})
+                .set(load.floors[rank].value);
+    addGauge(registry, {"stairspur_entry_connections", "Connections of callers."},
+             state.entry.connections);
+    addGauge(registry, {"stairspur_links", "Peer links that this node has opened."},
+             std::uint64_t{state.entry.links} + state.controlLinks);
+    addGauge(registry, {"stairspur_process_resident_bytes", "Resident memory of the process."},
+             state.process.residentBytes);
+}
+
+/// The registry counts whole numbers; this one is in seconds, as is usual for it.
+static auto renderCpu(const ProcessUsage &usage) -> std::string
+{
+    static constexpr auto BufferSize = 64;
+    static constexpr auto MicrosecondsPerSecond = 1e6;
+    auto buf = std::array<char, BufferSize>{};
+    const auto seconds = static_cast<double>(usage.cpu.count()) / MicrosecondsPerSecond;
+    std::snprintf(buf.data(), buf.size(), "stairspur_process_cpu_seconds_total %.2f\n", seconds);
+    return "# HELP stairspur_process_cpu_seconds_total Processor time of all threads.\n"
+           "# TYPE stairspur_process_cpu_seconds_total counter\n"
+           + std::string(buf.data());
+}
+
+auto renderControlMetrics(const ControlState &state) -> std::string
+{
+    auto registry = Registry();
+    addMembers(registry, state.members);
+    addMembership(registry, state.membership);
+    addDistribution(registry, state);
+    if (state.store)
+        addStore(registry, *state.store);
+    addTraffic(registry, state);
+    addPresent(registry, state);
+    return registry.renderPrometheus() + renderCpu(state.process);
+}
+
+} // namespace stairspur::node
--- /dev/null
+++ b/source/node/ControlMetrics.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include <stairspur/distribution/Actions.h>
+#include <stairspur/membership/Member.h>
+#include <stairspur/membership/MembershipCounters.h>
+#include <stairspur/platform/EtcdStore.h>
+#include <stairspur/transport/DatagramChannel.h>
+
+#include "ProcessUsage.h"
+#include "TrafficState.h"
+
+namespace stairspur::node {
+
+/// What the control thread knows when the operators' port is asked for metrics.
+struct ControlState
+{
+    std::uint64_t version = 0; ///< Of the configuration in force; 0: none.
+    bool isReady = false;
+    bool isRelay = false;
+    membership::MembershipView members;
+    membership::MembershipCounters membership;
+    distribution::DistributionCounters distribution;
+    std::optional<platform::StoreCounters> store; ///< Empty: this node has no store.
+    transport::DatagramTraffic datagrams;
+    transport::PeerTraffic controlTraffic; ///< Of the control thread's own peer links.
+    std::uint32_t controlLinks = 0;
+    EntryState entry;
+    GateState gate;
+    ProcessUsage process;
+};
+
+/// The control metrics in the Prometheus text format. Made anew for each scrape from counters that exist anyway, so that
+/// nothing is counted twice.
+auto renderControlMetrics(const ControlState &state) -> std::string;
+
+} // namespace stairspur::node
--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -4,6 +4,7 @@
 
 #include <stairspur/log/Log.h>
 
+#include "ControlMetrics.h"
 #include "StatusReport.h"
 
 namespace stairspur::node {
@@ -169,6 +170,7 @@
 
 auto ControlPlane::didChangeView(const membership::MembershipView &view) -> void
 {
+    m_livenessHistory.didSee(view, monotonicNow());
     m_board.members.publish(view);
 }
 
@@ -207,12 +209,28 @@
 
 auto ControlPlane::renderStatus() const -> std::string
 {
-    return statusReport(m_settings, m_board, m_versionsHeard.recent(monotonicNow()));
+    const auto now = monotonicNow();
+    return statusReport(m_settings, m_board, m_versionsHeard.recent(now), m_livenessHistory, now);
 }
 
 auto ControlPlane::renderMetrics() const -> std::string
 {
-    return m_metrics.render();
+    auto state = ControlState();
+    state.version = m_distribution->version();
+    state.isReady = isReady();
+    state.isRelay = m_distribution->isRelay();
+    state.members = *m_board.members.read();
+    state.membership = m_membership.counters();
+    state.distribution = m_distribution->counters();
+    if (m_store)
+        state.store = m_store->counters();
+    state.datagrams = m_datagrams.traffic();
+    state.controlTraffic = m_peers.traffic();
+    state.controlLinks = m_peers.links();
+    state.entry = *m_board.entryState.read();
+    state.gate = *m_board.gateState.read();
+    state.process = readProcessUsage();
+    return m_metrics.render() + renderControlMetrics(state);
 }
 
 } // namespace stairspur::node
--- a/source/node/ControlPlane.h
+++ b/source/node/ControlPlane.h
@@ -20,6 +20,7 @@
 #include <stairspur/transport/PeerServer.h>
 
 #include "AdminApi.h"
+#include "LivenessHistory.h"
 #include "NodeBoard.h"
 #include "NodeMetrics.h"
 #include "RendezvousKeeper.h"
@@ -84,6 +85,7 @@
     std::optional<RendezvousKeeper> m_rendezvous;
     std::optional<distribution::DistributionService> m_distribution;
     VersionsHeard m_versionsHeard;
+    LivenessHistory m_livenessHistory;
     membership::BackendAnnouncements m_announcements;
     AdminApi m_adminApi;
     transport::HttpServer m_adminServer;
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -67,8 +67,9 @@
                 .add("detail", error.what());
         co_return problemResponse(Outcome::NotRun, error.reason(), error.what(), Duration::zero());
     }
+    const auto className = call.request.className;
     auto answer = co_await route(std::move(call), std::move(cancellation));
-    m_metrics.didAnswerAtEntry(answer.outcome, monotonicNow() - start);
+    m_metrics.didAnswerAtEntry(className, answer.outcome, monotonicNow() - start);
     co_return responseFor(std::move(answer));
 }
 
@@ -113,6 +114,7 @@
         if (attempts.last.outcome == Outcome::Answered)
             co_return std::move(attempts.last);
         const auto step = nextStep(call, routes, attempts);
+        m_metrics.didDecideRetry(step);
         if (step == RetryDecision::GiveUp)
             co_return finalRefusal(attempts, attempts.last.reason, attempts.last.retryAfter);
         if (step == RetryDecision::Retry) {
@@ -143,6 +145,7 @@
         attempts.budget.didAnswer(answer.unspentBudget);
     attempts.mayHaveRun =
             attempts.mayHaveRun || answer.wasDispatched || answer.outcome == Outcome::Unknown;
+    m_metrics.didEndAttempt(answer.outcome, answer.reason);
     if (answer.outcome == Outcome::Answered)
         routes.bucket.didSucceed();
     attempts.last = std::move(answer);
@@ -170,6 +173,8 @@
 /// The final answer of a call without a whole one. It is `not-run` only if no attempt can have reached a backend server.
 auto Entry::finalRefusal(const Attempts &attempts, Reason reason, Duration retryAfter) -> CallAnswer
 {
+    if (attempts.sent == 0)
+        m_metrics.didRefuseAtEntry(reason);
     auto answer = CallAnswer();
     if (attempts.last.outcome == Outcome::Failed && attempts.last.status != 0)
         answer = attempts.last;
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -89,7 +89,7 @@
     answer.unspentBudget = request.retryBudget;
     answer.retryAfter = retryAfter;
     answer.report = report();
-    m_metrics.didRefuseAtGate(reason);
+    m_metrics.didRefuseAtGate(request.className, reason);
     if (log::isDecisionSampled()) {
         log::Line(log::Severity::Info, "admission")
                 .add("decision", "refuse")
@@ -153,7 +153,8 @@
                     CancellationPtr cancellation) -> Task<CallAnswer>
 {
     const auto start = monotonicNow();
-
+    const auto arrival = deadline - request.remaining;
+    const auto className = request.className;
     m_running.open(id, {request.className, request.level, request.root, deadline, request.caller},
                    request.retryBudget, request.isRepeat);
     const auto client = m_client; // A newer backend server must not end this call's connections.
@@ -181,7 +182,8 @@
     if (verdict.outcome == Outcome::NotRun)
         answer.retryAfter = UnavailableRetryAfter;
     answer.report = report();
-    m_metrics.didRunAtBackend(verdict.outcome, now - start);
+    m_metrics.didRunAtBackend(className, verdict.outcome, now - start);
+    m_metrics.didAddAtGate(start - arrival + (monotonicNow() - now));
     co_return answer;
 }
 
--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -14,6 +14,9 @@
 
 namespace asio = transport::asio;
 
+/// How often the traffic threads publish what operators see of them.
+static constexpr auto PublishInterval = Duration{1'000'000};
+
 static auto entryServerSettings(const NodeSettings &settings) -> transport::HttpServerSettings
 {
     auto server = transport::HttpServerSettings();
@@ -45,6 +48,8 @@
                     [this](auto request, auto cancellation) {
                         return m_entry.handle(std::move(request), std::move(cancellation));
                     })
+    , m_publishEntry(m_entryThread.io(), PublishInterval, [this] { publishEntryState(); })
+    , m_publishGate(m_gateThread.io(), PublishInterval, [this] { publishGateState(); })
     , m_drainTimer(m_control.io())
 {
     m_controlPlane = std::make_unique<ControlPlane>(m_control.io(), m_settings, m_board, m_metrics,
@@ -76,6 +81,8 @@
     m_entryServer.start();
     m_controlPlane->start();
     m_entry.start();
+    m_publishEntry.start();
+    m_publishGate.start();
     m_gateThread.start();
     m_entryThread.start();
     m_control.start();
@@ -85,6 +92,17 @@
             .add("peer_port", m_peerServer.port());
 }
 
+auto Node::publishEntryState() -> void
+{
+    m_board.entryState.publish(
+            {m_entryServer.connections(), m_entryPeers.links(), m_entryPeers.traffic()});
+}
+
+auto Node::publishGateState() -> void
+{
+    m_board.gateState.publish({m_gate.report(), m_peerServer.traffic()});
+}
+
 /// The order matters: running calls may still make deeper calls through this host's entry, so the gate empties first.
 auto Node::startDrain(std::string cause) -> void
 {
--- a/source/node/Node.h
+++ b/source/node/Node.h
@@ -15,6 +15,7 @@
 #include "IoThread.h"
 #include "NodeBoard.h"
 #include "NodeMetrics.h"
+#include "PeriodicTask.h"
 #include "RunningCalls.h"
 
 namespace stairspur::node {
@@ -41,6 +42,8 @@
 
 private:
     auto handlers() -> ControlHandlers;
+    auto publishEntryState() -> void;
+    auto publishGateState() -> void;
     auto drainGate() -> void;
     auto drainEntry() -> void;
     auto drainPeers() -> void;
@@ -58,6 +61,8 @@
     Entry m_entry;
     Gate m_gate;
     transport::HttpServer m_entryServer;
+    PeriodicTask m_publishEntry;
+    PeriodicTask m_publishGate;
     std::unique_ptr<ControlPlane> m_controlPlane;
     transport::asio::steady_timer m_drainTimer;
     bool m_isDraining = false;
--- a/source/node/NodeBoard.h
+++ b/source/node/NodeBoard.h
@@ -9,6 +9,8 @@
 #include <stairspur/core/Level.h>
 #include <stairspur/membership/Member.h>
 
+#include "TrafficState.h"
+
 namespace stairspur::node {
 
 /// The backend server of this host, as it announced itself.
@@ -40,6 +42,8 @@
     blackboard::Entry<LocalBackend> backend;            ///< Written by the announcement controller.
     blackboard::Entry<LifeStage> stage;                 ///< Written by the drain controller.
     blackboard::Entry<std::vector<Level>> deeperFloors; ///< By class rank. Written by the entry.
+    blackboard::Entry<EntryState> entryState;           ///< Written by the entry's thread.
+    blackboard::Entry<GateState> gateState;             ///< Written by the gate's thread.
 };
 
 } // namespace stairspur::node
--- a/source/node/NodeMetrics.cpp
+++ b/source/node/NodeMetrics.cpp
@@ -2,32 +2,79 @@
 
 namespace stairspur::node {
 
-template <NamedEnum Enum>
-static auto renderCounters(std::string &text, std::string_view name, std::string_view label,
-                           const EnumCounters<Enum> &counters) -> void
+NodeMetrics::EntryClass::EntryClass(metrics::Registry &registry, const metrics::Labels &labels)
+    : answers(registry,
+              {"stairspur_entry_answers_total", "Final answers to callers, by class and outcome."},
+              "outcome", labels)
+{}
+
+NodeMetrics::GateClass::GateClass(metrics::Registry &registry, const metrics::Labels &labels)
+    : refusals(registry,
+               {"stairspur_gate_refusals_total",
+                "Calls that the gate refused before they ran, by class and reason."},
+               "reason", labels)
+    , runs(registry,
+           {"stairspur_backend_runs_total",
+            "Calls sent to the backend server, by class and outcome."},
+           "outcome", labels)
+{}
+
+NodeMetrics::NodeMetrics()
+    : m_entryRefusals(m_registry,
+                      {"stairspur_entry_refusals_total",
+                       "Calls that the entry ended without sending them, by reason."},
+                      "reason")
+    , m_routes(m_registry,
+               {"stairspur_routes_total", "Choices of an upstream, by how it was made."}, "choice")
+    , m_attempts(m_registry, {"stairspur_attempts_total", "Attempts at upstreams, by outcome."},
+                 "outcome")
+    , m_attemptReasons(
+              m_registry,
+              {"stairspur_attempt_failures_total", "Attempts without a whole answer, by reason."},
+              "reason")
+    , m_retries(m_registry,
+                {"stairspur_retry_decisions_total",
+                 "What was decided after an attempt without a whole answer."},
+                "decision")
+    , m_entryLatency(m_registry.histogram(
+              {"stairspur_entry_latency_seconds",
+               "From a call read at the entry to its final answer, refusals included."}))
+    , m_gateWait(m_registry.histogram(
+              {"stairspur_gate_wait_seconds",
+               "From a call's asking the gate for a place to the gate's decision."}))
+    , m_gateAdded(m_registry.histogram(
+              {"stairspur_gate_added_seconds",
+               "Time of calls that ran at this gate, without the backend server's."}))
+    , m_backendLatency(m_registry.histogram({"stairspur_backend_latency_seconds",
+                                             "From a call sent to the backend server to its end."}))
+    , m_entryClasses(m_registry)
+    , m_gateClasses(m_registry)
+{}
+
+auto NodeMetrics::didEndAttempt(Outcome outcome, Reason reason) -> void
+{
+    m_attempts.increment(outcome);
+    if (outcome != Outcome::Answered)
+        m_attemptReasons.increment(reason);
+}
+
+auto NodeMetrics::didAnswerAtEntry(std::string_view className, Outcome outcome, Duration latency)
+        -> void
+{
+    m_entryClasses[className].answers.increment(outcome);
+    m_entryLatency.record(latency);
+}
+
+auto NodeMetrics::didRefuseAtGate(std::string_view className, Reason reason) -> void
 {
-    text.append("# TYPE ").append(name).append(" counter\n");
-    for (std::size_t index = 0; index < enumNames<Enum>.size(); ++index) {
-        const auto n = counters.count(static_cast<Enum>(index));
-        text.append(name)
-                .append("{")
-                .append(label)
-                .append("=\"")
-                .append(enumNames<Enum>[index])
-                .append("\"} ");
-        text.append(std::to_string(n)).append("\n");
-    }
+    m_gateClasses[className].refusals.increment(reason);
 }
 
-auto NodeMetrics::render() const -> std::string
+auto NodeMetrics::didRunAtBackend(std::string_view className, Outcome outcome, Duration latency)
+        -> void
 {
-    auto text = std::string();
-    renderCounters(text, "stairspur_entry_refusals_total", "reason", m_entryRefusals);
-    renderCounters(text, "stairspur_gate_refusals_total", "reason", m_gateRefusals);
-    renderCounters(text, "stairspur_routes_total", "choice", m_routes);
-    renderCounters(text, "stairspur_answers_total", "outcome", m_answers);
-    renderCounters(text, "stairspur_backend_runs_total", "outcome", m_runs);
-    return text;
+    m_gateClasses[className].runs.increment(outcome);
+    m_backendLatency.record(latency);
 }
 
 } // namespace stairspur::node
--- /dev/null
+++ b/source/node/PeriodicTask.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <stairspur/core/Time.h>
+
+namespace stairspur::node {
+
+/// Does something at once and then again and again, on the thread of an io_context, for as long as that runs.
+class PeriodicTask
+{
+public:
+    PeriodicTask(boost::asio::io_context &io, Duration interval, std::function<void()> task)
+        : m_timer(io)
+        , m_interval(interval)
+        , m_task(std::move(task))
+    {}
+
+    /// Call before the thread starts, or on it.
+    auto start() -> void
+    {
+        m_task();
+        m_timer.expires_after(m_interval);
+        m_timer.async_wait([this](const boost::system::error_code &ec) {
+            if (!ec)
+                start();
+        });
+    }
+
+private:
+    boost::asio::steady_timer m_timer;
+    Duration m_interval;
+    std::function<void()> m_task;
+};
+
+} // namespace stairspur::node
--- a/source/node/StatusReport.cpp
+++ b/source/node/StatusReport.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "DomainSummary.h"
+
 namespace stairspur::node {
 
 /// How many nodes of each failure domain have which version in force, this node included.
@@ -16,7 +18,7 @@
     for (const auto &it : view->members) {
         const auto found = heard.find(it.node);
         if (it.node != settings.nodeId() && found != heard.end())
-            ++counts[it.domain][std::to_string(found->second)];
+            ++counts[it.domain][std::to_string(found->second.version)];
     }
     return counts;
 }
@@ -43,7 +45,57 @@
     };
 }
 
-static auto memberReport(const membership::Member &member) -> nlohmann::json
+static auto toSeconds(Duration duration) -> double
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+/// Null where nothing is known.
+static auto toSeconds(const std::optional<Duration> &duration) -> nlohmann::json
+{
+    return duration ? nlohmann::json(toSeconds(*duration)) : nlohmann::json();
+}
+
+static auto domainReport(const std::string &name, const DomainSummary &summary) -> nlohmann::json
+{
+    return {
+            {"failureDomain", name},        {"alive", summary.alive},
+            {"suspect", summary.suspect},   {"dead", summary.dead},
+            {"left", summary.left},         {"serving", summary.serving},
+            {"draining", summary.draining}, {"starting", summary.starting},
+            {"cutOff", summary.isCutOff},   {"heardSecondsAgo", toSeconds(summary.heardAge)},
+    };
+}
+
+static auto domainReports(const membership::MembershipView &view, const HeardVersions &heard,
+                          const NodeId &self) -> nlohmann::json
+{
+    auto reports = nlohmann::json::array();
+    for (const auto &[name, summary] : summarizeDomains(view, heard, self))
+        reports.push_back(domainReport(name, summary));
+    return reports;
+}
+
+/// How long ago the node itself was heard; null when that was long ago or never, as with most nodes of other domains,
+/// which relays speak for.
+static auto heardSecondsAgo(const HeardVersions &heard, const NodeId &node) -> nlohmann::json
+{
+    const auto it = heard.find(node);
+    return it == heard.end() ? nlohmann::json() : nlohmann::json(toSeconds(it->second.age));
+}
+
+/// How long the node has been taken for suspect or dead; null while it is alive.
+static auto judgedSecondsAgo(const LivenessHistory &history, const NodeId &node, TimePoint now)
+        -> nlohmann::json
+{
+    const auto since = history.since(node);
+    if (!since)
+        return {};
+    return toSeconds(std::chrono::duration_cast<Duration>(now - *since));
+}
+
+static auto memberReport(const membership::Member &member, const HeardVersions &heard,
+                         const LivenessHistory &history, TimePoint now) -> nlohmann::json
 {
     return {
             {"node", member.node},
@@ -53,22 +105,25 @@
             {"state", nameOf(member.state)},
             {"liveness", nameOf(member.liveness)},
             {"slots", member.slots},
+            {"heardSecondsAgo", heardSecondsAgo(heard, member.node)},
+            {"judgedSecondsAgo", judgedSecondsAgo(history, member.node, now)},
     };
 }
 
-auto statusReport(const NodeSettings &settings, const NodeBoard &board, const HeardVersions &heard)
-        -> std::string
+auto statusReport(const NodeSettings &settings, const NodeBoard &board, const HeardVersions &heard,
+                  const LivenessHistory &history, TimePoint now) -> std::string
 {
     auto members = nlohmann::json::array();
     const auto view = board.members.read();
     for (const auto &it : view->members)
-        members.push_back(memberReport(it));
+        members.push_back(memberReport(it, heard, history, now));
     const auto report = nlohmann::json{
             {"node", settings.nodeId()},
             {"failureDomain", settings.failureDomain},
             {"state", nameOf(*board.stage.read())},
             {"configuration", configurationReport(settings, board, heard)},
             {"backend", backendReport(*board.backend.read())},
+            {"domains", domainReports(*view, heard, settings.nodeId())},
             {"members", std::move(members)},
     };
     return report.dump(2) + "\n";
--- a/source/node/VersionsHeard.cpp
+++ b/source/node/VersionsHeard.cpp
@@ -24,7 +24,8 @@
     auto versions = HeardVersions();
     for (const auto &[node, heard] : m_heard) {
         if (now - heard.at <= Retention)
-            versions.emplace(node, heard.version);
+            versions.emplace(node, HeardVersion{heard.version, std::chrono::duration_cast<Duration>(
+                                                                       now - heard.at)});
     }
     return versions;
 }
--- a/source/node/VersionsHeard.h
+++ b/source/node/VersionsHeard.h
@@ -10,8 +10,15 @@
 
 namespace stairspur::node {
 
-/// The configuration version that each node has in force, by node.
-using HeardVersions = std::map<NodeId, std::uint64_t>;
+/// What a node itself said last.
+struct HeardVersion
+{
+    std::uint64_t version = 0; ///< Of the configuration that it had in force.
+    Duration age{0};           ///< Since it said so.
+};
+
+/// By node.
+using HeardVersions = std::map<NodeId, HeardVersion>;
 
 /// Remembers what other nodes said of the configuration they have in force, for the operators' status. A node is heard
 /// about once in as many protocol periods as its failure domain has members, so that what is old says little.
