Node: Make the id of a running call a secret that holds

Whoever names a running call in Stairspur-Call calls deeper without a key, in that call's class and name. Its id was a number of the gate's Mersenne Twister, whose state can be computed from 312 outputs that a backend server sees; it also travelled as the parent id of traceparent, which servers pass on to everybody that they call and to trace collectors.

Weighed: ids signed by the node (longer, and a check for each deeper call), a second Twister (the same fault), ids of the system's random source for each call (a system call each).

Conclusion: a call's id is known to its gate and its backend server, cannot be foretold, and is of no use elsewhere.

--- a/source/node/BackendAnswer.cpp
+++ b/source/node/BackendAnswer.cpp
@@ -1,5 +1,6 @@
 #include "BackendAnswer.h"
 
+#include <stairspur/core/Hash.h>
 #include <stairspur/core/Hex.h>
 
 namespace stairspur::node {
@@ -37,10 +38,13 @@
     return {Outcome::Unknown, Reason::BackendFailed, Completion::Failed};
 }
 
-/// A child span of the root's trace: the call's id is the parent id that deeper services see.
+/// A child span of the root's trace. Backend servers pass traceparent on to everybody that they call and to trace
+/// collectors, so that its parent id must not be the call's id, which is a credential: it is derived from it one way.
 static auto traceParent(const RootId &root, CallId id) -> std::string
 {
-    return "00-" + root.toString() + "-" + toHex(id) + "-00";
+    static constexpr auto ParentIdLength = std::size_t{16};
+    auto parentId = sha256Hex("span " + toHex(id)).substr(0, ParentIdLength);
+    return "00-" + root.toString() + "-" + parentId + "-00";
 }
 
 auto backendRequest(transport::CallRequest call, CallId id, Duration remaining)
--- a/source/node/CallIntake.cpp
+++ b/source/node/CallIntake.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include <boost/asio/ip/address.hpp>
+
 #include <stairspur/core/Hash.h>
 
 #include "EndToEndHeaders.h"
@@ -158,6 +160,21 @@
     return id;
 }
 
+/// The id alone proves much already; this keeps one that leaked from being used elsewhere. Checked before the id is
+/// looked up, so that other hosts cannot even ask which ids are running.
+static auto ensureFromOwnHost(const std::string &remoteAddress, std::string_view ownAddress) -> void
+{
+    auto ec = boost::system::error_code();
+    const auto remote = boost::asio::ip::make_address(remoteAddress, ec);
+    if (!ec && (remote.is_loopback() || remoteAddress == ownAddress))
+        return;
+    throw CallRejected(Reason::ParentUnknown,
+                       "Stairspur-Call names a call of a backend server of this host, but the "
+                       "request comes from elsewhere",
+                       "send deeper calls to the entry port of the own host; other callers send "
+                       "their bearer key and no Stairspur-Call");
+}
+
 static auto findService(const transport::HeaderList &headers,
                         const config::ConfigurationIndex &configuration) -> const config::Service &
 {
@@ -208,11 +225,14 @@
 }
 
 auto readCall(transport::HttpRequest request, const config::ConfigurationIndex &configuration,
-              const RunningCalls &running, TimePoint now, Random &random) -> IncomingCall
+              const RunningCalls &running, std::string_view ownAddress, TimePoint now,
+              Random &random) -> IncomingCall
 {
     const auto &headers = request.headers;
     auto call = IncomingCall();
     call.parent = readParentId(headers);
+    if (call.parent)
+        ensureFromOwnHost(request.remoteAddress, ownAddress);
     const auto standing = call.parent
                                   ? standingOfParent(*call.parent, headers, configuration, running)
                                   : standingOfCaller(headers, configuration, random);
--- a/source/node/CallIntake.h
+++ b/source/node/CallIntake.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <stairspur/config/ConfigurationIndex.h>
 #include <stairspur/core/Error.h>
@@ -42,8 +43,10 @@
 
 /// Reads what a caller or this host's backend server sent: who, what, how important, until when. Throws CallRejected.
 ///
-/// A deeper call inherits class, root and deadline from its parent in `running`, and can lower them, never raise them.
+/// A deeper call inherits class, root and deadline from its parent in `running`, and can lower them, never raise them. It
+/// must come from this host: from a loopback address or from `ownAddress`.
 auto readCall(transport::HttpRequest request, const config::ConfigurationIndex &configuration,
-              const RunningCalls &running, TimePoint now, Random &random) -> IncomingCall;
+              const RunningCalls &running, std::string_view ownAddress, TimePoint now,
+              Random &random) -> IncomingCall;
 
 } // namespace stairspur::node
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -61,7 +61,8 @@
     }
     auto call = IncomingCall();
     try {
-        call = readCall(std::move(request), *configuration, m_running, start, m_random);
+        call = readCall(std::move(request), *configuration, m_running, m_settings.hostAddress,
+                        start, m_random);
     } catch (const CallRejected &error) {
         m_metrics.didRefuseAtEntry(error.reason());
         log::Line(log::Severity::Info, "call-rejected")
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -20,11 +20,12 @@
 static constexpr auto UnavailableRetryAfter = Duration{500'000};
 
 Gate::Gate(transport::asio::io_context &io, const NodeBoard &board, RunningCalls &running,
-           NodeMetrics &metrics, std::uint64_t seed)
+           NodeMetrics &metrics, CallIdSource &callIds, std::uint64_t seed)
     : m_io(io)
     , m_board(board)
     , m_running(running)
     , m_metrics(metrics)
+    , m_callIds(callIds)
     , m_random(seed)
     , m_admission(std::make_unique<AdmissionController>(admission::AdmissionSettings()))
     , m_ticker(io)
@@ -111,8 +112,8 @@
     if (const auto reason = reasonToRefuse(request); reason != Reason::None)
         co_return refusal(request, reason, UnavailableRetryAfter);
 
+    const auto id = m_callIds.next();
     ++m_calls;
-    const auto id = CallId{m_random()};
     const auto deadline = now + request.remaining;
     const auto decision = co_await waitForPlace(id, {id, request.level, deadline}, cancellation);
     auto answer = CallAnswer();
--- a/source/node/Gate.h
+++ b/source/node/Gate.h
@@ -16,6 +16,7 @@
 #include <stairspur/transport/Task.h>
 
 #include "BackendAnswer.h"
+#include "CallIdSource.h"
 #include "NodeBoard.h"
 #include "NodeMetrics.h"
 #include "RunningCalls.h"
@@ -28,7 +29,7 @@
 {
 public:
     Gate(transport::asio::io_context &io, const NodeBoard &board, RunningCalls &running,
-         NodeMetrics &metrics, std::uint64_t seed);
+         NodeMetrics &metrics, CallIdSource &callIds, std::uint64_t seed);
 
     /// Serves one call: from admission to the backend server's whole answer.
     auto handle(transport::CallRequest request, transport::CancellationPtr cancellation)
@@ -74,6 +75,7 @@
     const NodeBoard &m_board;
     RunningCalls &m_running;
     NodeMetrics &m_metrics;
+    CallIdSource &m_callIds;
     Random m_random;
     LocalBackend m_backend;
     std::uint64_t m_backendGeneration = 0;
--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -40,7 +40,7 @@
     , m_peerServer(m_gateThread.io(), settings.hostAddress, settings.peerPort,
                    peerSettings(settings))
     , m_entry(m_entryThread.io(), m_settings, m_board, m_running, m_metrics, m_entryPeers, seed())
-    , m_gate(m_gateThread.io(), m_board, m_running, m_metrics, seed())
+    , m_gate(m_gateThread.io(), m_board, m_running, m_metrics, m_callIds, seed())
     , m_entryServer(m_entryThread.io(), entryServerSettings(settings),
                     [this](auto request, auto cancellation) {
                         return m_entry.handle(std::move(request), std::move(cancellation));
--- a/source/node/Node.h
+++ b/source/node/Node.h
@@ -9,6 +9,7 @@
 #include <stairspur/transport/PeerClient.h>
 #include <stairspur/transport/PeerServer.h>
 
+#include "CallIdSource.h"
 #include "ControlPlane.h"
 #include "Entry.h"
 #include "Gate.h"
@@ -50,6 +51,7 @@
     NodeBoard m_board;
     NodeMetrics m_metrics;
     RunningCalls m_running;
+    SecureCallIds m_callIds; ///< For the gate alone.
     IoThread m_control{"control"};
     IoThread m_entryThread{"entry"};
     IoThread m_gateThread{"gate"};
