Node: End with an error, not an abort, when a port is taken; let held-up calls spare the limit

Cause: an exception in Node::start left the log writer's thread joinable, so the process aborted (exit 134) after its good message. Ruled out: catching in main, which leaves the same trap to every other caller of log::start. Change: log::Session ends the writer with its scope; RunningCalls tells whether a call was held up below, and such a call says nothing to the limit; a new backend server starts cold and max_queue of the configuration reaches the gate.

--- a/include/stairspur/log/Log.h
+++ b/include/stairspur/log/Log.h
@@ -40,6 +40,18 @@
 /// Writes what is waiting and stops the writer.
 auto stop() -> void;
 
+/// Starts the writer and stops it at the end of its scope, however that is left.
+class Session
+{
+public:
+    explicit Session(const LogSettings &settings) { start(settings); }
+    ~Session() { stop(); }
+    Session(const Session &) = delete;
+    Session(Session &&) = delete;
+    auto operator=(const Session &) -> Session & = delete;
+    auto operator=(Session &&) -> Session & = delete;
+};
+
 /// Whether a line of this severity would be written: ask before building a costly one.
 auto isEnabled(Severity severity) -> bool;
 
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -93,7 +93,8 @@
     auto answer = co_await attemptUntilFinal(call, routes, attempts, cancellation);
     answer.unspentBudget = attempts.budget.left();
     if (call.parent)
-        m_running.removeChild(*call.parent, childId, attempts.budget.left());
+        m_running.removeChild(*call.parent, childId, attempts.budget.left(),
+                              answer.outcome == Outcome::Answered);
     co_return answer;
 }
 
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -60,11 +60,13 @@
         client.port = backend.port;
         client.maxAnswerBytes = limits.maxAnswerBytes;
         m_client = std::make_shared<transport::HttpClient>(m_io, client);
+        m_admission->didReplaceBackend();
     }
     auto slots = backend.slots;
     if (limits.maxConcurrency > 0)
         slots = std::min(slots, limits.maxConcurrency);
     m_admission->setReportedSlots(slots);
+    m_admission->setMaxQueue(limits.maxQueue);
     m_backend = backend;
 }
 
@@ -150,6 +152,17 @@
     co_return waiter->refusal;
 }
 
+/// What the limit learns from a call. One that was held up by its own deeper calls says nothing about this backend server:
+/// counted as its failure, it would shrink the limits of all services above an overloaded one.
+static auto completionOf(const BackendVerdict &verdict, const ClosedCall &closed)
+        -> admission::Completion
+{
+    const auto isTrouble = verdict.completion == admission::Completion::Failed
+                           || verdict.completion == admission::Completion::TimedOut;
+    return isTrouble && closed.wasHeldUpBelow ? admission::Completion::Cancelled
+                                              : verdict.completion;
+}
+
 auto Gate::dispatch(CallId id, CallRequest request, TimePoint deadline,
                     CancellationPtr cancellation) -> Task<CallAnswer>
 {
@@ -178,8 +191,9 @@
     answer.outcome = verdict.outcome;
     answer.reason = verdict.reason;
     answer.wasDispatched = verdict.outcome != Outcome::NotRun;
-    answer.unspentBudget = m_running.close(id);
-    apply(m_admission->didComplete(id, verdict.completion, now - start, now, m_random));
+    const auto closed = m_running.close(id);
+    answer.unspentBudget = closed.unspentBudget;
+    apply(m_admission->didComplete(id, completionOf(verdict, closed), now - start, now, m_random));
     if (verdict.outcome == Outcome::NotRun)
         answer.retryAfter = UnavailableRetryAfter;
     answer.report = report();
--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -165,24 +165,20 @@
 auto runNode(const NodeSettings &settings) -> int
 {
     static constexpr auto DrainTimedOut = 1;
-    log::start({fromName<log::Severity>(settings.logLevel).value_or(log::Severity::Info),
-                settings.nodeId(), settings.logDecisionSample});
-    auto signals = asio::io_context(1);
-    auto terminate = asio::signal_set(signals, SIGTERM, SIGINT);
-    auto isWhole = true;
-    {
-        auto node = Node(settings);
-        node.start();
-        terminate.async_wait([&node](const boost::system::error_code &ec, int number) {
-            if (!ec)
-                node.startDrain(number == SIGTERM ? "sigterm" : "sigint");
-        });
-        auto signalThread = std::thread([&signals] { signals.run(); });
-        isWhole = node.waitUntilStopped();
-        signals.stop();
-        signalThread.join();
-    }
-    log::stop();
+    const auto logging =
+            log::Session({fromName<log::Severity>(settings.logLevel).value_or(log::Severity::Info),
+                          settings.nodeId(), settings.logDecisionSample});
+    auto signals = IoThread("signals");
+    auto terminate = asio::signal_set(signals.io(), SIGTERM, SIGINT);
+    auto node = Node(settings);
+    node.start();
+    terminate.async_wait([&node](const boost::system::error_code &ec, int number) {
+        if (!ec)
+            node.startDrain(number == SIGTERM ? "sigterm" : "sigint");
+    });
+    signals.start();
+    const auto isWhole = node.waitUntilStopped();
+    signals.stop();
     return isWhole ? 0 : DrainTimedOut;
 }
 
--- a/source/node/RunningCalls.cpp
+++ b/source/node/RunningCalls.cpp
@@ -31,32 +31,35 @@
     return {Reason::None, *share, m_ledger.isRepeat(parent)};
 }
 
-auto RunningCalls::removeChild(CallId parent, CallId child, std::uint32_t unspent) -> void
+auto RunningCalls::removeChild(CallId parent, CallId child, std::uint32_t unspent, bool isAnswered)
+        -> void
 {
     const auto lock = std::scoped_lock(m_mutex);
     const auto it = m_records.find(parent);
     if (it == m_records.end())
         return;
     it->second.children.erase(child);
+    it->second.hasFailedChild = it->second.hasFailedChild || !isAnswered;
     m_ledger.giveBack(parent, unspent);
 }
 
-auto RunningCalls::close(CallId id) -> std::uint32_t
+auto RunningCalls::close(CallId id) -> ClosedCall
 {
     auto children = std::unordered_map<CallId, CancelChild>();
-    auto left = std::uint32_t{0};
+    auto closed = ClosedCall();
     {
         const auto lock = std::scoped_lock(m_mutex);
         const auto it = m_records.find(id);
         if (it == m_records.end())
-            return 0;
+            return closed;
+        closed.wasHeldUpBelow = it->second.hasFailedChild || !it->second.children.empty();
         children = std::move(it->second.children);
         m_records.erase(it);
-        left = m_ledger.close(id);
+        closed.unspentBudget = m_ledger.close(id);
     }
     for (const auto &[child, cancel] : children)
         cancel();
-    return left;
+    return closed;
 }
 
 } // namespace stairspur::node
--- a/source/node/RunningCalls.h
+++ b/source/node/RunningCalls.h
@@ -34,6 +34,13 @@
     bool isRepeat = false;
 };
 
+/// What remains of a call that ended.
+struct ClosedCall
+{
+    std::uint32_t unspentBudget = 0;
+    bool wasHeldUpBelow = false; ///< A deeper call had no answer, or still ran.
+};
+
 /// The calls that run at this host's backend server. The gate writes it; the entry asks it when a backend server makes a
 /// deeper call. The one piece of state that both traffic threads share, so it has a lock.
 class RunningCalls
@@ -51,17 +58,18 @@
     /// `cancel` is run, from the gate's thread, when the parent ends first.
     auto addChild(CallId parent, CallId child, CancelChild cancel) -> ChildShare;
 
-    /// The deeper call ended with `unspent` of its share left.
-    auto removeChild(CallId parent, CallId child, std::uint32_t unspent) -> void;
+    /// The deeper call ended with `unspent` of its share left. `isAnswered`: with a whole answer.
+    auto removeChild(CallId parent, CallId child, std::uint32_t unspent, bool isAnswered) -> void;
 
-    /// The call ended. Cancels its deeper calls, since nobody waits for them, and returns what is left of the budget.
-    auto close(CallId id) -> std::uint32_t;
+    /// The call ended. Cancels its deeper calls, since nobody waits for them.
+    auto close(CallId id) -> ClosedCall;
 
 private:
     struct Record
     {
         RunningCall call;
         std::unordered_map<CallId, CancelChild> children;
+        bool hasFailedChild = false;
     };
 
     mutable std::mutex m_mutex;
--- a/tests/node/TestCallIntake.cpp
+++ b/tests/node/TestCallIntake.cpp
@@ -160,8 +160,32 @@
     const auto first = running.addChild(1, 10, [&] { ++cancelled; });
     const auto second = running.addChild(1, 11, [&] { ++cancelled; });
     cr_assert_eq(first.budget + second.budget, 3);
-    running.removeChild(1, 11, second.budget);
-    running.close(1);
+    running.removeChild(1, 11, second.budget, true);
+    cr_assert(running.close(1).wasHeldUpBelow, "a child still runs");
     cr_assert_eq(cancelled, 1, "only the child that still runs is cancelled");
     cr_assert(running.addChild(1, 12, [] {}).refusal == Reason::ParentUnknown);
 }
+
+Test(RunningCalls, onlyUnansweredChildrenHoldTheirParentUp)
+{
+    struct
+    {
+        const char *name;
+        bool hasChild;
+        bool isAnswered;
+        bool expected;
+    } cases[] = {{"no child", false, false, false},
+                 {"answered child", true, true, false},
+                 {"refused child", true, false, true}};
+    for (const auto &it : cases) {
+        auto running = RunningCalls();
+        running.open(1, {}, 4, false);
+        if (it.hasChild) {
+            const auto share = running.addChild(1, 10, [] {});
+            running.removeChild(1, 10, share.budget, it.isAnswered);
+        }
+        const auto closed = running.close(1);
+        cr_expect_eq(closed.wasHeldUpBelow, it.expected, "%s", it.name);
+        cr_expect_eq(closed.unspentBudget, 4, "%s", it.name);
+    }
+}
