--- /dev/null
+++ b/tests/core/TestCbor.cpp
@@ -0,0 +1,51 @@
+#include <criterion/criterion.h>
+
+#include <string>
+
+#include <stairspur/core/Cbor.h>
+#include <stairspur/core/Error.h>
+
+using namespace stairspur;
+
+Test(Cbor, readsWhatItWrote)
+{
+    const auto value = nlohmann::json{{"a", {1, -2, 3.5, true, nullptr}},
+                                      {"b", nlohmann::json::binary({1, 2})},
+                                      {"c", std::string(300, 'x')}};
+    cr_assert(fromCbor(toCbor(value)) == value);
+}
+
+Test(Cbor, hostileBytesAreAnInputErrorAndNothingElse)
+{
+    static constexpr auto Deep = std::size_t{1'000'000};
+    struct
+    {
+        const char *name;
+        std::string bytes;
+    } cases[] = {
+            {"nothing", ""},
+            {"text that ends early", "\x65"
+                                     "ab"},
+            {"two items", "\x01\x02"},
+            {"arrays in arrays", std::string(Deep, '\x81')},
+            {"maps in maps", std::string(Deep, '\xa1')},
+            {"tags in tags", std::string(Deep, '\xc1')},
+            {"arrays without end", std::string(Deep, '\x9f')},
+            {"texts without end", std::string(Deep, '\x7f')},
+            {"byte strings without end", std::string(Deep, '\x5f')},
+            {"an array of 2^63 items", "\x9b\x80" + std::string(7, '\0')},
+            {"a map of 2^63 pairs", "\xbb\x80" + std::string(7, '\0')},
+            {"a text of 2^63 bytes", "\x7b\x80" + std::string(7, '\0')},
+            {"bytes of 2^64-1", "\x5b" + std::string(8, '\xff')},
+            {"a map whose key is a number", "\xa1\x01\x01"},
+    };
+    for (const auto &it : cases) {
+        auto isRefused = false;
+        try {
+            fromCbor(it.bytes);
+        } catch (const InputError &) {
+            isRefused = true;
+        }
+        cr_expect(isRefused, "%s", it.name);
+    }
+}
