Node: Limit the admin port as the entry port

The admin port ran with the server's defaults: 4096 connections and bodies of 8 MiB whatever the settings said, on the thread that also runs membership. Bodies there are announcements of at most 4096 bytes. The status report threw on text that is no UTF-8, which the other JSON bodies of the node replace.

Weighed: flags of its own (two more to set and explain, for a port that a host's own programs use). Taken: the header limit and the request timeout of the settings, 64 KiB a body, and 256 connections or max-connections, whichever is less. Peer links keep their own limit (4096): max-connections is for callers, and lowering it must not cut off other nodes.

Conclusion: every limit in the settings now reaches each HTTP port that it fits.

--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -1,5 +1,6 @@
 #include "ControlPlane.h"
 
+#include <algorithm>
 #include <set>
 
 #include <stairspur/log/Log.h>
@@ -47,11 +48,19 @@
     return membership;
 }
 
+/// The admin port serves the host's backend server and a few people and collectors; its bodies are announcements.
+static constexpr auto MaxAdminConnections = std::uint32_t{256};
+static constexpr auto MaxAdminBodyBytes = std::uint64_t{64U << 10U};
+
 static auto adminServerSettings(const NodeSettings &settings) -> transport::HttpServerSettings
 {
     auto server = transport::HttpServerSettings();
     server.address = settings.adminAddress;
     server.port = settings.adminPort;
+    server.maxConnections = std::min(settings.maxConnections, MaxAdminConnections);
+    server.maxHeaderBytes = settings.maxHeaderBytes;
+    server.maxBodyBytes = MaxAdminBodyBytes;
+    server.requestTimeout = settings.requestTimeout;
     return server;
 }
 
--- a/source/node/StatusReport.cpp
+++ b/source/node/StatusReport.cpp
@@ -71,7 +71,7 @@
             {"backend", backendReport(*board.backend.read())},
             {"members", std::move(members)},
     };
-    return report.dump(2) + "\n";
+    return report.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
 }
 
 } // namespace stairspur::node
