Distribution: Part the scenarios from their table

The scenarios now stand in a header of their own, unchanged, and the table of guards beside them. Weighed: one file per scenario (a page of includes for each) and leaving it; the cut between scenarios and tables was the natural one.

--- /dev/null
+++ b/tests/distribution/DistributionScenarios.h
@@ -0,0 +1,396 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "FakeCluster.h"
+
+/// Scenarios of faults while configurations spread. Each returns what it found broken: nothing with the real guards.
+namespace stairspur::distribution {
+
+using namespace std::chrono_literals;
+
+using Violations = std::vector<std::string>;
+
+inline constexpr auto Seeds = {1U, 2U, 3U, 4U, 5U};
+
+inline auto sectionsOf(int mark, int n = 12) -> config::Sections
+{
+    auto sections = config::Sections();
+    for (auto index = 0; index < n; ++index)
+        sections["service/" + std::to_string(index)] =
+                std::string(200, 'x') + std::to_string(index);
+    sections["service/" + std::to_string(mark % n)] = "mark " + std::to_string(mark);
+    return sections;
+}
+
+template <typename Policy>
+auto applyNext(FakeCluster<Policy> &cluster, int mark) -> void
+{
+    cluster.apply(sectionsOf(mark), "apply-" + std::to_string(mark));
+}
+
+/// What must hold at any time: no node went back, and none mixes two versions.
+template <typename Policy>
+auto checkOrder(FakeCluster<Policy> &cluster, const std::string &name, Violations &found) -> void
+{
+    for (const auto &[id, node] : cluster.nodes) {
+        if (!std::ranges::is_sorted(node.versions, std::less_equal<>()))
+            found.push_back(name + ": " + id + " went back");
+        const auto hash = config::hashOf(node.state->known().sections());
+        if (node.state->known().version() > 0 && hash != node.state->known().hash())
+            found.push_back(name + ": " + id + " has sections of two versions");
+    }
+}
+
+/// What must hold at every end: all have what is in force, and none ever went back.
+template <typename Policy>
+auto check(FakeCluster<Policy> &cluster, Duration limit, const std::string &name, Violations &found)
+        -> void
+{
+    if (!cluster.runUntilCovered(limit)) {
+        auto missing = std::string();
+        for (const auto &[id, node] : cluster.nodes) {
+            if (node.isAlive && node.state->known().hash() != cluster.store.head().hash)
+                missing += " " + id + " has " + std::to_string(node.state->known().version());
+        }
+        found.push_back(name + ": version " + std::to_string(cluster.store.head().version)
+                        + " is not in force everywhere:" + missing);
+    }
+    checkOrder(cluster, name, found);
+}
+template <typename Policy>
+auto startUp(FakeCluster<Policy> &cluster, const std::string &name, Violations &found) -> void
+{
+    applyNext(cluster, 0);
+    check(cluster, 10s, name + " start", found);
+}
+
+template <typename Policy>
+auto runDamagedNetwork() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : Seeds) {
+        auto cluster = FakeCluster<Policy>(2, 8, seed);
+        cluster.lossShare = 0.3;
+        cluster.duplicateShare = 0.3;
+        cluster.maxLatency = 300ms; // Reorders everything.
+        startUp(cluster, "damage", found);
+        for (auto mark = 1; mark <= 6; ++mark) {
+            applyNext(cluster, mark);
+            cluster.run(400ms);
+        }
+        check(cluster, 30s, "damage", found);
+    }
+    return found;
+}
+
+/// A tenth of all datagrams lost: still in force everywhere within the five seconds that are allowed; nearly a third:
+/// within ten.
+template <typename Policy>
+auto runHeavyLoss() -> Violations
+{
+    auto found = Violations();
+    for (const auto &[loss, limit] : {std::pair(0.1, 5s), std::pair(0.3, 10s)}) {
+        auto cluster = FakeCluster<Policy>(1, 80, 1);
+        startUp(cluster, "heavy loss", found);
+        cluster.lossShare = loss;
+        for (auto mark = 1; mark <= 6; ++mark) {
+            applyNext(cluster, mark);
+            check(cluster, limit, "heavy loss", found);
+        }
+    }
+    return found;
+}
+
+/// Without rumors, the digests on membership's messages are enough.
+template <typename Policy>
+auto runMissedNews() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : Seeds) {
+        auto cluster = FakeCluster<Policy>(1, 10, seed);
+        startUp(cluster, "missed news", found);
+        cluster.lossShare = 1;
+        applyNext(cluster, 1);
+        cluster.run(300ms);
+        cluster.lossShare = 0;
+        check(cluster, 15s, "missed news", found);
+    }
+    return found;
+}
+
+/// One node can't be reached, can't reach others, or both; then the cut heals.
+template <typename Policy>
+auto runCutPeer() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : Seeds) {
+        for (const auto direction : {1, 2, 3}) {
+            auto cluster = FakeCluster<Policy>(1, 6, seed);
+            startUp(cluster, "cut peer", found);
+            const auto id = cluster.nodes.begin()->first;
+            cluster.isCut = [id, direction](const auto &from, const auto &to) {
+                return (from == id && (direction & 1) != 0) || (to == id && (direction & 2) != 0);
+            };
+            for (auto mark = 1; mark <= 40; ++mark)
+                applyNext(cluster, mark);
+            cluster.run(5s);
+            cluster.isCut = [](const auto &, const auto &) { return false; };
+            check(cluster, 15s, "cut peer", found);
+        }
+    }
+    return found;
+}
+
+/// The peer that told first never answers: the version must come from another.
+template <typename Policy>
+auto runDeafSource() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : Seeds) {
+        auto cluster = FakeCluster<Policy>(1, 6, seed);
+        cluster.hasDigests = false;
+        startUp(cluster, "deaf source", found);
+        const auto id = cluster.nodes.rbegin()->first;
+        cluster.nodes[id].mayReachStore = false;
+        cluster.isCut = [id](const auto &from, const auto &) { return from == id; };
+        applyNext(cluster, 1);
+        cluster.run(1s);
+        cluster.isCut = [](const auto &, const auto &) { return false; };
+        check(cluster, 15s, "deaf source", found);
+    }
+    return found;
+}
+
+/// All watches stay open and say nothing.
+template <typename Policy>
+auto runSilentWatch() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : Seeds) {
+        auto cluster = FakeCluster<Policy>(2, 5, seed);
+        startUp(cluster, "silent watch", found);
+        cluster.isWatchSilent = true;
+        applyNext(cluster, 1);
+        check(cluster, 5s, "silent watch", found);
+    }
+    return found;
+}
+
+/// Relays are paused, die, or lose the store, one after the other, at the moment of an apply.
+template <typename Policy>
+auto runRelays() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : Seeds) {
+        for (const auto fault : {0, 1, 2}) {
+            auto cluster = FakeCluster<Policy>(2, 6, seed);
+            startUp(cluster, "relays", found);
+            auto struck = std::vector<NodeId>();
+            for (const auto &[id, node] : cluster.nodes) {
+                if (node.state->isRelay() && struck.size() < 2 && node.domain == "d0")
+                    struck.push_back(id);
+            }
+            for (const auto &it : struck) {
+                if (fault == 0)
+                    cluster.pause(it);
+                else if (fault == 1)
+                    cluster.kill(it);
+                else
+                    cluster.nodes[it].mayReachStore = false;
+            }
+            applyNext(cluster, 1);
+            cluster.run(2s);
+            if (fault == 1)
+                cluster.shareView();
+            applyNext(cluster, 2);
+            cluster.run(3s);
+            for (const auto &it : struck) {
+                if (fault == 0)
+                    cluster.resume(it);
+            }
+            check(cluster, 15s, "relays", found);
+        }
+    }
+    return found;
+}
+
+/// A whole domain loses the store, but not its peers.
+template <typename Policy>
+auto runCutDomain() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : Seeds) {
+        auto cluster = FakeCluster<Policy>(3, 5, seed);
+        startUp(cluster, "cut domain", found);
+        for (auto &[id, node] : cluster.nodes)
+            node.mayReachStore = node.domain != "d1";
+        applyNext(cluster, 1);
+        check(cluster, 5s, "cut domain", found);
+    }
+    return found;
+}
+
+/// Domains lose each other and the store while versions come, then all heals.
+template <typename Policy>
+auto runPartition() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : Seeds) {
+        auto cluster = FakeCluster<Policy>(3, 4, seed);
+        startUp(cluster, "partition", found);
+        cluster.isCut = [](const auto &from, const auto &to) {
+            return from.substr(0, 2) != to.substr(0, 2);
+        };
+        for (auto &[id, node] : cluster.nodes)
+            node.mayReachStore = node.domain == "d0";
+        for (auto mark = 1; mark <= 50; ++mark) {
+            applyNext(cluster, mark);
+            cluster.run(200ms);
+        }
+        cluster.isCut = [](const auto &, const auto &) { return false; };
+        check(cluster, 15s, "partition", found);
+    }
+    return found;
+}
+
+/// Nodes restart with nothing while the store is down, with and without digests to listen to.
+template <typename Policy>
+auto runRestart() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : Seeds) {
+        auto cluster = FakeCluster<Policy>(1, 6, seed);
+        startUp(cluster, "restart", found);
+        cluster.isStoreDown = true;
+        cluster.hasDigests = false;
+        auto n = 0;
+        for (const auto &[id, node] : cluster.nodes) {
+            if (n++ % 2 == 0)
+                cluster.start(id);
+        }
+        cluster.shareView();
+        check(cluster, 15s, "restart", found);
+    }
+    return found;
+}
+
+/// The store is down or slow when a node starts alone, and comes back.
+template <typename Policy>
+auto runStoreOutage() -> Violations
+{
+    auto found = Violations();
+    for (const auto latency : {Duration{3ms}, Duration{1500ms}}) {
+        auto cluster = FakeCluster<Policy>(2, 4, 1);
+        cluster.storeLatency = latency;
+        cluster.isStoreDown = true;
+        cluster.isWatchSilent = true;
+        applyNext(cluster, 0);
+        cluster.run(20s);
+        cluster.isStoreDown = false;
+        check(cluster, 40s, "store outage", found);
+    }
+    return found;
+}
+
+/// The store is emptied and another file applied under a version that is in force: alarm, and the first one stays.
+template <typename Policy>
+auto runTwoHashes() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : Seeds) {
+        auto cluster = FakeCluster<Policy>(1, 5, seed);
+        startUp(cluster, "two hashes", found);
+        const auto first = cluster.store.head().hash;
+        cluster.store.pairs.clear();
+        applyNext(cluster, 7);
+        cluster.run(5s);
+        auto alarms = std::size_t{0};
+        for (const auto &[id, node] : cluster.nodes) {
+            alarms += node.alarms.size();
+            if (node.state->known().hash() != first)
+                found.push_back("two hashes: " + id + " let the first go");
+        }
+        if (alarms == 0)
+            found.emplace_back("two hashes: no alarm");
+        applyNext(cluster, 8);
+        check(cluster, 10s, "two hashes, then a newer version", found);
+    }
+    return found;
+}
+
+/// A fork: half of the nodes have another configuration under one version. The next version must reach both halves.
+template <typename Policy>
+auto runFork() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : Seeds) {
+        auto cluster = FakeCluster<Policy>(2, 4, seed);
+        startUp(cluster, "fork", found);
+        cluster.isCut = [](const auto &from, const auto &to) {
+            return from.substr(0, 2) != to.substr(0, 2);
+        };
+        for (auto &[id, node] : cluster.nodes)
+            node.mayReachStore = node.domain == "d0";
+        const auto before = cluster.store;
+        applyNext(cluster, 1);
+        cluster.run(3s);
+        cluster.store = before;
+        for (auto &[id, node] : cluster.nodes)
+            node.mayReachStore = node.domain == "d1";
+        applyNext(cluster, 2);
+        cluster.run(3s);
+        applyNext(cluster, 3);
+        cluster.isCut = [](const auto &, const auto &) { return false; };
+        check(cluster, 15s, "fork", found);
+    }
+    return found;
+}
+
+/// The store goes back to an older head: an alarm, and nobody follows.
+template <typename Policy>
+auto runStoreBehind() -> Violations
+{
+    auto found = Violations();
+    auto cluster = FakeCluster<Policy>(1, 4, 1);
+    startUp(cluster, "store behind", found);
+    const auto before = cluster.store;
+    applyNext(cluster, 1);
+    cluster.run(2s);
+    cluster.store = before;
+    cluster.run(30s);
+    auto alarms = std::size_t{0};
+    for (const auto &[id, node] : cluster.nodes) {
+        alarms += node.alarms.size();
+        if (node.state->known().version() != 2)
+            found.push_back("store behind: " + id + " went back");
+    }
+    if (alarms == 0)
+        found.emplace_back("store behind: no alarm");
+    checkOrder(cluster, "store behind", found);
+    return found;
+}
+
+/// A peer whose sections do not add up to what it claims.
+template <typename Policy>
+auto runDamagedSections() -> Violations
+{
+    auto found = Violations();
+    auto cluster = FakeCluster<Policy>(1, 5, 1);
+    startUp(cluster, "damaged sections", found);
+    auto &[id, node] = *cluster.nodes.begin();
+    auto delta = ConfigDatagram{DatagramKind::Delta, digestOf(9, std::string(64, 'a')), 1, {}};
+    delta.changes.changed["service/0"] = "not what was applied";
+    node.state->didReceiveDatagram(cluster.nodes.rbegin()->first, encode(delta), cluster.now);
+    node.state->didReceiveDatagram(cluster.nodes.rbegin()->first, "no CBOR", cluster.now);
+    cluster.drain(id);
+    cluster.run(3s);
+    check(cluster, 1s, "damaged sections", found);
+    return found;
+}
+
+} // namespace stairspur::distribution
