Keyed: State the pure protocol of calls that run at most once

Cause: a retried order or booking must not run twice, and the store cannot take a write per call. Change: key homes, the placement table and its plan, the primary's and the witness's slot machines, the keeper that carries out changes of placement, the entry's route, and their CBOR messages; no I/O, no clock. Ruled out: catching the library's CBOR exception in core, which is another module's file.

--- /dev/null
+++ b/include/stairspur/keyed/PrimarySlotCode.h
@@ -0,0 +1,436 @@
+#pragma once
+
+// The member functions of PrimarySlot, for who instantiates it with other guards.
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include <stairspur/keyed/PrimarySlot.h>
+
+namespace stairspur::keyed {
+
+inline constexpr auto UnprocessableContent = std::uint32_t{422}; // RFC 9110, section 15.5.21
+
+template <typename Guards>
+auto PrimarySlot<Guards>::submit(const Waiter &waiter, const Submit &submit, Instant now,
+                                 Effects &effects) -> void
+{
+    if (!m_state.isPrimary() || !m_state.hasRecords)
+        return sayMoved(waiter, effects);
+    const auto it = m_pending.find(submit.key);
+    if (it != m_pending.end())
+        return submitPending(it->second, waiter, submit, now, effects);
+    if (const auto *record = m_state.records.find(submit.key))
+        return submitRecorded(*record, waiter, submit, now, effects);
+    submitNew(waiter, submit, now, effects);
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::submitPending(PendingKey &pending, const Waiter &waiter,
+                                        const Submit &submit, Instant now, Effects &effects) -> void
+{
+    if (Guards::FingerprintIsChecked && pending.fingerprint != submit.fingerprint) {
+        // Only a record that the witness holds too proves that the other request can't run under this key.
+        if (pending.stage == PendingStage::Running)
+            return refuse(waiter, Outcome::NotRun, Reason::BadRequest, UnprocessableContent,
+                          effects);
+        return refuse(waiter, Outcome::Unknown, Reason::KeyInProgress, 0, effects);
+    }
+    if (pending.waiters.empty())
+        pending.waitingSince = now.steady;
+    pending.waiters.push_back(waiter);
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::submitRecorded(const KeyRecord &record, const Waiter &waiter,
+                                         const Submit &submit, Instant now, Effects &effects)
+        -> void
+{
+    if (Guards::FingerprintIsChecked && record.fingerprint != submit.fingerprint)
+        return refuse(waiter, Outcome::NotRun, Reason::BadRequest, UnprocessableContent, effects);
+    if (record.state == KeyState::Settled)
+        return answer(waiter, record.answer, true, effects);
+    const auto mayHaveRun = record.state == KeyState::Unknown
+            || (record.state == KeyState::Bound && Guards::TakeoverSettlesOpenKeys);
+    if (mayHaveRun)
+        return refuse(waiter, Outcome::Unknown, Reason::KeyUnknown, 0, effects);
+    if (m_state.isSealed)
+        return sayMoved(waiter, effects);
+    if (Guards::SubmitNamesEpoch && submit.epoch != m_state.placement.epoch)
+        return sayMoved(waiter, effects);
+    if (Guards::StaleSubmitsAreChallenged && submit.ticket != record.ticket) {
+        auto reply = Reply{waiter.number, ReplyKind::Challenge};
+        reply.ticket = record.ticket;
+        effects.replies.push_back({waiter, std::move(reply)});
+        return;
+    }
+    bind(waiter, submit, record.ticket, now, effects);
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::submitNew(const Waiter &waiter, const Submit &submit, Instant now,
+                                    Effects &effects) -> void
+{
+    const auto &records = m_state.records;
+    if (records.mayHaveForgotten(submit.key, submit.isHomeExplicit, now.wall))
+        return refuse(waiter, Outcome::Unknown, Reason::KeyUnknown, 0, effects);
+    if (m_state.isSealed)
+        return sayMoved(waiter, effects);
+    if (Guards::SubmitNamesEpoch && submit.epoch != m_state.placement.epoch)
+        return sayMoved(waiter, effects);
+    if (records.isFull())
+        return refuse(waiter, Outcome::Unknown, Reason::QueueFull, 0, effects);
+    bind(waiter, submit, 0, now, effects);
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::bind(const Waiter &waiter, const Submit &submit, std::uint64_t ticket,
+                               Instant now, Effects &effects) -> void
+{
+    auto record = KeyRecord{submit.key, submit.fingerprint};
+    record.bind = m_state.nextUpdate();
+    record.update = record.bind;
+    record.ticket = ticket;
+    record.recordedAt = now.wall;
+
+    auto pending = PendingKey();
+    pending.bind = record.bind;
+    pending.update = record.update;
+    pending.fingerprint = submit.fingerprint;
+    pending.waiters.push_back(waiter);
+    pending.lastSent = now.steady;
+    pending.waitingSince = now.steady;
+    auto &placed = m_pending.insert_or_assign(submit.key, std::move(pending)).first->second;
+
+    const auto isFuture = m_state.records.isFromTheFuture(submit.key, now.wall);
+    m_state.records.put(record);
+    if (submit.isQuery || isFuture) {
+        const auto reason = isFuture ? Reason::BadRequest : Reason::None;
+        return stateNotRun(submit.key, placed, reason, now, effects);
+    }
+    sendUpdate(record, effects);
+    if (!Guards::DispatchNeedsAck)
+        dispatch(submit.key, placed, effects);
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::dispatch(const std::string &key, PendingKey &pending, Effects &effects)
+        -> void
+{
+    pending.stage = PendingStage::Running;
+    effects.dispatches.push_back({key, pending.bind, pending.waiters});
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::cancel(const Waiter &waiter) -> void
+{
+    for (auto &[key, pending] : m_pending)
+        std::erase(pending.waiters, waiter);
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::didReceiveAck(const Replica &from, const RecordAck &ack, Instant now,
+                                        Effects &effects) -> void
+{
+    const auto isCurrent = m_state.isPrimary() && !m_state.isSealed
+            && from == m_state.placement.witness && ack.update.epoch == m_state.placement.epoch;
+    if (!isCurrent && Guards::AckMatchesUpdate)
+        return;
+    const auto *record = m_state.records.find(ack.key);
+    if (record && record->update == ack.update)
+        m_unacknowledged.erase(ack.key);
+
+    const auto it = m_pending.find(ack.key);
+    if (it == m_pending.end())
+        return;
+    auto &pending = it->second;
+    if (Guards::AckMatchesUpdate && pending.update != ack.update)
+        return;
+    if (pending.stage == PendingStage::AwaitingAck) {
+        if (pending.waiters.empty())
+            return stateNotRun(ack.key, pending, Reason::Cancelled, now, effects);
+        return dispatch(ack.key, pending, effects);
+    }
+    if (pending.stage == PendingStage::AwaitingNotRunAck) {
+        for (const auto &waiter : pending.waiters)
+            refuse(waiter, Outcome::NotRun, pending.notRunReason, 0, effects);
+        m_pending.erase(it);
+    }
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::didEnd(const std::string &key, UpdateId bind, const DispatchEnd &end,
+                                 Instant now, Effects &effects) -> void
+{
+    const auto it = m_pending.find(key);
+    if (it == m_pending.end() || it->second.bind != bind
+        || it->second.stage != PendingStage::Running)
+        return;
+    if (!end.didNotRun) {
+        auto pending = std::move(it->second);
+        m_pending.erase(it);
+        return settle(key, pending, end.answer, now, effects);
+    }
+    if (m_state.isPrimary() && m_state.hasRecords)
+        return stateNotRun(key, it->second, end.answer.reason, now, effects);
+    // Another node answers for the key by now; only it may say what becomes of it.
+    for (const auto &waiter : it->second.waiters)
+        sayMoved(waiter, effects);
+    m_pending.erase(it);
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::stateNotRun(const std::string &key, PendingKey &pending, Reason reason,
+                                      Instant now, Effects &effects) -> void
+{
+    const auto *known = m_state.records.find(key);
+    auto record = known ? *known : KeyRecord{key, pending.fingerprint};
+    record.state = KeyState::NotRun;
+    record.update = m_state.nextUpdate();
+    record.recordedAt = now.wall;
+    ++record.ticket;
+    m_state.records.put(record);
+
+    pending.stage = PendingStage::AwaitingNotRunAck;
+    pending.update = record.update;
+    pending.notRunReason = reason;
+    pending.lastSent = now.steady;
+    pending.waitingSince = now.steady;
+    sendUpdate(record, effects);
+    if (Guards::NotRunNeedsAck)
+        return;
+    for (const auto &waiter : pending.waiters)
+        refuse(waiter, Outcome::NotRun, reason, 0, effects);
+    m_pending.erase(key);
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::settle(const std::string &key, const PendingKey &pending,
+                                 const RecordedAnswer &answer, Instant now, Effects &effects)
+        -> void
+{
+    for (const auto &waiter : pending.waiters)
+        this->answer(waiter, answer, false, effects);
+
+    auto kept = answer;
+    if (kept.payload.size() > m_state.settings.records.maxPayloadBytes) {
+        kept.payload.clear();
+        kept.isPayloadKept = false;
+    }
+    if (!m_state.isPrimary() || !m_state.hasRecords)
+        return reportLate(key, pending.bind, kept, now, effects);
+
+    const auto *known = m_state.records.find(key);
+    auto record = known ? *known : KeyRecord{key, pending.fingerprint};
+    record.state = kept.outcome == Outcome::Unknown ? KeyState::Unknown : KeyState::Settled;
+    record.bind = pending.bind;
+    record.update = m_state.nextUpdate();
+    record.recordedAt = now.wall;
+    record.answer = std::move(kept);
+    m_state.records.put(record);
+    m_unacknowledged.insert_or_assign(key, now.steady);
+    sendUpdate(record, effects);
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::reportLate(const std::string &key, UpdateId bind,
+                                     const RecordedAnswer &answer, Instant now, Effects &effects)
+        -> void
+{
+    if (answer.outcome == Outcome::Unknown)
+        return; // Whoever answers for the key says `unknown` already.
+    auto outcome = LateOutcome{key, bind, answer};
+    if (!m_state.placement.primary.isNone() && m_state.placement.primary != m_state.own)
+        effects.sends.push_back({m_state.placement.primary, outcome});
+    m_late.insert_or_assign(key, LateReport{std::move(outcome), now.steady});
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::didReceiveLateOutcome(const Replica &from, const LateOutcome &late,
+                                                Instant now, Effects &effects) -> void
+{
+    if (!m_state.isPrimary() || !m_state.hasRecords)
+        return;
+    if (from != m_state.own)
+        effects.sends.push_back({from, LateAccept{late.key, late.bind}});
+    const auto *known = m_state.records.find(late.key);
+    const auto isOpen = known && known->bind == late.bind && !m_pending.contains(late.key)
+            && (known->state == KeyState::Bound || known->state == KeyState::Unknown);
+    if (!isOpen)
+        return;
+    auto record = *known;
+    record.state = KeyState::Settled;
+    record.update = m_state.nextUpdate();
+    record.recordedAt = now.wall;
+    record.answer = late.answer;
+    m_state.records.put(record);
+    m_unacknowledged.insert_or_assign(late.key, now.steady);
+    sendUpdate(record, effects);
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::didReceiveLateAccept(const LateAccept &accept) -> void
+{
+    const auto it = m_late.find(accept.key);
+    if (it != m_late.end() && it->second.outcome.bind == accept.bind)
+        m_late.erase(it);
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::tick(Instant now, Effects &effects) -> void
+{
+    const auto &settings = m_state.settings;
+    const auto isDue = [&](TimePoint lastSent) {
+        return now.steady - lastSent >= settings.resendInterval;
+    };
+    for (auto &[key, pending] : m_pending) {
+        if (pending.stage == PendingStage::Running)
+            continue;
+        if (now.steady - pending.waitingSince >= settings.ackTimeout) {
+            for (const auto &waiter : pending.waiters)
+                refuse(waiter, Outcome::Unknown, Reason::WitnessUnreachable, 0, effects);
+            pending.waiters.clear();
+        }
+        if (m_state.isSealed || !isDue(pending.lastSent))
+            continue;
+        pending.lastSent = now.steady;
+        if (const auto *record = m_state.records.find(key))
+            sendUpdate(*record, effects);
+    }
+    std::erase_if(m_pending, [&](const auto &entry) {
+        const auto isForgotten = m_state.records.find(entry.first) == nullptr;
+        return isForgotten && entry.second.stage != PendingStage::Running;
+    });
+    resendOutcomes(now, effects);
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::resendOutcomes(Instant now, Effects &effects) -> void
+{
+    const auto interval = m_state.settings.resendInterval;
+    for (auto it = m_unacknowledged.begin(); it != m_unacknowledged.end();) {
+        const auto *record = m_state.records.find(it->first);
+        if (!record) { // Forgotten meanwhile.
+            it = m_unacknowledged.erase(it);
+            continue;
+        }
+        if (!m_state.isSealed && now.steady - it->second >= interval) {
+            it->second = now.steady;
+            sendUpdate(*record, effects);
+        }
+        ++it;
+    }
+    for (auto &[key, report] : m_late) {
+        if (m_state.placement.primary == m_state.own || now.steady - report.lastSent < interval)
+            continue;
+        report.lastSent = now.steady;
+        effects.sends.push_back({m_state.placement.primary, report.outcome});
+    }
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::resume(Instant now, Effects &effects) -> void
+{
+    assert(m_state.isPrimary());
+    const auto renew = [&](const std::string &key, bool isNewBinding) -> UpdateId {
+        const auto *known = m_state.records.find(key);
+        if (!known)
+            return {};
+        auto record = *known;
+        record.update = m_state.nextUpdate();
+        if (isNewBinding) {
+            record.state = KeyState::Bound;
+            record.bind = record.update;
+        }
+        m_state.records.put(record);
+        sendUpdate(record, effects);
+        return record.update;
+    };
+    for (auto &[key, pending] : m_pending) {
+        if (pending.stage == PendingStage::Running)
+            continue;
+        const auto isNewBinding = pending.stage == PendingStage::AwaitingAck;
+        pending.update = renew(key, isNewBinding);
+        if (isNewBinding)
+            pending.bind = pending.update;
+        pending.lastSent = now.steady;
+    }
+    for (auto &[key, lastSent] : m_unacknowledged) {
+        renew(key, false);
+        lastSent = now.steady;
+    }
+    const auto late = std::exchange(m_late, {});
+    for (const auto &[key, report] : late)
+        didReceiveLateOutcome(m_state.own, report.outcome, now, effects);
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::retire(Instant now, Effects &effects) -> void
+{
+    std::erase_if(m_pending, [&](const auto &entry) {
+        if (entry.second.stage == PendingStage::Running)
+            return false;
+        for (const auto &waiter : entry.second.waiters)
+            sayMoved(waiter, effects);
+        return true;
+    });
+    for (const auto &[key, lastSent] : m_unacknowledged) {
+        const auto *record = m_state.records.find(key);
+        if (record && record->state == KeyState::Settled)
+            reportLate(key, record->bind, record->answer, now, effects);
+    }
+    m_unacknowledged.clear();
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::isUndispatched(const std::string &key) const -> bool
+{
+    const auto it = m_pending.find(key);
+    return it != m_pending.end() && it->second.stage == PendingStage::AwaitingAck;
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::running() const -> std::size_t
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_pending.begin(), m_pending.end(), [](const auto &entry) {
+                return entry.second.stage == PendingStage::Running;
+            }));
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::sendUpdate(const KeyRecord &record, Effects &effects) -> void
+{
+    if (!m_state.placement.witness.isNone())
+        effects.sends.push_back(
+                {m_state.placement.witness, RecordUpdate{m_state.placement.epoch, record}});
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::answer(const Waiter &waiter, const RecordedAnswer &answer, bool isReplay,
+                                 Effects &effects) -> void
+{
+    auto reply = Reply{waiter.number, ReplyKind::Settled, answer, isReplay};
+    if (answer.outcome == Outcome::NotRun || answer.outcome == Outcome::Unknown)
+        reply.retryAfter = m_state.settings.retryAfter;
+    effects.replies.push_back({waiter, std::move(reply)});
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::refuse(const Waiter &waiter, Outcome outcome, Reason reason,
+                                 std::uint32_t status, Effects &effects) -> void
+{
+    answer(waiter, RecordedAnswer{outcome, reason, status, {}, true}, false, effects);
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::sayMoved(const Waiter &waiter, Effects &effects) -> void
+{
+    auto reply = Reply{waiter.number, ReplyKind::Moved};
+    reply.placement = m_state.placement;
+    reply.retryAfter = m_state.settings.resendInterval;
+    effects.replies.push_back({waiter, std::move(reply)});
+}
+
+} // namespace stairspur::keyed
--- /dev/null
+++ b/source/keyed/PlacementKeeper.cpp
@@ -0,0 +1,7 @@
+#include <stairspur/keyed/PlacementKeeperCode.h>
+
+namespace stairspur::keyed {
+
+template class PlacementKeeper<StandardGuards>;
+
+} // namespace stairspur::keyed
--- /dev/null
+++ b/source/keyed/RecordTable.cpp
@@ -0,0 +1,90 @@
+#include <stairspur/keyed/RecordTable.h>
+
+#include <algorithm>
+#include <utility>
+
+#include <stairspur/keyed/KeyHome.h>
+
+namespace stairspur::keyed {
+
+auto RecordTable::find(const std::string &key) const -> const KeyRecord *
+{
+    const auto it = m_records.find(key);
+    return it == m_records.end() ? nullptr : &it->second;
+}
+
+auto RecordTable::apply(const KeyRecord &record) -> bool
+{
+    const auto *known = find(record.key);
+    if (known && known->update >= record.update)
+        return false;
+    put(record);
+    return true;
+}
+
+auto RecordTable::put(KeyRecord record) -> void
+{
+    auto key = record.key;
+    m_records.insert_or_assign(std::move(key), std::move(record));
+}
+
+auto RecordTable::forget(WallMilliseconds now, bool shouldRaiseMark) -> std::size_t
+{
+    const auto keep = m_settings.keyLifetime + m_settings.clockMargin;
+    if (now <= keep)
+        return 0;
+    const auto mark = now - keep;
+    if (shouldRaiseMark)
+        raiseLowWater(mark);
+    // A key that claims a later mint time than its record's is kept until the mark has passed it too.
+    return std::erase_if(m_records, [&](const auto &entry) {
+        const auto mintedAt = mintTimeOf(entry.first).value_or(0);
+        return std::max(mintedAt, entry.second.recordedAt) < mark;
+    });
+}
+
+auto RecordTable::raiseLowWater(WallMilliseconds mark) -> void
+{
+    m_lowWater = std::max(m_lowWater, mark);
+}
+
+auto RecordTable::noteLoss(WallMilliseconds when) -> void
+{
+    m_lostAt = std::max(m_lostAt, when);
+}
+
+auto RecordTable::noteHomeChange(WallMilliseconds when) -> void
+{
+    m_homesChangedAt = std::max(m_homesChangedAt, when);
+}
+
+auto RecordTable::mayHaveForgotten(std::string_view key, bool isHomeExplicit,
+                                   WallMilliseconds now) const -> bool
+{
+    const auto mintedAt = mintTimeOf(key);
+    if (mintedAt && *mintedAt < m_lowWater)
+        return true;
+    if (mayPrecede(key, m_lostAt, now))
+        return true;
+    return !isHomeExplicit && mayPrecede(key, m_homesChangedAt, now);
+}
+
+auto RecordTable::mayPrecede(std::string_view key, WallMilliseconds event,
+                             WallMilliseconds now) const -> bool
+{
+    if (event == 0)
+        return false;
+    // Once for the clock that minted the key, once for the clock that noted the event.
+    const auto settled = event + 2 * m_settings.clockMargin;
+    if (const auto mintedAt = mintTimeOf(key))
+        return *mintedAt <= settled;
+    return now <= settled + m_settings.keyLifetime;
+}
+
+auto RecordTable::isFromTheFuture(std::string_view key, WallMilliseconds now) const -> bool
+{
+    const auto mintedAt = mintTimeOf(key);
+    return mintedAt && *mintedAt > now + m_settings.clockMargin;
+}
+
+} // namespace stairspur::keyed
