Keyed: Prove calls that run at most once by a fault matrix with mutants

Found and mended: a slot sealed for a change that was never written stayed sealed (renewal epochs); a loser of the first write never learned the table; a late duplicate of an attempt that had been told not-run could join a new binding and be dispatched alone; a key remapped by a configuration change ran at its new home before that home had noted the change (the runtime checks the home itself). Ruled out: a guard on the submit's epoch; tickets travel with the records, so it caught nothing.

--- a/include/stairspur/keyed/Guards.h
+++ b/include/stairspur/keyed/Guards.h
@@ -20,16 +20,15 @@
     static constexpr auto ForgettingRaisesMark = true;
     /// Keys that may be older than a loss of records don't run.
     static constexpr auto LossIsRemembered = true;
-    /// `not-run` is said only after the witness has acknowledged it.
+    /// `not-run` is said of a key that was never bound here only after the witness has acknowledged that: a witness that
+    /// has taken over may have had it run.
     static constexpr auto NotRunNeedsAck = true;
     /// After `not-run`, a request that was sent before it has to be confirmed by its entry.
     static constexpr auto StaleSubmitsAreChallenged = true;
-    /// A request that was addressed to an older epoch has to be confirmed by its entry.
-    static constexpr auto SubmitNamesEpoch = true;
     /// A proposer binds and acknowledges nothing from the moment it offers its records.
     static constexpr auto ProposerSealsFirst = true;
-    /// A member of a new epoch takes part only with the records that its source offered for that epoch.
-    static constexpr auto MembersNeedRecords = true;
+    /// A new epoch is written only when its members hold the records, and they take part with nothing else.
+    static constexpr auto RecordsGoFirst = true;
     /// A different request under a known key is refused.
     static constexpr auto FingerprintIsChecked = true;
     /// Slots that lost both members wait for a proof that one of them has ended.
--- a/include/stairspur/keyed/KeyRecord.h
+++ b/include/stairspur/keyed/KeyRecord.h
@@ -35,9 +35,10 @@
 {
     Outcome outcome = Outcome::Unknown;
     Reason reason = Reason::None;
-    std::uint32_t status = 0;   ///< The backend server's HTTP status.
-    std::string payload;        ///< The encoded answer, for replay.
-    bool isPayloadKept = true;  ///< False: it was larger than records may hold, and `payload` is empty.
+    std::uint32_t status = 0; ///< The backend server's HTTP status.
+    std::string payload{};    ///< The encoded answer, for replay.
+    bool isPayloadKept =
+            true; ///< False: it was larger than records may hold, and `payload` is empty.
 
     auto operator==(const RecordedAnswer &) const -> bool = default;
 };
@@ -48,8 +49,8 @@
     std::string key;
     std::uint64_t fingerprint = 0; ///< Hash of the request that first came under the key.
     KeyState state = KeyState::Bound;
-    UpdateId bind{};            ///< The binding under which it may be running.
-    UpdateId update{};          ///< The newest update that this record holds.
+    UpdateId bind{};          ///< The binding under which it may be running.
+    UpdateId update{};        ///< The newest update that this record holds.
     std::uint64_t ticket = 0; ///< Counts the `not-run` statements made of the key.
     WallMilliseconds recordedAt = 0;
     RecordedAnswer answer{};
--- a/include/stairspur/keyed/KeyedMessages.h
+++ b/include/stairspur/keyed/KeyedMessages.h
@@ -45,7 +45,8 @@
 struct SnapshotOffer
 {
     SlotPlacement proposed;
-    std::uint64_t sequence = 0; ///< Of two offers for one epoch from one source, the greater is newer.
+    std::uint64_t sequence =
+            0; ///< Of two offers for one epoch from one source, the greater is newer.
     WallMilliseconds lowWater = 0;
     WallMilliseconds lostAt = 0;
     WallMilliseconds homesChangedAt = 0;
@@ -59,7 +60,8 @@
     std::uint64_t sequence = 0;
 };
 
-/// A former primary to the present one: how a call ended that it had dispatched in an earlier epoch.
+/// A former primary to the present one: how a call ended that it had dispatched in an earlier epoch; `not-run` when that
+/// is proven, so that the key may be bound again.
 struct LateOutcome
 {
     std::string key{};
--- a/include/stairspur/keyed/KeyedRoute.h
+++ b/include/stairspur/keyed/KeyedRoute.h
@@ -49,9 +49,9 @@
 
 struct RouteSettings
 {
-    std::uint32_t maxSteps = 24;     ///< Of one attempt; it is answered `unknown` after them.
-    Duration retryDelay{100'000};    ///< Before asking again, with jitter between half and the whole.
-    Duration retryAfter{1'000'000};  ///< Told with `unknown`.
+    std::uint32_t maxSteps = 24;  ///< Of one attempt; it is answered `unknown` after them.
+    Duration retryDelay{100'000}; ///< Before asking again, with jitter between half and the whole.
+    Duration retryAfter{1'000'000}; ///< Told with `unknown`.
 };
 
 /// What a call under a key is, as its entry sees it.
--- a/include/stairspur/keyed/PlacementKeeper.h
+++ b/include/stairspur/keyed/PlacementKeeper.h
@@ -18,16 +18,18 @@
 {
     SlotSettings slot;
     PlacementSettings placement;
-    Duration batchWindow{1'000'000};  ///< Changes that fall into this time go into one write, if they can.
+    Duration batchWindow{
+            1'000'000}; ///< Changes that fall into this time go into one write, if they can.
     Duration offerTimeout{1'000'000}; ///< For new members to take the records.
-    Duration storeBackoff{1'000'000}; ///< After a store call that failed, doubled with each up to 16 times.
+    Duration storeBackoff{
+            1'000'000}; ///< After a store call that failed, doubled with each up to 16 times.
     Duration forgetInterval{10'000'000};
 };
 
 /// What a read of the store gave.
 struct TableRead
 {
-    bool isDone = false; ///< False: no answer.
+    bool isDone = false;        ///< False: no answer.
     std::uint64_t revision = 0; ///< Of the store's key; 0: there is none yet.
     PlacementTable table;       ///< Empty when there is none.
 };
@@ -74,7 +76,7 @@
     std::vector<Message> messages;
     std::vector<SlotDispatch> dispatches;
     std::vector<Delivery> replies;
-    bool shouldRead = false; ///< Read the table from the store; report with didRead.
+    bool shouldRead = false;         ///< Read the table from the store; report with didRead.
     std::optional<TableWrite> write; ///< Compare and swap; report with didWrite.
     std::vector<PlacementDecision> decisions;
 };
@@ -102,6 +104,8 @@
 
     auto submit(std::uint32_t slot, const Waiter &waiter, const Submit &submit, Instant now,
                 KeeperEffects &effects) -> void;
+    /// The key's home is elsewhere by the configuration in force here: whoever sent it has another one.
+    auto sayHomeIsElsewhere(const Waiter &waiter, KeeperEffects &effects) -> void;
     auto cancel(std::uint32_t slot, const Waiter &waiter) -> void;
     auto didEnd(std::uint32_t slot, const std::string &key, UpdateId bind, const DispatchEnd &end,
                 Instant now, KeeperEffects &effects) -> void;
@@ -134,7 +138,7 @@
 
     auto plan(Instant now, const std::vector<PlacementMember> &members, KeeperEffects &effects)
             -> std::vector<PlacementChange>;
-    auto startReading(Instant now, KeeperEffects &effects) -> void;
+    auto addRenewals(std::vector<PlacementChange> &changes) const -> void;
     auto startProposal(const PlacementChange &change, KeeperEffects &effects) -> void;
     auto startWriting(KeeperEffects &effects) -> void;
     auto finish(Instant now, Duration pause) -> void;
@@ -148,6 +152,7 @@
     auto noteSlot(std::uint32_t number) -> void;
     auto noticeMembers(const PlacementChange &change, const SlotPlacement &former,
                        KeeperEffects &effects) -> void;
+    auto noticePeers(KeeperEffects &effects) -> void;
     auto send(std::uint32_t slot, const Replica &to, MessageBody body, KeeperEffects &effects)
             -> void;
     auto pass(std::uint32_t slot, Effects &&from, KeeperEffects &effects) -> void;
@@ -159,6 +164,8 @@
     std::uint64_t m_revision = 0;
     std::map<std::uint32_t, std::unique_ptr<SlotReplica<Guards>>> m_slots;
     WallMilliseconds m_homesChangedAt = 0;
+    std::vector<Replica>
+            m_peers; ///< The service's other nodes; entries ask any of them for the table.
 
     Phase m_phase = Phase::Idle;
     TimePoint m_nextStep;
--- a/include/stairspur/keyed/PlacementKeeperCode.h
+++ b/include/stairspur/keyed/PlacementKeeperCode.h
@@ -27,6 +27,11 @@
 auto PlacementKeeper<Guards>::tick(Instant now, const std::vector<PlacementMember> &members,
                                    KeeperEffects &effects) -> void
 {
+    m_peers.clear();
+    for (const auto &it : members) {
+        if (it.isOfService && it.isAlive && it.replica != m_own)
+            m_peers.push_back(it.replica);
+    }
     const auto shouldForget = now.steady >= m_nextForget;
     if (shouldForget)
         m_nextForget = now.steady + m_settings.forgetInterval;
@@ -43,11 +48,14 @@
             return;
         m_phase = Phase::Gathering;
         m_nextStep = now.steady
-                + Duration(randomBelow(m_random, std::uint64_t(m_settings.batchWindow.count()) + 1));
+                     + Duration(randomBelow(m_random,
+                                            std::uint64_t(m_settings.batchWindow.count()) + 1));
         return;
     case Phase::Gathering:
-        if (now.steady >= m_nextStep)
-            startReading(now, effects);
+        if (now.steady < m_nextStep)
+            return;
+        m_phase = Phase::Reading;
+        effects.shouldRead = true;
         return;
     case Phase::Offering:
         return resendOffers(now, effects);
@@ -77,15 +85,26 @@
     std::erase_if(m_blocked, [&](auto number) {
         return std::find(plan.blocked.begin(), plan.blocked.end(), number) == plan.blocked.end();
     });
+    addRenewals(plan.changes);
     std::erase_if(plan.changes, [&](const auto &it) { return it.proposer != m_own; });
     return std::move(plan.changes);
 }
 
 template <typename Guards>
-auto PlacementKeeper<Guards>::startReading(Instant /*now*/, KeeperEffects &effects) -> void
+auto PlacementKeeper<Guards>::addRenewals(std::vector<PlacementChange> &changes) const -> void
 {
-    m_phase = Phase::Reading;
-    effects.shouldRead = true;
+    for (const auto &[number, slot] : m_slots) {
+        const auto &state = slot->state();
+        const auto isStuck = state.isSealed && state.hasRecords && state.isMember();
+        const auto isPlanned = std::any_of(changes.begin(), changes.end(),
+                                           [&](const auto &it) { return it.slot == number; });
+        if (!isStuck || isPlanned || number >= m_table.slots.size())
+            continue;
+        auto proposed = m_table.slots[number];
+        ++proposed.epoch;
+        proposed.source = m_own;
+        changes.push_back({number, PlacementCause::Renewal, std::move(proposed), m_own});
+    }
 }
 
 template <typename Guards>
@@ -134,6 +153,8 @@
                 proposal.awaited.insert(it);
         }
         offerTo(proposal, effects);
+        if (!Guards::RecordsGoFirst)
+            proposal.awaited.clear();
     }
     m_proposals.push_back(std::move(proposal));
 }
@@ -176,7 +197,8 @@
     const auto &accept = std::get<SnapshotAccept>(message.body);
     for (auto &it : m_proposals) {
         const auto isMeant = it.change.slot == message.slot
-                && it.change.proposed.epoch == accept.epoch && it.offerSequence == accept.sequence;
+                             && it.change.proposed.epoch == accept.epoch
+                             && it.offerSequence == accept.sequence;
         if (isMeant)
             it.awaited.erase(message.from);
     }
@@ -205,9 +227,9 @@
 {
     if (m_phase != Phase::Writing)
         return;
-    const auto stage = result == WriteResult::Written ? DecisionStage::Written
-            : result == WriteResult::Conflict         ? DecisionStage::Conflict
-                                                      : DecisionStage::Uncertain;
+    const auto stage = result == WriteResult::Written    ? DecisionStage::Written
+                       : result == WriteResult::Conflict ? DecisionStage::Conflict
+                                                         : DecisionStage::Uncertain;
     for (const auto &it : m_proposals)
         effects.decisions.push_back({stage, it.change});
     if (result == WriteResult::Failed)
@@ -225,9 +247,17 @@
         table.slots[it.change.slot] = it.change.proposed;
     }
     adoptTable(table, now, effects);
+    noticePeers(effects);
     finish(now, Duration(0));
 }
 
+template <typename Guards>
+auto PlacementKeeper<Guards>::noticePeers(KeeperEffects &effects) -> void
+{
+    for (const auto &it : m_peers)
+        send(0, it, TableNotice{m_table}, effects);
+}
+
 template <typename Guards>
 auto PlacementKeeper<Guards>::noticeMembers(const PlacementChange &change,
                                             const SlotPlacement &former, KeeperEffects &effects)
@@ -271,8 +301,7 @@
     const auto *body = &message.body;
     if (const auto *update = std::get_if<RecordUpdate>(body)) {
         slot(number).witness().didReceiveUpdate(message.from, *update, own);
-        m_shouldRefresh = m_shouldRefresh
-                || update->epoch > slot(number).state().placement.epoch;
+        m_shouldRefresh = m_shouldRefresh || update->epoch > slot(number).state().placement.epoch;
     } else if (const auto *ack = std::get_if<RecordAck>(body)) {
         slot(number).primary().didReceiveAck(message.from, *ack, now, own);
     } else if (const auto *refusal = std::get_if<RecordRefusal>(body)) {
@@ -311,6 +340,15 @@
     pass(number, std::move(own), effects);
 }
 
+template <typename Guards>
+auto PlacementKeeper<Guards>::sayHomeIsElsewhere(const Waiter &waiter, KeeperEffects &effects)
+        -> void
+{
+    auto reply = Reply{waiter.number, ReplyKind::Moved};
+    reply.retryAfter = m_settings.slot.resendInterval;
+    effects.replies.push_back({waiter, std::move(reply)});
+}
+
 template <typename Guards>
 auto PlacementKeeper<Guards>::cancel(std::uint32_t number, const Waiter &waiter) -> void
 {
@@ -355,7 +393,9 @@
         slot(number).adopt(placement, now, own);
         pass(number, std::move(own), effects);
     }
-    if (number < m_table.slots.size() && placement.epoch > m_table.slots[number].epoch)
+    if (number >= m_table.slots.size())
+        m_shouldRefresh = true; // A slot of a table that has not been read here.
+    else if (placement.epoch > m_table.slots[number].epoch)
         m_table.slots[number] = placement;
 }
 
@@ -388,7 +428,7 @@
     return std::any_of(m_slots.begin(), m_slots.end(), [](const auto &entry) {
         const auto &slot = *entry.second;
         return slot.state().isMember() || slot.primary().running() != 0
-                || slot.primary().unreported() != 0;
+               || slot.primary().unreported() != 0;
     });
 }
 
@@ -405,8 +445,7 @@
 auto PlacementKeeper<Guards>::send(std::uint32_t slot, const Replica &to, MessageBody body,
                                    KeeperEffects &effects) -> void
 {
-    effects.messages.push_back(
-            {m_table.service, m_table.domain, slot, m_own, to, std::move(body)});
+    effects.messages.push_back({m_table.service, m_table.domain, slot, m_own, to, std::move(body)});
 }
 
 template <typename Guards>
--- a/include/stairspur/keyed/PlacementPlan.h
+++ b/include/stairspur/keyed/PlacementPlan.h
@@ -14,10 +14,11 @@
 struct PlacementMember
 {
     Replica replica;
-    std::string rack;           ///< Nodes of one rack are likely to fail together.
-    bool isOfService = true;    ///< May be a primary. Others serve as witnesses where the service has too few nodes.
-    bool isAlive = true;        ///< Not taken for dead.
-    bool isLeaving = false;     ///< Draining or left: gets no slots and gives up those it has.
+    std::string rack; ///< Nodes of one rack are likely to fail together.
+    bool isOfService =
+            true; ///< May be a primary. Others serve as witnesses where the service has too few nodes.
+    bool isAlive = true;          ///< Not taken for dead.
+    bool isLeaving = false;       ///< Draining or left: gets no slots and gives up those it has.
     bool isConfirmedGone = false; ///< An operator vouches that the process is gone for good.
 };
 
@@ -30,6 +31,7 @@
     WitnessLeaving,
     BothLost,
     Balance,
+    Renewal, ///< A member sealed the epoch for a change that was not written; the pair goes on in a new one.
 };
 
 /// One change of the table, and who has to carry it out.
@@ -70,6 +72,6 @@
 
 template <>
 inline constexpr auto stairspur::enumNames<stairspur::keyed::PlacementCause> =
-        std::array<std::string_view, 7>{"first-placement", "primary-lost",   "witness-lost",
+        std::array<std::string_view, 8>{"first-placement", "primary-lost",    "witness-lost",
                                         "primary-leaving", "witness-leaving", "both-lost",
-                                        "balance"};
+                                        "balance",         "renewal"};
--- a/include/stairspur/keyed/PrimarySlot.h
+++ b/include/stairspur/keyed/PrimarySlot.h
@@ -13,8 +13,8 @@
 
 /// How far a key is that this node works on.
 enum class PendingStage {
-    AwaitingAck,       ///< The witness hasn't acknowledged the binding: nothing has been dispatched.
-    Running,           ///< Dispatched.
+    AwaitingAck, ///< The witness hasn't acknowledged the binding: nothing has been dispatched.
+    Running,     ///< Dispatched.
     AwaitingNotRunAck, ///< It did not run; the witness hasn't acknowledged that yet.
 };
 
@@ -25,6 +25,7 @@
     UpdateId bind;
     UpdateId update; ///< Whose acknowledgement is awaited.
     std::uint64_t fingerprint = 0;
+    std::uint64_t ticket = 0; ///< Of the record when it was bound.
     Reason notRunReason = Reason::None;
     std::vector<Waiter> waiters;
     TimePoint lastSent;
@@ -35,7 +36,8 @@
 struct DispatchEnd
 {
     bool didNotRun = false; ///< Proven: it reached no backend server, nor can it.
-    RecordedAnswer answer;  ///< Otherwise: Answered, Failed or Unknown. With didNotRun only the reason counts.
+    RecordedAnswer
+            answer; ///< Otherwise: Answered, Failed or Unknown. With didNotRun only the reason counts.
 };
 
 /// The primary's part of a slot: binds each key with the witness, has it dispatched once, records and replays how it
@@ -97,6 +99,11 @@
     auto bind(const Waiter &waiter, const Submit &submit, std::uint64_t ticket, Instant now,
               Effects &effects) -> void;
     auto dispatch(const std::string &key, PendingKey &pending, Effects &effects) -> void;
+    /// The dispatched call is proven not to have run.
+    auto release(const std::string &key, const PendingKey &pending, Reason reason, Instant now,
+                 Effects &effects) -> void;
+    auto recordNotRun(const std::string &key, const PendingKey &pending, Instant now) -> KeyRecord;
+    /// Says `not-run` of a key that was not dispatched here, once the witness has acknowledged that.
     auto stateNotRun(const std::string &key, PendingKey &pending, Reason reason, Instant now,
                      Effects &effects) -> void;
     auto settle(const std::string &key, const PendingKey &pending, const RecordedAnswer &answer,
@@ -105,10 +112,11 @@
                     Instant now, Effects &effects) -> void;
     auto sendUpdate(const KeyRecord &record, Effects &effects) -> void;
     auto resendOutcomes(Instant now, Effects &effects) -> void;
-    auto answer(const Waiter &waiter, const RecordedAnswer &answer, bool isReplay,
-                Effects &effects) -> void;
+    auto answer(const Waiter &waiter, const RecordedAnswer &answer, bool isReplay, Effects &effects)
+            -> void;
     auto refuse(const Waiter &waiter, Outcome outcome, Reason reason, std::uint32_t status,
                 Effects &effects) -> void;
+    auto challenge(const Waiter &waiter, std::uint64_t ticket, Effects &effects) -> void;
     auto sayMoved(const Waiter &waiter, Effects &effects) -> void;
 
     SlotState &m_state;
--- a/include/stairspur/keyed/PrimarySlotCode.h
+++ b/include/stairspur/keyed/PrimarySlotCode.h
@@ -37,6 +37,11 @@
                           effects);
         return refuse(waiter, Outcome::Unknown, Reason::KeyInProgress, 0, effects);
     }
+    // An attempt that was told `not-run` must not be the one for which the key is dispatched after all.
+    const auto isStale =
+            pending.stage == PendingStage::AwaitingAck && submit.ticket != pending.ticket;
+    if (Guards::StaleSubmitsAreChallenged && isStale)
+        return challenge(waiter, pending.ticket, effects);
     if (pending.waiters.empty())
         pending.waitingSince = now.steady;
     pending.waiters.push_back(waiter);
@@ -52,19 +57,13 @@
     if (record.state == KeyState::Settled)
         return answer(waiter, record.answer, true, effects);
     const auto mayHaveRun = record.state == KeyState::Unknown
-            || (record.state == KeyState::Bound && Guards::TakeoverSettlesOpenKeys);
+                            || (record.state == KeyState::Bound && Guards::TakeoverSettlesOpenKeys);
     if (mayHaveRun)
         return refuse(waiter, Outcome::Unknown, Reason::KeyUnknown, 0, effects);
     if (m_state.isSealed)
         return sayMoved(waiter, effects);
-    if (Guards::SubmitNamesEpoch && submit.epoch != m_state.placement.epoch)
-        return sayMoved(waiter, effects);
-    if (Guards::StaleSubmitsAreChallenged && submit.ticket != record.ticket) {
-        auto reply = Reply{waiter.number, ReplyKind::Challenge};
-        reply.ticket = record.ticket;
-        effects.replies.push_back({waiter, std::move(reply)});
-        return;
-    }
+    if (Guards::StaleSubmitsAreChallenged && submit.ticket != record.ticket)
+        return challenge(waiter, record.ticket, effects);
     bind(waiter, submit, record.ticket, now, effects);
 }
 
@@ -77,8 +76,6 @@
         return refuse(waiter, Outcome::Unknown, Reason::KeyUnknown, 0, effects);
     if (m_state.isSealed)
         return sayMoved(waiter, effects);
-    if (Guards::SubmitNamesEpoch && submit.epoch != m_state.placement.epoch)
-        return sayMoved(waiter, effects);
     if (records.isFull())
         return refuse(waiter, Outcome::Unknown, Reason::QueueFull, 0, effects);
     bind(waiter, submit, 0, now, effects);
@@ -98,6 +95,7 @@
     pending.bind = record.bind;
     pending.update = record.update;
     pending.fingerprint = submit.fingerprint;
+    pending.ticket = ticket;
     pending.waiters.push_back(waiter);
     pending.lastSent = now.steady;
     pending.waitingSince = now.steady;
@@ -134,7 +132,8 @@
                                         Effects &effects) -> void
 {
     const auto isCurrent = m_state.isPrimary() && !m_state.isSealed
-            && from == m_state.placement.witness && ack.update.epoch == m_state.placement.epoch;
+                           && from == m_state.placement.witness
+                           && ack.update.epoch == m_state.placement.epoch;
     if (!isCurrent && Guards::AckMatchesUpdate)
         return;
     const auto *record = m_state.records.find(ack.key);
@@ -167,31 +166,50 @@
     if (it == m_pending.end() || it->second.bind != bind
         || it->second.stage != PendingStage::Running)
         return;
-    if (!end.didNotRun) {
-        auto pending = std::move(it->second);
-        m_pending.erase(it);
-        return settle(key, pending, end.answer, now, effects);
-    }
-    if (m_state.isPrimary() && m_state.hasRecords)
-        return stateNotRun(key, it->second, end.answer.reason, now, effects);
-    // Another node answers for the key by now; only it may say what becomes of it.
-    for (const auto &waiter : it->second.waiters)
-        sayMoved(waiter, effects);
+    auto pending = std::move(it->second);
     m_pending.erase(it);
+    if (end.didNotRun)
+        return release(key, pending, end.answer.reason, now, effects);
+    settle(key, pending, end.answer, now, effects);
 }
 
 template <typename Guards>
-auto PrimarySlot<Guards>::stateNotRun(const std::string &key, PendingKey &pending, Reason reason,
-                                      Instant now, Effects &effects) -> void
+auto PrimarySlot<Guards>::release(const std::string &key, const PendingKey &pending, Reason reason,
+                                  Instant now, Effects &effects) -> void
+{
+    // The witness has acknowledged the binding: whoever takes over holds the key for one that may have run, and won't
+    // run it. So this is true without another acknowledgement.
+    for (const auto &waiter : pending.waiters)
+        refuse(waiter, Outcome::NotRun, reason, 0, effects);
+    if (!m_state.isPrimary() || !m_state.hasRecords) {
+        const auto answer = RecordedAnswer{Outcome::NotRun, reason};
+        return reportLate(key, pending.bind, answer, now, effects);
+    }
+    const auto record = recordNotRun(key, pending, now);
+    m_unacknowledged.insert_or_assign(key, now.steady);
+    sendUpdate(record, effects);
+}
+
+template <typename Guards>
+auto PrimarySlot<Guards>::recordNotRun(const std::string &key, const PendingKey &pending,
+                                       Instant now) -> KeyRecord
 {
     const auto *known = m_state.records.find(key);
     auto record = known ? *known : KeyRecord{key, pending.fingerprint};
     record.state = KeyState::NotRun;
+    record.bind = pending.bind;
     record.update = m_state.nextUpdate();
     record.recordedAt = now.wall;
     ++record.ticket;
     m_state.records.put(record);
+    return record;
+}
 
+template <typename Guards>
+auto PrimarySlot<Guards>::stateNotRun(const std::string &key, PendingKey &pending, Reason reason,
+                                      Instant now, Effects &effects) -> void
+{
+    const auto record = recordNotRun(key, pending, now);
     pending.stage = PendingStage::AwaitingNotRunAck;
     pending.update = record.update;
     pending.notRunReason = reason;
@@ -256,14 +274,16 @@
         effects.sends.push_back({from, LateAccept{late.key, late.bind}});
     const auto *known = m_state.records.find(late.key);
     const auto isOpen = known && known->bind == late.bind && !m_pending.contains(late.key)
-            && (known->state == KeyState::Bound || known->state == KeyState::Unknown);
+                        && (known->state == KeyState::Bound || known->state == KeyState::Unknown);
     if (!isOpen)
         return;
     auto record = *known;
-    record.state = KeyState::Settled;
+    const auto didNotRun = late.answer.outcome == Outcome::NotRun;
+    record.state = didNotRun ? KeyState::NotRun : KeyState::Settled;
     record.update = m_state.nextUpdate();
     record.recordedAt = now.wall;
-    record.answer = late.answer;
+    record.answer = didNotRun ? RecordedAnswer() : late.answer;
+    record.ticket += didNotRun ? 1 : 0;
     m_state.records.put(record);
     m_unacknowledged.insert_or_assign(late.key, now.steady);
     sendUpdate(record, effects);
@@ -424,6 +444,15 @@
     answer(waiter, RecordedAnswer{outcome, reason, status, {}, true}, false, effects);
 }
 
+template <typename Guards>
+auto PrimarySlot<Guards>::challenge(const Waiter &waiter, std::uint64_t ticket, Effects &effects)
+        -> void
+{
+    auto reply = Reply{waiter.number, ReplyKind::Challenge};
+    reply.ticket = ticket;
+    effects.replies.push_back({waiter, std::move(reply)});
+}
+
 template <typename Guards>
 auto PrimarySlot<Guards>::sayMoved(const Waiter &waiter, Effects &effects) -> void
 {
--- a/include/stairspur/keyed/SlotReplicaCode.h
+++ b/include/stairspur/keyed/SlotReplicaCode.h
@@ -24,7 +24,7 @@
     if (placement.epoch <= m_state.placement.epoch)
         return;
     const auto goesOn = m_state.isPrimary() && placement.primary == m_state.own
-            && placement.source == m_state.own;
+                        && placement.source == m_state.own;
     m_state.placement = placement;
     m_state.sequence = 0;
     if (!goesOn)
@@ -60,7 +60,7 @@
         install(it->second);
         return true;
     }
-    return !Guards::MembersNeedRecords;
+    return !Guards::RecordsGoFirst;
 }
 
 template <typename Guards>
@@ -127,8 +127,8 @@
     const auto accept = SnapshotAccept{proposed.epoch, offer.sequence};
     const auto it = m_offers.find(from);
     const auto isOlder = it != m_offers.end()
-            && std::pair(it->second.proposed.epoch, it->second.sequence)
-                    > std::pair(proposed.epoch, offer.sequence);
+                         && std::pair(it->second.proposed.epoch, it->second.sequence)
+                                    > std::pair(proposed.epoch, offer.sequence);
     if (isOlder)
         return;
     m_offers.insert_or_assign(from, std::move(offer));
--- a/include/stairspur/keyed/SlotState.h
+++ b/include/stairspur/keyed/SlotState.h
@@ -12,9 +12,10 @@
 struct SlotSettings
 {
     RecordSettings records;
-    Duration resendInterval{200'000};  ///< An unacknowledged message is sent again after this.
-    Duration ackTimeout{1'000'000};    ///< Waiters are told `unknown` when the witness is silent for this long.
-    Duration retryAfter{1'000'000};    ///< Told with refusals; the entry adds the jitter.
+    Duration resendInterval{200'000}; ///< An unacknowledged message is sent again after this.
+    Duration ackTimeout{
+            1'000'000}; ///< Waiters are told `unknown` when the witness is silent for this long.
+    Duration retryAfter{1'000'000}; ///< Told with refusals; the entry adds the jitter.
 };
 
 /// What the parts of a slot share on one node.
--- a/include/stairspur/keyed/WitnessSlotCode.h
+++ b/include/stairspur/keyed/WitnessSlotCode.h
@@ -12,7 +12,7 @@
     if (!Guards::WitnessChecksEpoch)
         return true;
     return m_state.isWitness() && m_state.hasRecords && !m_state.isSealed
-            && epoch == m_state.placement.epoch && from == m_state.placement.primary;
+           && epoch == m_state.placement.epoch && from == m_state.placement.primary;
 }
 
 template <typename Guards>
@@ -31,8 +31,8 @@
 }
 
 template <typename Guards>
-auto WitnessSlot<Guards>::lookUp(const Waiter &waiter, const Lookup &lookup,
-                                 Effects &effects) const -> void
+auto WitnessSlot<Guards>::lookUp(const Waiter &waiter, const Lookup &lookup, Effects &effects) const
+        -> void
 {
     auto reply = Reply{waiter.number};
     reply.answer.reason = Reason::KeyUnknown;
--- a/source/keyed/KeyedRoute.cpp
+++ b/source/keyed/KeyedRoute.cpp
@@ -113,6 +113,7 @@
     }
     if (known && toldEpoch < knownEpoch)
         m_notice = PlacementNotice{*known};
+    m_shouldFetch = true; // Perhaps neither of the two knows the newest epoch.
     return wait(random);
 }
 
--- a/source/keyed/PlacementPlan.cpp
+++ b/source/keyed/PlacementPlan.cpp
@@ -17,7 +17,7 @@
     Usable,
     Leaving, ///< Still there, but to be relieved.
     Silent,  ///< Taken for dead, without a proof.
-    Ended,   ///< Its process is proven to have ended: the node has a new session, or an operator vouches for it.
+    Ended, ///< Its process is proven to have ended: the node has a new session, or an operator vouches for it.
 };
 
 static auto fateOf(const Replica &replica, const std::vector<PlacementMember> &members) -> Fate
@@ -146,9 +146,9 @@
     if (primary == Fate::Usable && witness == Fate::Usable)
         return;
     if (isHere(primary)) {
-        const auto cause = primary == Fate::Leaving ? PlacementCause::PrimaryLeaving
-                : witness == Fate::Leaving          ? PlacementCause::WitnessLeaving
-                                                    : PlacementCause::WitnessLost;
+        const auto cause = primary == Fate::Leaving   ? PlacementCause::PrimaryLeaving
+                           : witness == Fate::Leaving ? PlacementCause::WitnessLeaving
+                                                      : PlacementCause::WitnessLost;
         const auto isOnlyPrimaryLeaving = primary == Fate::Leaving && witness == Fate::Usable;
         if (!isOnlyPrimaryLeaving)
             return repairFromSurvivor(slot, placement.primary, primary == Fate::Leaving, cause);
@@ -180,9 +180,9 @@
     const auto staysPrimary = !isSurvivorLeaving && member && member->isOfService;
     if (!staysPrimary) {
         const auto *primary = pickPrimary(slot, survivor);
-        const auto *witness = !primary      ? nullptr
-                : isSurvivorLeaving ? pickWitness(slot, primary->replica)
-                                    : member;
+        const auto *witness = !primary            ? nullptr
+                              : isSurvivorLeaving ? pickWitness(slot, primary->replica)
+                                                  : member;
         if (!witness)
             return countPair(placement);
         return propose(slot, cause, primary->replica, witness->replica, survivor, survivor);
@@ -191,8 +191,8 @@
     if (!other)
         return countPair(placement);
     // Both get the records, so the one that is primary of fewer slots may be it.
-    const auto isOtherLighter = other->isOfService
-            && loadOf(other->replica).primaries < loadOf(survivor).primaries;
+    const auto isOtherLighter =
+            other->isOfService && loadOf(other->replica).primaries < loadOf(survivor).primaries;
     const auto &primary = isOtherLighter ? other->replica : survivor;
     const auto &witness = isOtherLighter ? survivor : other->replica;
     propose(slot, cause, primary, witness, survivor, survivor);
@@ -235,12 +235,12 @@
     }
     if (!lightest
         || loadOf(heaviest->replica).primaries
-                < loadOf(lightest->replica).primaries + m_settings.balanceThreshold)
+                   < loadOf(lightest->replica).primaries + m_settings.balanceThreshold)
         return false;
     for (std::uint32_t slot = 0; slot < m_slots.size(); ++slot) {
         const auto placement = m_slots[slot];
         const auto isMovable = !m_isChanged[slot] && placement.primary == heaviest->replica
-                && fateOf(placement.witness, m_members) == Fate::Usable;
+                               && fateOf(placement.witness, m_members) == Fate::Usable;
         if (!isMovable)
             continue;
         discountPair(placement);
@@ -257,7 +257,7 @@
         const auto placement = m_slots[slot];
         const auto *witness = memberOf(placement.witness);
         const auto isCandidate = !m_isChanged[slot] && witness && !witness->isOfService
-                && fateOf(placement.primary, m_members) == Fate::Usable;
+                                 && fateOf(placement.primary, m_members) == Fate::Usable;
         if (!isCandidate)
             continue;
         discountPair(placement);
--- /dev/null
+++ b/tests/keyed/Ledger.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <stairspur/core/Time.h>
+#include <stairspur/keyed/KeyRecord.h>
+
+namespace stairspur::keyed::test {
+
+/// What a caller saw of one attempt.
+struct SeenAttempt
+{
+    std::string key;
+    std::uint64_t fingerprint = 0;
+    TimePoint begin;
+    TimePoint end = TimePoint::max();
+    bool isReplay = false;
+    RecordedAnswer answer{};
+};
+
+/// One execution in a backend server.
+struct SeenRun
+{
+    std::string key;
+    std::uint64_t fingerprint = 0;
+    TimePoint time;
+    std::vector<std::uint64_t> attempts{}; ///< That waited for it.
+    std::string payload{};
+};
+
+/// Sees everything, and judges it against the invariants.
+struct Ledger
+{
+    std::map<std::uint64_t, SeenAttempt> attempts;
+    std::vector<SeenRun> runs;
+
+    /// The first violation, or nothing.
+    [[nodiscard]] auto judge() const -> std::string
+    {
+        auto counts = std::map<std::string, int>();
+        for (const auto &it : runs) {
+            if (++counts[it.key] > 1)
+                return "key " + it.key + " ran twice";
+        }
+        for (const auto &[id, it] : attempts) {
+            auto verdict = std::string();
+            if (it.end == TimePoint::max())
+                continue;
+            if (it.answer.outcome == Outcome::NotRun)
+                verdict = judgeNotRun(id, it);
+            if (it.answer.outcome == Outcome::Answered || it.answer.outcome == Outcome::Failed)
+                verdict = judgeAnswer(it);
+            if (!verdict.empty())
+                return verdict;
+        }
+        return {};
+    }
+
+private:
+    /// `not-run` means: at some moment of this attempt the request had not run, and no attempt that had ended before can
+    /// still bring it about. Only an attempt that goes on beside this one, or comes later, may run it.
+    [[nodiscard]] auto judgeNotRun(std::uint64_t id, const SeenAttempt &attempt) const
+            -> std::string
+    {
+        for (const auto &run : runs) {
+            if (run.key != attempt.key || run.fingerprint != attempt.fingerprint)
+                continue;
+            if (run.time < attempt.begin)
+                return "not-run was said of key " + run.key + ", which had run";
+            const auto mayCause = [&](std::uint64_t other) {
+                const auto it = attempts.find(other);
+                return other != id && it != attempts.end() && it->second.end > attempt.begin;
+            };
+            if (std::none_of(run.attempts.begin(), run.attempts.end(), mayCause))
+                return "not-run was said of key " + run.key + ", which an older attempt ran later";
+            if (std::find(run.attempts.begin(), run.attempts.end(), id) != run.attempts.end())
+                return "not-run was said to an attempt that ran key " + run.key;
+        }
+        return {};
+    }
+
+    [[nodiscard]] auto judgeAnswer(const SeenAttempt &attempt) const -> std::string
+    {
+        const auto it = std::find_if(runs.begin(), runs.end(), [&](const auto &run) {
+            return run.key == attempt.key && run.fingerprint == attempt.fingerprint;
+        });
+        if (it == runs.end())
+            return "key " + attempt.key + " was answered without having run this request";
+        const auto isTruthfullyShortened =
+                attempt.isReplay && !attempt.answer.isPayloadKept && attempt.answer.payload.empty();
+        if (attempt.answer.payload != it->payload && !isTruthfullyShortened)
+            return "key " + attempt.key + " got another answer than its run gave";
+        return {};
+    }
+};
+
+} // namespace stairspur::keyed::test
--- a/tests/keyed/TestKeyedMessages.cpp
+++ b/tests/keyed/TestKeyedMessages.cpp
@@ -15,8 +15,10 @@
 
 static auto someRecord() -> KeyRecord
 {
-    const auto answer = RecordedAnswer{Outcome::Answered, Reason::None, 201, "\x00\xff payload", true};
-    return {"kitchen\x1fkey\xfe", 12, KeyState::Settled, {6, 1}, {7, 2}, 3, 1'700'000'000'000, answer};
+    const auto answer =
+            RecordedAnswer{Outcome::Answered, Reason::None, 201, "\x00\xff payload", true};
+    return {"kitchen\x1fkey\xfe", 12,    KeyState::Settled, {6, 1}, {7, 2}, 3,
+            1'700'000'000'000,    answer};
 }
 
 static auto everyBody() -> std::vector<MessageBody>
@@ -41,7 +43,8 @@
 
 static auto wrap(MessageBody body) -> Message
 {
-    return {"order-intake", "centre", 3, {"192.0.2.1:7100", 3}, {"192.0.2.2:7100", 0}, std::move(body)};
+    return {"order-intake",        "centre",       3, {"192.0.2.1:7100", 3},
+            {"192.0.2.2:7100", 0}, std::move(body)};
 }
 
 Test(KeyedMessages, everyKindSurvivesItsBytes)
@@ -62,9 +65,13 @@
         for (std::size_t n = 0; n < bytes.size(); ++n)
             cr_assert_throw(decodeMessage(bytes.substr(0, n)), InputError);
     }
-    const nlohmann::json foreign[] = {nullptr, 3, "text", nlohmann::json::array(),
+    const nlohmann::json foreign[] = {nullptr,
+                                      3,
+                                      "text",
+                                      nlohmann::json::array(),
                                       nlohmann::json::array({99, 1, 2}),
-                                      nlohmann::json::array({-1}), nlohmann::json::object()};
+                                      nlohmann::json::array({-1}),
+                                      nlohmann::json::object()};
     for (const auto &it : foreign)
         cr_assert_throw(decodeMessage(toCbor(it)), InputError);
 }
@@ -91,5 +98,6 @@
     const auto table = PlacementTable{"order-intake", "centre", {somePlacement(), {}}};
     cr_assert(decodePlacementTable(encodePlacementTable(table)) == table);
     cr_assert_throw(decodePlacementTable("garbage"), InputError);
-    cr_assert_eq(placementKey("order-intake", "centre"), "/stairspur/placement/order-intake/centre");
+    cr_assert_eq(placementKey("order-intake", "centre"),
+                 "/stairspur/placement/order-intake/centre");
 }
--- /dev/null
+++ b/tests/keyed/TestMutants.cpp
@@ -0,0 +1,57 @@
+#include <criterion/criterion.h>
+
+#include "FaultMatrix.h"
+
+using namespace stairspur;
+using namespace stairspur::keyed;
+using namespace stairspur::keyed::test;
+
+static constexpr auto mostSeeds = std::uint64_t{20};
+
+/// Switches nothing off but what a mutant names: the matrix has to find a violation.
+template <typename Guards>
+static auto expectCaught(const char *name) -> void
+{
+    auto n = 0;
+    for (std::uint64_t seed = 1; seed <= mostSeeds; ++seed) {
+        for (std::size_t cell = 0; cell < faultCount * stepCount; ++cell) {
+            const auto fault = static_cast<Fault>(cell / stepCount);
+            const auto step = static_cast<Step>(cell % stepCount);
+            ++n;
+            const auto verdict = Scenario<Guards>(fault, step, seed).run();
+            if (verdict.violation.empty())
+                continue;
+            if (std::getenv("STAIRSPUR_PRINT_MATRIX") != nullptr)
+                std::fprintf(stderr, "| %s | %s at %s, seed %llu | %s | %d |\n", name,
+                             nameOf(fault).data(), nameOf(step).data(),
+                             static_cast<unsigned long long>(seed), verdict.violation.c_str(), n);
+            return;
+        }
+    }
+    cr_expect(false, "no interleaving of %d noticed that %s is off", n, name);
+}
+
+#define MUTANT(guard) \
+    struct No##guard : StandardGuards \
+    { \
+        static constexpr auto guard = false; \
+    }; \
+    Test(Mutants, guard) \
+    { \
+        expectCaught<No##guard>(#guard); \
+    }
+
+MUTANT(DispatchNeedsAck)
+MUTANT(WitnessChecksEpoch)
+MUTANT(AckMatchesUpdate)
+MUTANT(TakeoverSettlesOpenKeys)
+MUTANT(UpdatesAreOrdered)
+MUTANT(ForgettingRaisesMark)
+MUTANT(LossIsRemembered)
+MUTANT(NotRunNeedsAck)
+MUTANT(StaleSubmitsAreChallenged)
+MUTANT(ProposerSealsFirst)
+MUTANT(RecordsGoFirst)
+MUTANT(FingerprintIsChecked)
+MUTANT(LossNeedsProof)
+MUTANT(RestartChangesSession)
--- a/tests/keyed/TestPlacementPlan.cpp
+++ b/tests/keyed/TestPlacementPlan.cpp
@@ -92,7 +92,7 @@
     for (std::size_t slot = 0; slot < before.slots.size(); ++slot) {
         const auto &was = before.slots[slot];
         const auto isConcerned = was.primary.node == members[0].replica.node
-                || was.witness.node == members[0].replica.node;
+                                 || was.witness.node == members[0].replica.node;
         cr_assert(isConcerned || after.slots[slot] == was, "slot %zu moved", slot);
         cr_assert_neq(after.slots[slot].primary.node, members[0].replica.node);
         cr_assert_neq(after.slots[slot].witness.node, members[0].replica.node);
--- /dev/null
+++ b/tests/keyed/VirtualTime.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <utility>
+
+#include <stairspur/core/Time.h>
+
+namespace stairspur::keyed::test {
+
+using Action = std::function<void()>;
+
+/// A clock that moves from event to event.
+class VirtualTime
+{
+public:
+    [[nodiscard]] auto now() const -> TimePoint { return m_now; }
+
+    auto after(Duration delay, Action action) -> void
+    {
+        m_events.emplace(m_now + delay, std::move(action));
+    }
+
+    /// Runs every event up to `end`.
+    auto runUntil(TimePoint end) -> void
+    {
+        while (!m_events.empty() && m_events.begin()->first <= end) {
+            auto event = m_events.extract(m_events.begin());
+            m_now = event.key();
+            event.mapped()();
+        }
+        m_now = end;
+    }
+
+private:
+    TimePoint m_now;
+    std::multimap<TimePoint, Action> m_events;
+};
+
+constexpr auto ms(long long n) -> Duration
+{
+    return Duration(n * 1000);
+}
+
+} // namespace stairspur::keyed::test
