--- /dev/null
+++ b/source/admission/FloorEstimator.cpp
@@ -0,0 +1,160 @@
+#include "FloorEstimator.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace stairspur::admission {
+
+namespace {
+
+constexpr auto WindowLength = Duration(20'000);
+
+/// Time over which the rates by level are smoothed.
+constexpr auto RateMemory = Duration(400'000);
+
+/// Time over which the demand of classes that are shut out altogether is forgotten.
+constexpr auto HiddenMemory = Duration(500'000);
+
+/// Time in which a queue that is too long or too short shall come back to its target.
+constexpr auto CorrectionTime = Duration(300'000);
+
+/// Bounds of what fits, as shares of the capacity.
+constexpr auto LeastFittingShare = 0.5;
+constexpr auto MostFittingShare = 1.25;
+
+/// Visible levels of a class that are enough to tell the demand of the others.
+constexpr auto LevelsToExtrapolate = std::size_t{8};
+
+/// The first step of a falling floor; each further one may be twice as great. A class whose demand is not known is
+/// opened with care.
+constexpr auto FirstLowering = std::size_t{8};
+
+auto weightOf(Duration length, Duration memory) -> double
+{
+    return 1.0
+           - std::exp(-static_cast<double>(length.count()) / static_cast<double>(memory.count()));
+}
+
+} // namespace
+
+auto FloorEstimator::didArrive(Level level) -> void
+{
+    auto &count = m_arrivals[std::min<std::size_t>(level.value, LevelCount - 1)];
+    if (count < std::numeric_limits<std::uint16_t>::max())
+        ++count;
+}
+
+auto FloorEstimator::didObserve(const Load &load, TimePoint now) -> void
+{
+    if (!m_hasStarted) {
+        m_hasStarted = true;
+        m_windowStart = now;
+        m_lastObserved = now;
+    }
+    const auto elapsed = static_cast<double>(std::max(now - m_lastObserved, Duration(0)).count());
+    const auto share = std::min(1.0, static_cast<double>(load.inFlight) / load.limit);
+    m_busyMicroseconds += share * elapsed;
+    m_waitSum += static_cast<double>(load.wait.count()) * elapsed;
+    m_lastObserved = now;
+    const auto length = now - m_windowStart;
+    if (length < WindowLength)
+        return;
+    endWindow(load, length);
+    m_windowStart = now;
+    m_busyMicroseconds = 0;
+    m_waitSum = 0;
+}
+
+auto FloorEstimator::endWindow(const Load &load, Duration length) -> void
+{
+    const auto visible = visibleFrom();
+    learnRates(visible, length);
+    extrapolate(visible, length);
+    m_arrivals.fill(0);
+    if (load.capacity > 0) {
+        auto window = load;
+        const auto microseconds = static_cast<double>(length.count());
+        window.wait = Duration(std::llround(m_waitSum / microseconds));
+        moveFloor(fittingRate(window, m_busyMicroseconds / microseconds));
+    }
+    m_floors[m_nextFloor] = m_floor;
+    m_nextFloor = (m_nextFloor + 1) % FloorsUnderWay;
+}
+
+auto FloorEstimator::learnRates(std::size_t visible, Duration length) -> void
+{
+    const auto seconds = static_cast<double>(length.count()) / 1e6;
+    const auto weight = weightOf(length, RateMemory);
+    std::fill_n(m_windowsSeen.begin(), visible, std::uint8_t{0});
+    for (auto level = visible; level < LevelCount; ++level) {
+        auto &seen = m_windowsSeen[level];
+        seen = static_cast<std::uint8_t>(std::min(seen + 1, 255));
+        const auto rate = static_cast<float>(m_arrivals[level] / seconds);
+        const auto ownWeight = static_cast<float>(std::max(weight, 1.0 / (seen + 1)));
+        m_rates[level] += (rate - m_rates[level]) * ownWeight;
+    }
+}
+
+auto FloorEstimator::extrapolate(std::size_t visible, Duration length) -> void
+{
+    const auto classStart = visible / HashesPerClass * HashesPerClass;
+    const auto classEnd = std::min(classStart + HashesPerClass, LevelCount);
+    if (classEnd >= visible + LevelsToExtrapolate) {
+        const auto sum = sumFrom(visible) - sumFrom(classEnd);
+        const auto mean = sum / static_cast<double>(classEnd - visible);
+        std::fill(m_rates.begin() + static_cast<std::ptrdiff_t>(classStart),
+                  m_rates.begin() + static_cast<std::ptrdiff_t>(visible), static_cast<float>(mean));
+    }
+    const auto kept = static_cast<float>(1.0 - weightOf(length, HiddenMemory));
+    for (std::size_t level = 0; level < classStart; ++level)
+        m_rates[level] *= kept;
+}
+
+auto FloorEstimator::fittingRate(const Load &load, double used) const -> double
+{
+    const auto excess = static_cast<double>((load.wait - load.targetWait).count());
+    const auto share = std::clamp(1.0 - excess / static_cast<double>(CorrectionTime.count()),
+                                  LeastFittingShare, MostFittingShare);
+    // Idle places are proof that more fits, whatever the capacity is believed to be.
+    const auto proven = sumFrom(m_floor.value) + (1.0 - used) * load.capacity;
+    return load.wait == Duration(0) ? std::max(share * load.capacity, proven)
+                                    : share * load.capacity;
+}
+
+auto FloorEstimator::moveFloor(double fitting) -> void
+{
+    const auto target = lowestLevelFor(fitting);
+    if (target >= m_floor.value) {
+        m_floor = Level{static_cast<std::uint16_t>(target)};
+        m_mostLowered = FirstLowering;
+        return;
+    }
+    const auto step = std::min(m_floor.value - target, m_mostLowered);
+    m_floor = Level{static_cast<std::uint16_t>(m_floor.value - step)};
+    m_mostLowered = std::min(m_mostLowered * 2, LevelCount);
+}
+
+auto FloorEstimator::visibleFrom() const -> std::size_t
+{
+    return std::max_element(m_floors.begin(), m_floors.end())->value;
+}
+
+auto FloorEstimator::sumFrom(std::size_t level) const -> double
+{
+    auto sum = 0.0;
+    for (; level < LevelCount; ++level)
+        sum += static_cast<double>(m_rates[level]);
+    return sum;
+}
+
+auto FloorEstimator::lowestLevelFor(double rate) const -> std::size_t
+{
+    auto level = LevelCount;
+    auto sum = 0.0;
+    while (level > 0 && sum < rate)
+        sum += static_cast<double>(m_rates[--level]);
+    return level;
+}
+
+} // namespace stairspur::admission
--- /dev/null
+++ b/source/retry/CallBudget.cpp
@@ -0,0 +1,30 @@
+#include <stairspur/retry/CallBudget.h>
+
+namespace stairspur::retry {
+
+auto CallBudget::startAttempt(bool hasDeeperCalls) -> AttemptBudget
+{
+    m_sent = hasDeeperCalls ? m_left : 0;
+    m_left -= m_sent;
+    return {m_sent, m_isRepeat};
+}
+
+auto CallBudget::didAnswer(std::uint32_t unspent) -> void
+{
+    // A claim of more than was sent is false, and nobody knows what was spent.
+    if (unspent <= m_sent)
+        m_left += unspent;
+    m_sent = 0;
+}
+
+auto CallBudget::trySpend() -> bool
+{
+    m_sent = 0;
+    if (m_left == 0)
+        return false;
+    --m_left;
+    m_isRepeat = true;
+    return true;
+}
+
+} // namespace stairspur::retry
--- /dev/null
+++ b/source/routing/FloorView.cpp
@@ -0,0 +1,93 @@
+#include "FloorView.h"
+
+#include <algorithm>
+
+namespace stairspur::routing {
+
+/// After this many half-lives nothing is left of a floor that nobody refreshed.
+static constexpr auto LifetimeHalfLives = 8;
+
+/// How far a floor falls in each half-life, after the first one.
+static constexpr auto FallPerHalfLife = HashesPerClass;
+
+static constexpr auto MaxRanks = std::size_t{MaxClassRank} + 1;
+
+auto FloorView::reportedFloor(ClassRank rank) const -> Level
+{
+    if (m_floors.empty())
+        return LowestLevel;
+    return rank < m_floors.size() ? m_floors[rank] : m_floors.back();
+}
+
+auto FloorView::heldFloor(ClassRank rank) const -> HeldFloor
+{
+    auto held = HeldFloor{reportedFloor(rank), m_reportedAt};
+    for (const auto &it : m_refusals) {
+        if (it.rank == rank && it.held.floor >= held.floor)
+            held = it.held;
+    }
+    return held;
+}
+
+auto FloorView::take(std::span<const Level> floors, TimePoint now) -> void
+{
+    auto bounded =
+            std::vector<Level>(floors.begin(), floors.begin() + std::min(floors.size(), MaxRanks));
+    for (auto &it : bounded)
+        it = std::min(it, ClosedLevel);
+    for (std::size_t rank = 0; rank < MaxRanks; ++rank) {
+        const auto reported =
+                bounded.empty() ? LowestLevel : bounded[std::min(rank, bounded.size() - 1)];
+        if (reported > heldFloor(static_cast<ClassRank>(rank)).floor)
+            m_risenAt = now;
+    }
+    m_floors = std::move(bounded);
+    m_reportedAt = now;
+    m_refusals.clear();
+}
+
+auto FloorView::didRefuse(Level level, TimePoint now) -> void
+{
+    if (level >= ClosedLevel)
+        return;
+    if (level >= m_admitted)
+        m_admitted = ClosedLevel;
+    const auto rank = level.rank();
+    auto held = heldFloor(rank);
+    if (held.floor <= level) {
+        held.floor = Level{static_cast<std::uint16_t>(level.value + 1)};
+        m_risenAt = now;
+    }
+    held.at = now;
+    std::erase_if(m_refusals, [&](const auto &it) { return it.rank == rank; });
+    m_refusals.push_back({rank, held});
+}
+
+auto FloorView::didAdmit(Level level, TimePoint sentAt, TimePoint now) -> void
+{
+    if (heldFloor(level.rank()).floor <= level || sentAt < m_risenAt)
+        return;
+    m_admitted = std::min(m_admitted, level);
+    m_admittedAt = now;
+}
+
+auto FloorView::floorFor(ClassRank rank, TimePoint now, Duration halfLife) const -> Level
+{
+    auto floor = heldFloor(rank).floor;
+    const auto floorAge = age(rank, now);
+    if (floorAge > halfLife * LifetimeHalfLives)
+        return LowestLevel;
+    if (floorAge > halfLife) {
+        const auto fall = (floorAge - halfLife).count() * FallPerHalfLife / halfLife.count();
+        floor.value = static_cast<std::uint16_t>(std::max<std::int64_t>(0, floor.value - fall));
+    }
+    const auto isProofFresh = now - m_admittedAt <= halfLife;
+    return isProofFresh ? std::min(floor, m_admitted) : floor;
+}
+
+auto FloorView::age(ClassRank rank, TimePoint now) const -> Duration
+{
+    return std::max(Duration::zero(), now - heldFloor(rank).at);
+}
+
+} // namespace stairspur::routing
--- /dev/null
+++ b/source/routing/FloorView.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <span>
+#include <vector>
+
+#include <stairspur/core/Level.h>
+#include <stairspur/core/Time.h>
+
+namespace stairspur::routing {
+
+/// The floors of one upstream, as far as its reports and what it did with our calls tell. What it did outranks what it
+/// reports; what nobody refreshes falls, and is gone after a bounded time.
+class FloorView
+{
+public:
+    /// Takes the floors of a report.
+    auto take(std::span<const Level> floors, TimePoint now) -> void;
+
+    /// The upstream refused a call of `level`: its floor is above it.
+    auto didRefuse(Level level, TimePoint now) -> void;
+
+    /// The upstream answered a call of `level` that was sent at `sentAt`. When the floor was believed to be above the
+    /// call even then, the reports mislead or are old: the level is taken as admitted for a while.
+    auto didAdmit(Level level, TimePoint sentAt, TimePoint now) -> void;
+
+    /// The floor that a call of class `rank` is believed to meet now.
+    [[nodiscard]] auto floorFor(ClassRank rank, TimePoint now, Duration halfLife) const -> Level;
+
+    /// How long ago a report, or a refusal of a call of this class, told of the floor.
+    [[nodiscard]] auto age(ClassRank rank, TimePoint now) const -> Duration;
+
+private:
+    struct HeldFloor
+    {
+        Level floor;
+        TimePoint at{};
+    };
+
+    /// A refusal tells of its own class alone: the other classes' floors stay as old as they are.
+    struct Refusal
+    {
+        ClassRank rank = 0;
+        HeldFloor held;
+    };
+
+    [[nodiscard]] auto reportedFloor(ClassRank rank) const -> Level;
+    [[nodiscard]] auto heldFloor(ClassRank rank) const -> HeldFloor;
+
+    std::vector<Level> m_floors;     ///< As reported.
+    std::vector<Refusal> m_refusals; ///< Since that report, one for each class at most.
+    TimePoint m_reportedAt{};
+    TimePoint m_risenAt{}; ///< When a floor last rose.
+    TimePoint m_admittedAt{};
+    Level m_admitted = ClosedLevel; ///< Proven by an answer at m_admittedAt.
+};
+
+} // namespace stairspur::routing
