Keyed: Give the rows of the fault matrix to a file and please the linter

Cause: Criterion's workers swallow what a test writes to standard error, so the rows were never seen. Ruled out: printing from the parent; Criterion runs each test in a process of its own. Conclusion: the rows for docs/FAULT-MATRIX.md come from the run itself.

--- a/tests/keyed/FaultMatrix.h
+++ b/tests/keyed/FaultMatrix.h
@@ -2,6 +2,8 @@
 
 #include <array>
 #include <cstdio>
+#include <cstdlib>
+#include <fstream>
 #include <string>
 
 #include "World.h"
@@ -42,6 +44,14 @@
 inline constexpr auto faultCount = enumNames<Fault>.size();
 inline constexpr auto stepCount = enumNames<Step>.size();
 
+/// Appends a row to the file that STAIRSPUR_MATRIX_FILE names, if it is set; for docs/FAULT-MATRIX.md.
+inline auto printRow(const std::string &row) -> void
+{
+    const auto *path = std::getenv("STAIRSPUR_MATRIX_FILE");
+    if (path != nullptr)
+        std::ofstream(path, std::ios::app) << row + '\n';
+}
+
 /// What one interleaving showed.
 struct Verdict
 {
--- a/tests/keyed/TestFaultMatrix.cpp
+++ b/tests/keyed/TestFaultMatrix.cpp
@@ -33,8 +33,7 @@
         row += " | " + std::to_string(struck);
         cr_expect(struck > 0, "%s never struck", row.c_str());
     }
-    if (std::getenv("STAIRSPUR_PRINT_MATRIX") != nullptr)
-        std::fprintf(stderr, "| %s |\n", row.c_str());
+    printRow("| " + row + " |");
 }
 
 // A test for each row, so that Criterion runs rows side by side.
--- a/tests/keyed/TestMutants.cpp
+++ b/tests/keyed/TestMutants.cpp
@@ -21,10 +21,9 @@
             const auto verdict = Scenario<Guards>(fault, step, seed).run();
             if (verdict.violation.empty())
                 continue;
-            if (std::getenv("STAIRSPUR_PRINT_MATRIX") != nullptr)
-                std::fprintf(stderr, "| %s | %s at %s, seed %llu | %s | %d |\n", name,
-                             nameOf(fault).data(), nameOf(step).data(),
-                             static_cast<unsigned long long>(seed), verdict.violation.c_str(), n);
+            printRow("| " + std::string(name) + " | " + std::string(nameOf(fault)) + " at "
+                     + std::string(nameOf(step)) + ", seed " + std::to_string(seed) + " | "
+                     + verdict.violation + " | " + std::to_string(n) + " |");
             return;
         }
     }
--- a/tests/measure/keyed/main.cpp
+++ b/tests/measure/keyed/main.cpp
@@ -56,7 +56,7 @@
 public:
     Pair()
     {
-        m_members = {{a, "rack-a"}, {b, "rack-b"}};
+        m_members = {{m_a, "rack-a"}, {m_b, "rack-b"}};
         auto read = TableRead{true, 0, {"order-intake", "centre", {}}};
         for (long long tick = 0; tick < 200; ++tick) {
             for (auto *it : {&m_first, &m_second}) {
@@ -78,9 +78,9 @@
     {
         const auto &slots = m_first.table().slots;
         const auto slot = std::uint32_t(n % int(slots.size()));
-        auto &primary = slots[slot].primary == a ? m_first : m_second;
+        auto &primary = slots[slot].primary == m_a ? m_first : m_second;
         auto submit = Submit{1, keyOf(n), 7, slots[slot].epoch};
-        const auto bytes = encodeMessage({"order-intake", "centre", slot, a, b, submit});
+        const auto bytes = encodeMessage({"order-intake", "centre", slot, m_a, m_b, submit});
         callBytes += 2 * bytes.size(); // In hexadecimal digits, as a header.
         auto effects = KeeperEffects();
         primary.submit(slot, {{}, 1}, submit, at(1000), effects);
@@ -105,7 +105,7 @@
             ++messages;
             controlBytes += bytes.size();
             auto next = KeeperEffects();
-            (it.to == a ? m_first : m_second).didReceive(decodeMessage(bytes), at(1000), next);
+            (it.to == m_a ? m_first : m_second).didReceive(decodeMessage(bytes), at(1000), next);
             settle(std::move(next));
         }
         for (const auto &it : effects.replies)
@@ -114,17 +114,17 @@
             auto end = DispatchEnd{false, {Outcome::Answered, Reason::None, 201}};
             end.answer.payload = std::string(payloadBytes, 'x');
             auto next = KeeperEffects();
-            auto &primary = m_first.table().slots[it.slot].primary == a ? m_first : m_second;
+            auto &primary = m_first.table().slots[it.slot].primary == m_a ? m_first : m_second;
             primary.didEnd(it.slot, it.order.key, it.order.bind, end, at(1000), next);
             settle(std::move(next));
         }
     }
 
-    Replica a{"10.0.1.1:7100", 1};
-    Replica b{"10.0.2.1:7100", 1};
+    Replica m_a{"10.0.1.1:7100", 1};
+    Replica m_b{"10.0.2.1:7100", 1};
     std::vector<PlacementMember> m_members;
-    PlacementKeeper<> m_first{a, "order-intake", "centre", {}, 1};
-    PlacementKeeper<> m_second{b, "order-intake", "centre", {}, 2};
+    PlacementKeeper<> m_first{m_a, "order-intake", "centre", {}, 1};
+    PlacementKeeper<> m_second{m_b, "order-intake", "centre", {}, 2};
 };
 
 static auto measureCalls() -> void
