--- a/tests/keyed/FaultMatrix.h
+++ b/tests/keyed/FaultMatrix.h
@@ -6,7 +6,8 @@
 #include <fstream>
 #include <string>
 
-#include "World.h"
+#include "WorldEntries.h"
+#include "WorldNodes.h"
 
 namespace stairspur::keyed::test {
 
--- a/tests/keyed/World.h
+++ b/tests/keyed/World.h
@@ -139,62 +139,16 @@
     }
 
     auto isolate(const NodeId &id, const std::function<bool(const NodeId &)> &isCutFrom,
-                 bool cutsOutgoing, bool cutsIncoming) -> void
-    {
-        auto others = std::vector<NodeId>{"store"};
-        for (const auto &[other, node] : nodes)
-            others.push_back(other);
-        for (const auto &other : others) {
-            if (other == id || !isCutFrom(other))
-                continue;
-            if (cutsOutgoing)
-                network.cut(id, other);
-            if (cutsIncoming)
-                network.cut(other, id);
-        }
-    }
+                 bool cutsOutgoing, bool cutsIncoming) -> void;
 
     /// The operators move every key without a home of its own to the other domain; nodes learn it one after another.
-    auto changeHomes() -> void
-    {
-        for (auto &[id, node] : nodes) {
-            const auto isIn = id;
-            time.after(Duration(randomBelow(random, clockMargin * 900)), [this, isIn] {
-                runOn(isIn, [this, isIn] {
-                    auto &it = nodes[isIn];
-                    it.callerHome = otherDomain;
-                    if (it.keeper)
-                        it.keeper->noteHomeChange(instant(it));
-                });
-            });
-        }
-    }
+    auto changeHomes() -> void;
 
     // Callers
 
     /// Begins an attempt; it ends with an answer or at its deadline.
     auto begin(const std::string &key, std::uint64_t fingerprint, const NodeId &entry,
-               Duration patience, bool isQuery = false) -> std::uint64_t
-    {
-        const auto id = ++m_lastAttempt;
-        ledger.attempts[id] = {key, fingerprint, time.now()};
-        auto &attempt = m_attempts[id];
-        attempt.id = id;
-        attempt.entry = entry;
-        attempt.deadline = time.now() + patience;
-        time.after(patience, [this, id] { end(id, unknownAnswer(), false); });
-        runOn(entry, [this, id, key, fingerprint, isQuery] {
-            auto &it = m_attempts[id];
-            auto &node = nodes[it.entry];
-            auto call =
-                    KeyedCall{service, homeOf(key, node.callerHome, domains()), key, fingerprint};
-            call.isHomeExplicit = explicitHomeOf(key, domains()).has_value();
-            call.isQuery = isQuery;
-            it.route = std::make_unique<KeyedRoute>(call, id, routeSettings(), node.tables);
-            perform(id, it.route->start());
-        });
-        return id;
-    }
+               Duration patience, bool isQuery = false) -> std::uint64_t;
 
     [[nodiscard]] auto hasEnded(std::uint64_t id) -> bool { return m_attempts[id].hasEnded; }
     [[nodiscard]] auto outcomeOf(std::uint64_t id) -> Outcome
@@ -284,97 +238,20 @@
 
     // Control
 
-    auto tick() -> void
-    {
-        time.after(tickInterval, [this] { tick(); });
-        for (auto &[id, node] : nodes) {
-            if (!node.keeper || !node.isAlive || node.isPaused)
-                continue;
-            listen(node);
-            auto effects = KeeperEffects();
-            const auto recordsBefore = node.keeper->records();
-            node.keeper->tick(instant(node), view(node), effects);
-            if (node.keeper->records() < recordsBefore)
-                reach(Step::Forget, "", true);
-            carryOut(id, std::move(effects));
-            if (node.isLeaving && !node.keeper->isNeeded())
-                kill(id);
-        }
-    }
+    auto tick() -> void;
 
-    auto listen(Node &node) -> void
-    {
-        for (const auto &[id, other] : nodes) {
-            const auto isHeard = other.domain == node.domain && other.isAlive && !other.isPaused
-                                 && network.reaches(node.replica.node, id);
-            if (isHeard)
-                node.lastHeard[id] = {other.replica.session, time.now()};
-        }
-    }
+    auto listen(Node &node) -> void;
 
     /// What membership tells this node.
-    auto view(Node &node) -> std::vector<PlacementMember>
-    {
-        auto members = std::vector<PlacementMember>();
-        for (const auto &[id, heard] : node.lastHeard) {
-            auto member = PlacementMember{{id, heard.first}, rackOf(id)};
-            member.isAlive = time.now() - heard.second <= detectionTime;
-            member.isLeaving = nodes[id].isLeaving;
-            members.push_back(std::move(member));
-        }
-        return members;
-    }
+    auto view(Node &node) -> std::vector<PlacementMember>;
 
-    auto carryOut(const NodeId &id, KeeperEffects effects) -> void
-    {
-        auto &node = nodes[id];
-        for (auto &it : effects.messages)
-            transmit(id, std::move(it));
-        for (auto &it : effects.replies) {
-            auto message = Message{service,      node.domain,          0,
-                                   node.replica, {it.waiter.entry, 0}, std::move(it.reply)};
-            transmit(id, std::move(message));
-        }
-        for (auto &it : effects.dispatches)
-            dispatch(id, std::move(it));
-        if (effects.shouldRead)
-            read(id);
-        if (effects.write)
-            write(id, *effects.write);
-    }
+    auto carryOut(const NodeId &id, KeeperEffects effects) -> void;
 
     // Network
 
-    auto transmit(const NodeId &from, Message message) -> void
-    {
-        const auto to = message.to.node;
-        if (std::holds_alternative<SnapshotOffer>(message.body)) {
-            const auto isHandOver = nodes[from].isLeaving;
-            reach(isHandOver ? Step::HandOver : Step::Takeover, "", false);
-        }
-        for (int n = network.copies(); n > 0; --n) {
-            time.after(network.delay(from, to), [this, from, to, message] {
-                if (!network.passes(from, to))
-                    return;
-                runOn(to, [this, from, to, message] { deliver(from, to, message); });
-            });
-        }
-    }
+    auto transmit(const NodeId &from, Message message) -> void;
 
-    auto stepOf(const Message &message) -> std::pair<Step, std::string>
-    {
-        if (const auto *submit = std::get_if<Submit>(&message.body)) {
-            const auto isRetry = attemptsAt(submit->key) > 1;
-            return {isRetry ? Step::Replay : Step::Bind, submit->key};
-        }
-        if (const auto *update = std::get_if<RecordUpdate>(&message.body)) {
-            const auto isBinding = update->record.state == KeyState::Bound;
-            return {isBinding ? Step::Record : Step::RecordOutcome, update->record.key};
-        }
-        if (const auto *ack = std::get_if<RecordAck>(&message.body))
-            return {Step::Ack, ack->key};
-        return {Step::Resolve, {}};
-    }
+    auto stepOf(const Message &message) -> std::pair<Step, std::string>;
 
     auto attemptsAt(const std::string &key) const -> long
     {
@@ -382,53 +259,15 @@
                              [&](const auto &it) { return it.second.key == key; });
     }
 
-    auto deliver(const NodeId &from, const NodeId &to, const Message &message) -> void
-    {
-        const auto [step, key] = stepOf(message);
-        if (!key.empty())
-            reach(step, key, false);
-        // The fault may have struck the link or the node at this very moment.
-        if (!network.passes(from, to))
-            return;
-        runOn(to, [this, to, message] { handle(to, message); });
-        if (!key.empty())
-            reach(step, key, true);
-    }
+    auto deliver(const NodeId &from, const NodeId &to, const Message &message) -> void;
 
-    auto handle(const NodeId &to, const Message &message) -> void
-    {
-        auto &node = nodes[to];
-        if (!node.keeper)
-            return handleAtEntry(node, message);
-        auto effects = KeeperEffects();
-        const auto *submit = std::get_if<Submit>(&message.body);
-        if (submit && homeOf(submit->key, node.callerHome, domains()) != node.domain)
-            node.keeper->sayHomeIsElsewhere({message.from.node, submit->waiter}, effects);
-        else
-            node.keeper->didReceive(message, instant(node), effects);
-        carryOut(to, std::move(effects));
-    }
+    auto handle(const NodeId &to, const Message &message) -> void;
 
     static auto domains() -> std::vector<std::string> { return {homeDomain, otherDomain}; }
 
     // Entries
 
-    auto handleAtEntry(Node &entry, const Message &message) -> void
-    {
-        if (const auto *notice = std::get_if<TableNotice>(&message.body)) {
-            entry.tables.merge(notice->table);
-            for (auto &[id, attempt] : m_attempts) {
-                if (attempt.entry == entry.replica.node && attempt.isFetching)
-                    proceed(id, attempt.step, [this](auto &it) { return it.didFetch(random); });
-            }
-            return;
-        }
-        if (const auto *reply = std::get_if<Reply>(&message.body)) {
-            const auto id = reply->waiter / stepsPerAttempt;
-            proceed(id, reply->waiter % stepsPerAttempt,
-                    [&](auto &it) { return it.didReply(*reply, random); });
-        }
-    }
+    auto handleAtEntry(Node &entry, const Message &message) -> void;
 
     /// Goes on with an attempt that is still at `step`.
     template <typename Next>
@@ -440,130 +279,17 @@
         perform(id, next(*attempt.route));
     }
 
-    auto perform(std::uint64_t id, const RouteAction &action) -> void
-    {
-        auto &attempt = m_attempts[id];
-        const auto step = ++attempt.step;
-        attempt.isFetching = action.step == RouteStep::FetchTable;
-        auto message = Message{service,
-                               attempt.route->call().home,
-                               action.slot,
-                               nodes[attempt.entry].replica,
-                               {action.target, 0},
-                               TableRequest{}};
-        const auto number = id * stepsPerAttempt + step;
-        const auto key = attempt.route->call().key;
-        switch (action.step) {
-        case RouteStep::Finish:
-            return end(id, action.answer, action.isReplay);
-        case RouteStep::Wait:
-            return time.after(action.delay, [this, id, step] {
-                runOn(m_attempts[id].entry, [this, id, step] {
-                    proceed(id, step, [](auto &it) { return it.didWait(); });
-                });
-            });
-        case RouteStep::FetchTable:
-            message.to = {someNodeOf(message.domain), 0};
-            break;
-        case RouteStep::SendSubmit: {
-            auto submit = action.submit;
-            submit.waiter = number;
-            if (action.notice) {
-                message.body = *action.notice;
-                transmit(attempt.entry, message);
-            }
-            message.body = submit;
-            break;
-        }
-        case RouteStep::SendLookup:
-            message.body = Lookup{number, action.submit.key, action.submit.fingerprint};
-            break;
-        }
-        reach(Step::Resolve, key, false);
-        transmit(attempt.entry, message);
-        reach(Step::Resolve, key, true);
-        time.after(replyTimeout, [this, id, step, isFetch = attempt.isFetching] {
-            runOn(m_attempts[id].entry, [this, id, step, isFetch] {
-                proceed(id, step, [&](auto &it) {
-                    return isFetch ? it.didFetch(random) : it.didLoseLink(random);
-                });
-            });
-        });
-    }
+    auto perform(std::uint64_t id, const RouteAction &action) -> void;
 
-    auto someNodeOf(const std::string &domain) -> NodeId
-    {
-        auto ids = std::vector<NodeId>();
-        for (const auto &[id, node] : nodes) {
-            if (node.domain == domain && node.isAlive)
-                ids.push_back(id);
-        }
-        return ids.empty() ? NodeId("none") : ids[randomBelow(random, ids.size())];
-    }
+    auto someNodeOf(const std::string &domain) -> NodeId;
 
-    auto end(std::uint64_t id, const RecordedAnswer &answer, bool isReplay) -> void
-    {
-        auto &attempt = m_attempts[id];
-        if (attempt.hasEnded)
-            return;
-        attempt.hasEnded = true;
-        auto &seen = ledger.attempts[id];
-        seen.end = time.now();
-        seen.answer = answer;
-        seen.isReplay = isReplay;
-        if (didEnd)
-            didEnd(seen);
-    }
+    auto end(std::uint64_t id, const RecordedAnswer &answer, bool isReplay) -> void;
 
     // Backend servers
 
-    auto dispatch(const NodeId &id, SlotDispatch dispatch) -> void
-    {
-        const auto key = dispatch.order.key;
-        const auto life = m_lives[id];
-        reach(Step::Dispatch, key, false);
-        runInLife(id, life, [this, id, dispatch] {
-            // Sent to some gate: from here on it goes its way without the primary.
-            time.after(Duration(randomBelow(random, 3000)),
-                       [this, id, dispatch] { execute(id, dispatch); });
-        });
-        reach(Step::Dispatch, key, true);
-    }
+    auto dispatch(const NodeId &id, SlotDispatch dispatch) -> void;
 
-    auto execute(const NodeId &id, const SlotDispatch &dispatch) -> void
-    {
-        const auto fate = randomBelow(random, 100);
-        auto end = DispatchEnd();
-        end.didNotRun = randomBelow(random, 100) < notRunPercent;
-        if (!end.didNotRun) {
-            auto run = SeenRun{dispatch.order.key, 0, time.now()};
-            for (const auto &waiter : dispatch.order.waiters) {
-                run.attempts.push_back(waiter.number / stepsPerAttempt);
-                run.fingerprint = ledger.attempts[run.attempts.back()].fingerprint;
-            }
-            run.payload = "run " + std::to_string(ledger.runs.size()) + " of " + run.key;
-            if (fate < 25)
-                run.payload.resize(2 * maxPayload, '.');
-            end.answer = {fate < 90 ? Outcome::Answered : Outcome::Failed};
-            end.answer.payload = run.payload;
-            if (fate >= 97)
-                end.answer = unknownAnswer();
-            ledger.runs.push_back(std::move(run));
-        }
-        const auto life = m_lives[id];
-        time.after(Duration(randomBelow(random, longestRun)), [this, id, dispatch, end, life] {
-            const auto key = dispatch.order.key;
-            reach(Step::Answer, key, false);
-            runInLife(id, life, [this, id, dispatch, end] {
-                auto &node = nodes[id];
-                auto effects = KeeperEffects();
-                node.keeper->didEnd(dispatch.slot, dispatch.order.key, dispatch.order.bind, end,
-                                    instant(node), effects);
-                carryOut(id, std::move(effects));
-            });
-            reach(Step::Answer, key, true);
-        });
-    }
+    auto execute(const NodeId &id, const SlotDispatch &dispatch) -> void;
 
     // Store
 
@@ -602,33 +328,9 @@
         operator WriteResult() const { return WriteResult::Failed; }
     };
 
-    auto read(const NodeId &id) -> void
-    {
-        const auto domain = nodes[id].domain;
-        callStore(
-                id, [this, domain] { return store.read(domain); },
-                [this](const NodeId &to, const TableRead &result) {
-                    auto &node = nodes[to];
-                    auto effects = KeeperEffects();
-                    node.keeper->didRead(result, instant(node), view(node), effects);
-                    carryOut(to, std::move(effects));
-                });
-    }
+    auto read(const NodeId &id) -> void;
 
-    auto write(const NodeId &id, const TableWrite &write) -> void
-    {
-        const auto domain = nodes[id].domain;
-        reach(Step::CompareAndSwap, "", false);
-        callStore(
-                id, [this, domain, write] { return store.compareAndSwap(domain, write); },
-                [this, write](const NodeId &to, WriteResult result) {
-                    auto &node = nodes[to];
-                    auto effects = KeeperEffects();
-                    node.keeper->didWrite(result, write.revision + 1, instant(node), effects);
-                    carryOut(to, std::move(effects));
-                });
-        reach(Step::CompareAndSwap, "", true);
-    }
+    auto write(const NodeId &id, const TableWrite &write) -> void;
 
     static constexpr auto stepsPerAttempt = std::uint64_t{1000};
     std::map<std::uint64_t, Attempt> m_attempts;
