--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -62,9 +62,10 @@
         call = readCall(std::move(request), *configuration, m_running, start, m_random);
     } catch (const CallRejected &error) {
         m_metrics.didRefuseAtEntry(error.reason());
-        log::Line(log::Severity::Info, "call-rejected")
-                .add("reason", error.reason())
-                .add("detail", error.what());
+        if (log::isDecisionSampled())
+            log::Line(log::Severity::Info, "call-rejected")
+                    .add("reason", error.reason())
+                    .add("detail", error.what());
         co_return problemResponse(Outcome::NotRun, error.reason(), error.what(), Duration::zero());
     }
     const auto className = call.request.className;
@@ -114,7 +115,7 @@
         if (attempts.last.outcome == Outcome::Answered)
             co_return std::move(attempts.last);
         const auto step = nextStep(call, routes, attempts);
-        m_metrics.didDecideRetry(step);
+        noteRetryDecision(call, step, attempts);
         if (step == RetryDecision::GiveUp)
             co_return finalRefusal(attempts, attempts.last.reason, attempts.last.retryAfter);
         if (step == RetryDecision::Retry) {
@@ -244,6 +245,23 @@
             .add("budget", attempts.budget.left());
 }
 
+auto Entry::noteRetryDecision(const IncomingCall &call, RetryDecision decision,
+                              const Attempts &attempts) -> void
+{
+    m_metrics.didDecideRetry(decision);
+    if (!log::isDecisionSampled())
+        return;
+    log::Line(log::Severity::Info, "retry")
+            .add("decision", decision)
+            .add("outcome", attempts.last.outcome)
+            .add("reason", attempts.last.reason)
+            .add("service", call.request.service)
+            .add("class", call.request.className)
+            .add("root", call.request.root.toString())
+            .add("attempt", attempts.sent)
+            .add("budget", attempts.budget.left());
+}
+
 auto Entry::scheduleFloors() -> void
 {
     m_floorTimer.expires_after(FloorInterval);
--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -83,6 +83,8 @@
 
     auto logDecision(const IncomingCall &call, const routing::RouteDecision &decision,
                      const Attempts &attempts) -> void;
+    auto noteRetryDecision(const IncomingCall &call, retry::RetryDecision decision,
+                           const Attempts &attempts) -> void;
     auto tellDeeperFloors() -> void;
     auto scheduleFloors() -> void;
 
--- a/tests/log/TestLog.cpp
+++ b/tests/log/TestLog.cpp
@@ -73,9 +73,9 @@
 {
     auto log = CapturedLog({Severity::Warning, "", 1});
     cr_assert(!isEnabled(Severity::Info));
-    Line(Severity::Info, "quiet");
-    Line(Severity::Error, "loud");
-    cr_assert_eq(eventOf(log.finish()), "event=loud\n");
+    Line(Severity::Info, "quiet").add("n", 1);
+    Line(Severity::Error, "loud").add("n", 2);
+    cr_assert_eq(eventOf(log.finish()), "event=loud n=2\n");
 }
 
 Test(Log, oneDecisionInSoManyIsSampled)
