Cli: Show members by failure domain, who is cut off, and watch it

Cause: `status` showed versions only: an operator could not see that a failure domain was cut off, nor how old the news was. Ruled out: a row for each member, which no screen holds at thousands of hosts; a list of domains in the order of names, which hides the cut-off ones below the fold. Change: a table with a row for each failure domain, those that are cut off first, a line for each of these, and the nodes that are suspect or dead with since when and when they were last heard; 60 lines at most, with the rest counted. `--watch` shows it anew each second until SIGINT or SIGTERM. The JSON keeps its fields and gains `members`. The reader of GET /status has a file of its own. Conclusion: a domain without a living node is named, with how long ago it was heard.

--- a/include/stairspur/cli/Flags.h
+++ b/include/stairspur/cli/Flags.h
@@ -38,6 +38,7 @@
 DECLARE_string(applied_by);
 DECLARE_string(expect_version);
 DECLARE_string(minimum_version);
+DECLARE_bool(watch);
 DECLARE_bool(json);
 
 namespace stairspur::cli {
--- a/source/cli/Command.cpp
+++ b/source/cli/Command.cpp
@@ -33,7 +33,7 @@
         {"store", "store-timeout", "applied-by", "expect-version", "minimum-version", "json"});
 static constexpr auto CheckFlags = std::to_array<std::string_view>({"json"});
 static constexpr auto StatusFlags = std::to_array<std::string_view>(
-        {"store", "store-timeout", "admin", "admin-timeout", "json"});
+        {"store", "store-timeout", "admin", "admin-timeout", "watch", "json"});
 static constexpr auto DrainFlags =
         std::to_array<std::string_view>({"admin", "admin-timeout", "json"});
 static constexpr auto VersionFlags = std::to_array<std::string_view>({"json"});
@@ -42,7 +42,8 @@
         {Command::Node, "", false, "run the node of this host until SIGTERM or a drain", NodeFlags},
         {Command::Apply, "FILE", true, "put a whole configuration in force", ApplyFlags},
         {Command::Check, "FILE", true, "check a configuration, offline", CheckFlags},
-        {Command::Status, "", false, "show which configuration is in force where", StatusFlags},
+        {Command::Status, "", false, "show which configuration is in force where, and who is alive",
+         StatusFlags},
         {Command::Drain, "", false, "let a node end its running calls and leave", DrainFlags},
         {Command::Version, "", false, "show the version of this program", VersionFlags},
         {Command::Help, "COMMAND", false, "show the commands, or the flags of one", {}},
--- a/source/cli/Flags.cpp
+++ b/source/cli/Flags.cpp
@@ -49,6 +49,7 @@
               "apply only if this version is in force; empty: whatever is in force");
 DEFINE_string(minimum_version, "1",
               "least version to apply as, above what nodes have in force when a store was emptied");
+DEFINE_bool(watch, false, "show the status anew each second until interrupted");
 DEFINE_bool(json, false, "write the result as one JSON object");
 
 namespace stairspur::cli {
--- a/source/cli/Run.cpp
+++ b/source/cli/Run.cpp
@@ -9,6 +9,7 @@
 #include <stairspur/cli/HelpCommand.h>
 #include <stairspur/cli/NodeSettingsReader.h>
 #include <stairspur/cli/StatusCommand.h>
+#include <stairspur/cli/StatusWatch.h>
 #include <stairspur/cli/StoreCommands.h>
 #include <stairspur/cli/Version.h>
 
@@ -32,6 +33,16 @@
     return {ExitCode::Ok, "stairspur " + version + '\n', {{"version", version}}};
 }
 
+static auto runStatusOnceOrWatch(const Streams &streams) -> CommandReport
+{
+    if (!FLAGS_watch)
+        return runStatus();
+    if (FLAGS_json)
+        throw SettingError("--watch does not go together with --json",
+                           "leave out one of the two; for scripts, read GET /status");
+    return watchReports(runStatus, makeSecondPacer(), streams.out);
+}
+
 /// Every command but `node`, which reports by its log.
 static auto runOperatorCommand(const CommandLine &line, const Streams &streams) -> CommandReport
 {
@@ -39,7 +50,7 @@
     case Command::Check:
         return checkText(readFile(line.operand, streams.in), line.operand);
     case Command::Status:
-        return runStatus();
+        return runStatusOnceOrWatch(streams);
     case Command::Drain:
         return runDrain();
     case Command::Version:
--- a/source/cli/StatusCommand.cpp
+++ b/source/cli/StatusCommand.cpp
@@ -1,7 +1,7 @@
 #include <stairspur/cli/StatusCommand.h>
 
-#include <charconv>
-
+#include <stairspur/cli/NodeSummary.h>
+#include <stairspur/cli/StatusTable.h>
 #include <stairspur/cli/StoreCommands.h>
 #include <stairspur/core/Error.h>
 
@@ -9,44 +9,6 @@
 
 static constexpr auto StatusOk = std::uint32_t{200};
 
-static auto parseVersion(const std::string &text) -> std::uint64_t
-{
-    auto version = std::uint64_t{0};
-    const auto *end = text.data() + text.size();
-    const auto [stop, ec] = std::from_chars(text.data(), end, version);
-    if (ec != std::errc() || stop != end)
-        throw InputError("the node's status names the version '" + text + "'",
-                         "use a client of the node's version");
-    return version;
-}
-
-static auto readDomains(const nlohmann::json &domains, NodeSummary &summary) -> void
-{
-    for (const auto &[domain, versions] : domains.items()) {
-        for (const auto &[version, nodes] : versions.items())
-            summary.domains[domain][parseVersion(version)] = nodes.get<std::uint64_t>();
-    }
-}
-
-auto readNodeSummary(const std::string &body) -> NodeSummary
-{
-    try {
-        const auto json = nlohmann::json::parse(body);
-        const auto &configuration = json.at("configuration");
-        auto summary = NodeSummary();
-        json.at("node").get_to(summary.node);
-        json.at("failureDomain").get_to(summary.failureDomain);
-        json.at("state").get_to(summary.state);
-        configuration.at("version").get_to(summary.version);
-        configuration.at("hash").get_to(summary.hash);
-        readDomains(configuration.at("domains"), summary);
-        return summary;
-    } catch (const nlohmann::json::exception &) {
-        throw InputError("the node's status cannot be read",
-                         "check that --admin names the admin port of a node of this version");
-    }
-}
-
 /// What one of those asked has answered, or why not.
 template <typename Answer>
 struct Answered
@@ -102,18 +64,22 @@
     report.json["store"] = {{"version", it.version}, {"hash", it.hash}, {"applyId", it.applyId}};
 }
 
+/// Nodes by version in force, and members by liveness, for scripts.
 static auto addDomains(CommandReport &report, const NodeSummary &node) -> void
 {
-    auto &json = report.json["domains"] = nlohmann::json::object();
+    auto &domains = report.json["domains"] = nlohmann::json::object();
     for (const auto &[domain, versions] : node.domains) {
-        report.text += "failure domain " + domain + ':';
-        for (const auto &[version, nodes] : versions) {
-            report.text += report.text.back() == ':' ? " " : ", ";
-            report.text += version == 0 ? "no configuration" : "version " + std::to_string(version);
-            report.text += " on " + std::to_string(nodes) + (nodes == 1 ? " node" : " nodes");
-            json[domain][std::to_string(version)] = nodes;
-        }
-        report.text += '\n';
+        for (const auto &[version, nodes] : versions)
+            domains[domain][std::to_string(version)] = nodes;
+    }
+    auto &members = report.json["members"] = nlohmann::json::object();
+    for (const auto &[domain, it] : node.members) {
+        members[domain] = {
+                {"alive", it.alive},       {"suspect", it.suspect}, {"dead", it.dead},
+                {"left", it.left},         {"serving", it.serving}, {"draining", it.draining},
+                {"starting", it.starting}, {"cutOff", it.isCutOff}, {"heardSecondsAgo", nullptr}};
+        if (it.heardSecondsAgo)
+            members[domain]["heardSecondsAgo"] = *it.heardSecondsAgo;
     }
 }
 
@@ -135,6 +101,7 @@
                            {"version", it.version},
                            {"hash", it.hash}};
     addDomains(report, it);
+    report.text += '\n' + renderStatusTable(it);
 }
 
 auto status(const HeadReader &readHead, const AdminSender &send) -> CommandReport
--- a/tests/cli/TestAdminCommands.cpp
+++ b/tests/cli/TestAdminCommands.cpp
@@ -33,7 +33,21 @@
 
 static constexpr auto NodeStatus = R"({"node": "192.0.2.7:7100", "failureDomain": "bezigrad",
     "state": "serving", "configuration": {"version": 12, "hash": "ab",
-    "domains": {"bezigrad": {"12": 40, "11": 1}, "domzale": {"0": 3}}}})";
+    "domains": {"bezigrad": {"12": 40, "11": 1}, "domzale": {"0": 3}}},
+    "domains": [
+        {"failureDomain": "bezigrad", "alive": 41, "suspect": 1, "dead": 0, "left": 2, "serving": 39,
+         "draining": 1, "starting": 1, "cutOff": false, "heardSecondsAgo": 0.42},
+        {"failureDomain": "domzale", "alive": 0, "suspect": 3, "dead": 1, "left": 0, "serving": 0,
+         "draining": 0, "starting": 0, "cutOff": true, "heardSecondsAgo": 84.6},
+        {"failureDomain": "kamnik", "alive": 2, "suspect": 0, "dead": 0, "left": 0, "serving": 2,
+         "draining": 0, "starting": 0, "cutOff": false, "heardSecondsAgo": null}],
+    "members": [
+        {"node": "192.0.2.7:7100", "service": "menu", "failureDomain": "bezigrad", "state": "serving",
+         "liveness": "alive", "heardSecondsAgo": null, "judgedSecondsAgo": null},
+        {"node": "192.0.2.8:7100", "service": "", "failureDomain": "domzale", "state": "starting",
+         "liveness": "suspect", "heardSecondsAgo": 84.6, "judgedSecondsAgo": 700.0},
+        {"node": "192.0.2.9:7100", "service": "menu", "failureDomain": "bezigrad", "state": "left",
+         "liveness": "dead", "heardSecondsAgo": null, "judgedSecondsAgo": 3.0}]})";
 
 static auto readHead() -> HeadSummary
 {
@@ -85,11 +99,26 @@
     cr_assert_eq(report.text,
                  "store: version 13, hash cd\n"
                  "node 192.0.2.7:7100 in bezigrad, serving: version 12, hash ab\n"
-                 "failure domain bezigrad: version 11 on 1 node, version 12 on 40 nodes\n"
-                 "failure domain domzale: no configuration on 3 nodes\n");
+                 "\n"
+                 "FAILURE DOMAIN  ALIVE  SUSPECT  DEAD  LEFT  SERVING  DRAINING  STARTING  "
+                 "HEARD       VERSIONS IN FORCE\n"
+                 "domzale         0      3        1     0     0        0         0         "
+                 "85 s ago    none on 3 nodes\n"
+                 "bezigrad        41     1        0     2     39       1         1         "
+                 "0.4 s ago   11 on 1 node, 12 on 40 nodes\n"
+                 "kamnik          2      0        0     0     2        0         0         "
+                 "not lately  not heard\n"
+                 "CUT OFF: no node of failure domain domzale is alive as far as this node knows "
+                 "(3 suspect, 1 dead); last heard 85 s ago\n"
+                 "\n"
+                 "NODE NOT ALIVE  SERVICE  FAILURE DOMAIN  IS       SINCE       HEARD\n"
+                 "192.0.2.8:7100  -        domzale         suspect  12 min ago  85 s ago\n");
     cr_assert_eq(report.json.at("store").at("version"), 13);
     cr_assert_eq(report.json.at("store").at("applyId"), "a1");
     cr_assert_eq(report.json.at("domains").at("bezigrad").at("12"), 40);
+    cr_assert_eq(report.json.at("members").at("domzale").at("cutOff"), true);
+    cr_assert_eq(report.json.at("members").at("bezigrad").at("alive"), 41);
+    cr_assert(report.json.at("members").at("kamnik").at("heardSecondsAgo").is_null());
 }
 
 Test(Status, saysWhoGaveNoAnswerAndShowsTheRest)
--- a/tests/cli/TestRun.cpp
+++ b/tests/cli/TestRun.cpp
@@ -60,7 +60,8 @@
           Arguments{"apply", "-", "--store=x"},
           Arguments{"apply", "-", "--store=http://192.0.2.1:1", "--expect-version=x"},
           Arguments{"apply", "-", "--store=http://192.0.2.1:1", "--minimum-version="},
-          Arguments{"apply", "-", "--store=http://192.0.2.1:1", "--store-timeout=1"}}) {
+          Arguments{"apply", "-", "--store=http://192.0.2.1:1", "--store-timeout=1"},
+          Arguments{"status", "--watch", "--json"}, Arguments{"drain", "--watch"}}) {
         const auto outcome = runWith(it);
         cr_assert_eq(outcome.exitCode, 2);
         cr_assert(outcome.nodes.empty());
