Log: Escape every byte beyond ASCII

The escapes left bytes beyond ASCII as they were. U+0085, U+2028 and U+2029 end a line for some collectors, U+202E turns the direction of writing for a reader, and bytes that are no UTF-8 make collectors drop or alter a line: a caller's class or service name, which the line call-rejected repeats, could carry all of these.

Weighed: to escape only the known code points (a list to keep up with Unicode), to check for valid UTF-8 as well (more code, and still the list). Taken: everything beyond ASCII is escaped. Names of the configuration are ASCII, so nothing that an operator reads often is touched. Names of keys are constants of the program and stay unescaped.

--- a/include/stairspur/log/Log.h
+++ b/include/stairspur/log/Log.h
@@ -50,8 +50,8 @@
 ///
 ///     log::Line(Severity::Info, "route").add("service", name).add("reason", nameOf(reason));
 ///
-/// Values are quoted and escaped where they hold a space, a quote, '=' or a control character, so that a caller's input
-/// cannot forge a line or a pair.
+/// Values are quoted where they hold a space, a quote, '=', a backslash, a control character or a byte beyond ASCII, the
+/// last two escaped as \xNN, so that a caller's input cannot forge a line or a pair.
 class Line
 {
 public:
--- a/source/log/Log.cpp
+++ b/source/log/Log.cpp
@@ -1,5 +1,6 @@
 #include <stairspur/log/Log.h>
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
@@ -190,15 +191,18 @@
         writer().push(m_severity, std::move(m_text) + writer().suffix());
 }
 
+/// Control characters, and every byte beyond ASCII: among those are the C1 controls and the Unicode line separators,
+/// which end a line for some collectors, and marks that turn the direction of writing.
+static auto needsEscape(char it) -> bool
+{
+    return it < ' ' || it == '\x7f' || (static_cast<unsigned char>(it) & 0x80U) != 0;
+}
+
 static auto needsQuotes(std::string_view value) -> bool
 {
-    if (value.empty())
-        return true;
-    for (const auto it : value) {
-        if (it <= ' ' || it == '"' || it == '=' || it == '\\' || it == '\x7f')
-            return true;
-    }
-    return false;
+    return value.empty() || std::ranges::any_of(value, [](char it) {
+               return it == ' ' || it == '"' || it == '=' || it == '\\' || needsEscape(it);
+           });
 }
 
 static auto appendQuoted(std::string &text, std::string_view value) -> void
@@ -210,7 +214,7 @@
         if (it == '"' || it == '\\') {
             text.push_back('\\');
             text.push_back(it);
-        } else if (byte < ' ' || byte == 0x7f) {
+        } else if (needsEscape(it)) {
             text += "\\x";
             text.push_back(Digits[byte >> 4]);
             text.push_back(Digits[byte & 0xf]);
