Config: Keep bare text beyond ASCII from the TOML library

The fuzzer of the configuration ran into undefined behaviour after 6438 inputs: toml++ 3.3 asks for each character of a bare key whether it is white space, and for letters such as U+017E that question ends at a point that the library calls unreachable. An optimised build may do anything there; the one in use went on to its ordinary syntax error.

Weighed: to patch or replace the library (it is Debian's package), to compile it with its traps on (an abort in place of a finding), to refuse everything beyond ASCII (comments and strings may hold it, and the examples do). Taken: a scanner that knows strings and comments finds the first bare character beyond ASCII, which TOML never allows, and reports it with line and column before the library sees the text.

The new test failed before the change (another finding; under UBSan the program ended) and passes now: a key, white space, a byte order mark, bytes that are no UTF-8, and every kind of string in front.

--- a/source/config/ConfigurationReader.cpp
+++ b/source/config/ConfigurationReader.cpp
@@ -1,5 +1,6 @@
 #include <stairspur/config/ConfigurationReader.h>
 
+#include "BareText.h"
 #include "ConfigurationFileReader.h"
 
 namespace stairspur::config {
@@ -13,6 +14,11 @@
         findings.add({1, 1}, "the file is larger than 64MiB", "split the configuration");
         return std::nullopt;
     }
+    if (const auto position = findBareNonAscii(text)) {
+        findings.add(*position, "a character beyond ASCII stands outside quotes and comments",
+                     "put it into quotes, or leave it out");
+        return std::nullopt;
+    }
     try {
         return toml::parse(text);
     } catch (const toml::parse_error &error) {
--- a/tests/config/TestConfigurationReader.cpp
+++ b/tests/config/TestConfigurationReader.cpp
@@ -28,6 +28,25 @@
     cr_assert_eq(printed, wanted, "%s:\n%swanted:\n%s", it.name, printed.c_str(), wanted.c_str());
 }
 
+/// What the library's parser must not see: see source/config/BareText.h.
+Test(ConfigurationReader, bareTextBeyondAsciiIsAFinding)
+{
+    const auto fault = std::string(": a character beyond ASCII stands outside quotes and comments; "
+                                   "put it into quotes, or leave it out");
+    const FaultCase cases[] = {
+            {"in a key", "[retry]\nbucket-\u017e = 1\n", {"f:2:8" + fault}},
+            {"after a byte order mark", "\xef\xbb\xbf\u0101 = 1\n", {"f:1:2" + fault}},
+            {"as white space", "[retry]\u3000\n", {"f:1:8" + fault}},
+            {"no UTF-8", "a = \xff\n", {"f:1:5" + fault}},
+            {"behind strings and comments",
+             "a = \"\u0161\\\"\" # \u010d\nb = '\u0161\\' # '\nc = \"\"\"x\"\n\u0161\"\"\"\"\" "
+             "\u017e\n",
+             {"f:4:8" + fault}},
+    };
+    for (const auto &it : cases)
+        assertFindings(it);
+}
+
 Test(ConfigurationReader, syntaxFaultsHaveTheirPlaceAndRemedy)
 {
     const auto remedy = std::string("; correct the TOML syntax (https://toml.io/en/v1.0.0)");
