--- a/Meta/example/fleet.py
+++ b/Meta/example/fleet.py
@@ -121,7 +121,7 @@
         return child
 
     def start_hosts(self) -> None:
-        seeds = ",".join(next(it.peer for it in self.hosts if it.domain == domain) for domain in DOMAINS)
+        seeds = ",".join({it.domain: it.peer for it in reversed(self.hosts)}.values())
         for it in self.hosts:
             it.node = self.children.start(f"node-{it.name}", [
                 self.program("stairspur"), "node", f"--host-address={it.address}", f"--failure-domain={it.domain}",
