Node: Compare header names without a locale

Weighed: a set of lower-case names (a copy for each header), and the comparison that Beast has for exactly this. Taken the second; names are ASCII (RFC 9110, section 5.1), so that the outcome is the same.

--- a/source/node/EndToEndHeaders.cpp
+++ b/source/node/EndToEndHeaders.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 
-#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/core/string.hpp>
 
 namespace stairspur::node {
 
@@ -19,22 +19,36 @@
                                                                            "Content-Length",
                                                                            "Host"};
 
+/// Names of fields are ASCII (RFC 9110, section 5.1); a comparison by a locale costs a search for its facet each time.
+static auto startsWithName(std::string_view text, std::string_view start) -> bool
+{
+    return boost::beast::iequals(text.substr(0, start.size()), start);
+}
+
+static auto containsName(std::string_view text, std::string_view name) -> bool
+{
+    for (auto rest = text; rest.size() >= name.size(); rest.remove_prefix(1)) {
+        if (startsWithName(rest, name))
+            return true;
+    }
+    return false;
+}
+
 static auto isOurs(std::string_view name) -> bool
 {
     using namespace transport::header;
-    return boost::algorithm::istarts_with(name, "Stairspur-")
-           || boost::algorithm::iequals(name, Authorization)
-           || boost::algorithm::iequals(name, TraceParent)
-           || boost::algorithm::iequals(name, IdempotencyKey);
+    return startsWithName(name, "Stairspur-") || boost::beast::iequals(name, Authorization)
+           || boost::beast::iequals(name, TraceParent)
+           || boost::beast::iequals(name, IdempotencyKey);
 }
 
 static auto belongsToConnection(std::string_view name, std::string_view connection) -> bool
 {
     if (std::ranges::any_of(ConnectionHeaders,
-                            [name](auto it) { return boost::algorithm::iequals(name, it); }))
+                            [name](auto it) { return boost::beast::iequals(name, it); }))
         return true;
     // The Connection field may name further fields that end at this hop.
-    return !connection.empty() && boost::algorithm::icontains(connection, name);
+    return !connection.empty() && containsName(connection, name);
 }
 
 auto endToEndHeaders(const transport::HeaderList &headers) -> transport::HeaderList
