--- a/source/core/Hash.cpp
+++ b/source/core/Hash.cpp
@@ -16,11 +16,21 @@
     return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
+/// Looking an algorithm up by name costs more than hashing a key does, so that it is done once (OpenSSL 3,
+/// EVP_MD_fetch). It lives as long as the process.
+static auto sha256() -> const EVP_MD *
+{
+    static const auto *const algorithm = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+    return algorithm;
+}
+
 auto sha256Hex(std::string_view text) -> std::string
 {
     auto digest = std::array<unsigned char, EVP_MAX_MD_SIZE>{};
     unsigned int n = 0;
-    if (EVP_Digest(text.data(), text.size(), digest.data(), &n, EVP_sha256(), nullptr) != 1)
+    const auto *const algorithm = sha256();
+    if (algorithm == nullptr
+        || EVP_Digest(text.data(), text.size(), digest.data(), &n, algorithm, nullptr) != 1)
         throw Error("SHA-256 is not available", "install an OpenSSL that offers it");
     return toHex(std::string_view(reinterpret_cast<const char *>(digest.data()), n));
 }
