Node: Look at deeper floors when calls end, and confirm them

Cause: a timer woke the entry's thread fifty times a second, also in an idle node. Besides, floors that did not change were told only once, while the gate lets floors lapse that nobody confirms within a second: a deeper service that refused steadily was forgotten, and its callers admitted again.

Weighed: a longer interval (floors reach callers later), and looking when a call ends, at most every 20 ms. Taken the second, with a timer only while a floor is up, so that it falls without calls; unchanged floors are told every 250 ms. Ruled out: asio's hint for one thread (it was set already).

--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -18,8 +18,10 @@
 using transport::HttpResponse;
 using transport::Task;
 
-/// How often the gate is told what the deeper services refuse.
-static constexpr auto FloorInterval = std::chrono::milliseconds(20);
+/// How often the gate is told what the deeper services refuse: while calls flow, and while anything is refused.
+static constexpr auto FloorInterval = Duration{20'000};
+/// Told floors that stay as they are, are told again so often, since the gate lets unconfirmed ones lapse after a second.
+static constexpr auto ConfirmInterval = Duration{250'000};
 /// When to come back to a node that has no configuration yet.
 static constexpr auto NoConfigurationRetryAfter = Duration{1'000'000};
 
@@ -36,16 +38,6 @@
     , m_floorTimer(io)
 {}
 
-auto Entry::start() -> void
-{
-    scheduleFloors();
-}
-
-auto Entry::stop() -> void
-{
-    m_floorTimer.cancel();
-}
-
 auto Entry::handle(HttpRequest request, CancellationPtr cancellation) -> Task<HttpResponse>
 {
     const auto start = monotonicNow();
@@ -68,6 +60,7 @@
         co_return problemResponse(Outcome::NotRun, error.reason(), error.what(), Duration::zero());
     }
     auto answer = co_await route(std::move(call), std::move(cancellation));
+    refreshFloors(monotonicNow());
     m_metrics.didAnswerAtEntry(answer.outcome, monotonicNow() - start);
     co_return responseFor(std::move(answer));
 }
@@ -239,25 +232,39 @@
             .add("budget", attempts.budget.left());
 }
 
-auto Entry::scheduleFloors() -> void
+/// Calls bring what floors are made of, so that their ends are the time to look: a timer would wake an idle node fifty
+/// times a second for nothing.
+auto Entry::refreshFloors(TimePoint now) -> void
 {
+    if (now - m_floorsAt < FloorInterval)
+        return;
+    m_floorsAt = now;
+    tellDeeperFloors(now);
+    ensureFloorTimer();
+}
+
+/// Floors that are up may have to fall while no call comes.
+auto Entry::ensureFloorTimer() -> void
+{
+    const auto isUp = [](Level it) { return it > LowestLevel; };
+    if (m_hasFloorTimer || std::ranges::none_of(m_toldFloors, isUp))
+        return;
+    m_hasFloorTimer = true;
     m_floorTimer.expires_after(FloorInterval);
     m_floorTimer.async_wait([this](const boost::system::error_code &ec) {
-        if (ec)
-            return;
-        tellDeeperFloors();
-        scheduleFloors();
+        m_hasFloorTimer = false;
+        if (!ec)
+            refreshFloors(monotonicNow());
     });
 }
 
 /// Publishes the floors that calls of each class meet below this host's service, so that the gate can advertise them.
-auto Entry::tellDeeperFloors() -> void
+auto Entry::tellDeeperFloors(TimePoint now) -> void
 {
     const auto configuration = *m_board.configuration.read();
     const auto service = m_board.backend.read()->service;
     if (!configuration || service.empty())
         return;
-    const auto now = monotonicNow();
     auto floors = std::vector<Level>();
     for (const auto &it : configuration->whole().classes) {
         auto floor = LowestLevel;
@@ -268,9 +275,10 @@
         }
         floors.push_back(floor);
     }
-    if (floors == m_toldFloors)
+    if (floors == m_toldFloors && now - m_toldAt < ConfirmInterval)
         return;
     m_toldFloors = floors;
+    m_toldAt = now;
     m_board.deeperFloors.publish(std::move(floors));
 }
 
--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -41,10 +41,6 @@
     auto handle(transport::HttpRequest request, transport::CancellationPtr cancellation)
             -> transport::Task<transport::HttpResponse>;
 
-    /// Starts telling the gate what the deeper services refuse.
-    auto start() -> void;
-    auto stop() -> void;
-
     /// Sends one call to upstreams until it has a final answer.
     auto route(IncomingCall call, transport::CancellationPtr cancellation)
             -> transport::Task<transport::CallAnswer>;
@@ -83,8 +79,9 @@
 
     auto logDecision(const IncomingCall &call, const routing::RouteDecision &decision,
                      const Attempts &attempts) -> void;
-    auto tellDeeperFloors() -> void;
-    auto scheduleFloors() -> void;
+    auto refreshFloors(TimePoint now) -> void;
+    auto ensureFloorTimer() -> void;
+    auto tellDeeperFloors(TimePoint now) -> void;
 
     transport::asio::io_context &m_io;
     const NodeSettings &m_settings;
@@ -96,6 +93,9 @@
     std::unordered_map<std::string, std::unique_ptr<ServiceRoutes>> m_routes;
     transport::asio::steady_timer m_floorTimer;
     std::vector<Level> m_toldFloors;
+    TimePoint m_toldAt;
+    TimePoint m_floorsAt;
+    bool m_hasFloorTimer = false;
 };
 
 } // namespace stairspur::node
--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -75,7 +75,6 @@
     m_peerServer.start();
     m_entryServer.start();
     m_controlPlane->start();
-    m_entry.start();
     m_gateThread.start();
     m_entryThread.start();
     m_control.start();
--- a/tests/node/TestCallPath.cpp
+++ b/tests/node/TestCallPath.cpp
@@ -166,3 +166,53 @@
     cr_assert_eq(path.responses[0].body, "answer to early");
     cr_assert(path.runUntil([&] { return hasDrained; }));
 }
+
+namespace {
+
+/// A configuration in which `orders` calls `menu`, in force on a host of `orders`.
+auto callsMenuBelowOrders(CallPathHarness &path) -> void
+{
+    auto changed = config::VersionedConfiguration();
+    changed.version = 2;
+    changed.configuration = (*path.board.configuration.read())->whole();
+    changed.configuration.paths = {{.name = "order", .services = {"orders", "menu"}}};
+    auto shared = std::make_shared<const config::VersionedConfiguration>(std::move(changed));
+    path.board.configuration.publish(
+            std::make_shared<const config::ConfigurationIndex>(std::move(shared)));
+    path.board.backend.publish({"orders", 1, 8, membership::ServingState::Serving});
+}
+
+/// A gate that admits every call of the first class and reports a floor above all others.
+auto gateWithFloor() -> transport::PeerServer::CallHandler
+{
+    auto sequence = std::make_shared<std::uint64_t>(0);
+    return [sequence](auto, auto, auto) -> transport::Task<transport::CallAnswer> {
+        auto answer = transport::CallAnswer{
+                .outcome = Outcome::Answered, .wasDispatched = true, .status = 200};
+        answer.report = admission::LoadReport{.sequence = ++*sequence, .limit = 8};
+        answer.report->floors = {makeLevel(0, 0), makeLevel(0, 0)};
+        co_return answer;
+    };
+}
+
+} // namespace
+
+Test(CallPath, floorsThatStayAreToldAgainBeforeTheyLapse)
+{
+    static constexpr auto Confirmations = std::uint64_t{2};
+    static constexpr auto MostCalls = 400'000;
+    auto path = CallPathHarness();
+    callsMenuBelowOrders(path);
+    auto &host = path.addHost("menu", {});
+    host.peerServer.setCallHandler(gateWithFloor());
+    const auto before = path.board.deeperFloors.generation();
+    const auto told = [&] { return path.board.deeperFloors.generation() - before; };
+    for (auto n = 0; n < MostCalls && told() < Confirmations; ++n) {
+        path.start(path.request("menu", "x"));
+        cr_assert(path.finish());
+    }
+    cr_assert_geq(told(), Confirmations);
+    const auto floors = *path.board.deeperFloors.read();
+    cr_assert_eq(floors.size(), 2);
+    cr_assert_eq(floors[1].value, makeLevel(0, 0).value);
+}
