--- /dev/null
+++ b/source/distribution/StoreReading.cpp
@@ -0,0 +1,64 @@
+#include "StoreReading.h"
+
+#include <utility>
+
+#include <stairspur/core/Error.h>
+#include <stairspur/log/Log.h>
+
+namespace stairspur::distribution {
+
+/// A page of sections, some hundred bytes each, stays well below the client's limit for an answer.
+static constexpr auto SectionsPerPage = std::int64_t{500};
+
+auto readHeadValue(const std::string &value) -> HeadReading
+{
+    try {
+        return {true, decodeHead(value)};
+    } catch (const InputError &error) {
+        log::Line(log::Severity::Error, "configuration-head-unreadable").add("error", error.what());
+        return {};
+    }
+}
+
+auto headIn(const platform::StoreResult<platform::RangeAnswer> &answer) -> HeadReading
+{
+    if (!answer.isOk())
+        return {};
+    if (answer.value.pairs.empty())
+        return {true, std::nullopt};
+    return readHeadValue(answer.value.pairs[0].value);
+}
+
+static auto addBlobs(Blobs &blobs, const std::vector<platform::KeyValue> &pairs) -> void
+{
+    for (const auto &it : pairs)
+        blobs[it.key.substr(SectionPrefix.size())] = it.value;
+}
+
+auto requestsFor(const std::vector<std::string> &hashes) -> std::vector<platform::RangeRequest>
+{
+    auto requests = std::vector<platform::RangeRequest>();
+    for (const auto &it : hashes)
+        requests.push_back({.key = sectionKey(it)});
+    const auto prefix = std::string(SectionPrefix);
+    if (hashes.empty())
+        requests.push_back({.key = prefix,
+                            .rangeEnd = platform::endOfPrefix(prefix),
+                            .limit = SectionsPerPage});
+    return requests;
+}
+
+auto takeAnswer(const platform::StoreResult<platform::RangeAnswer> &answer,
+                std::vector<platform::RangeRequest> &requests, Blobs &blobs) -> bool
+{
+    if (!answer.isOk())
+        return false;
+    addBlobs(blobs, answer.value.pairs);
+    if (answer.value.hasMore && !answer.value.pairs.empty())
+        requests.back().key = answer.value.pairs.back().key + '\0';
+    else
+        requests.pop_back();
+    return true;
+}
+
+} // namespace stairspur::distribution
--- /dev/null
+++ b/source/distribution/StoreReading.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <stairspur/distribution/Head.h>
+#include <stairspur/distribution/HeadFollower.h>
+#include <stairspur/platform/StoreTypes.h>
+
+namespace stairspur::distribution {
+
+/// What a read of the head gave; `isOk` with no head: there is none in the store.
+struct HeadReading
+{
+    bool isOk = false;
+    std::optional<Head> head;
+};
+
+/// The head in a key's value. Unreadable ones are logged and count as a failure.
+auto readHeadValue(const std::string &value) -> HeadReading;
+
+/// The head in the answer to a read of its key.
+auto headIn(const platform::StoreResult<platform::RangeAnswer> &answer) -> HeadReading;
+
+/// The reads that give these sections: one key for each hash; the whole prefix, page by page, without any.
+auto requestsFor(const std::vector<std::string> &hashes) -> std::vector<platform::RangeRequest>;
+
+/// Takes in the answer to the last of `requests`, and leaves the one for the next page if there is one. False: the store
+/// failed.
+auto takeAnswer(const platform::StoreResult<platform::RangeAnswer> &answer,
+                std::vector<platform::RangeRequest> &requests, Blobs &blobs) -> bool;
+
+} // namespace stairspur::distribution
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -20,8 +20,8 @@
 
 /// How often the gate is told what the deeper services refuse: while calls flow, and while anything is refused.
 static constexpr auto FloorInterval = Duration{20'000};
-/// Told floors that stay as they are, are told again so often, since the gate lets unconfirmed ones lapse after a second.
-static constexpr auto ConfirmInterval = Duration{250'000};
+/// How often unchanged floors are told again: those that nobody confirms lapse after a second.
+static constexpr auto FloorConfirmInterval = Duration{250'000};
 /// When to come back to a node that has no configuration yet.
 static constexpr auto NoConfigurationRetryAfter = Duration{1'000'000};
 
@@ -51,7 +51,8 @@
     }
     auto call = IncomingCall();
     try {
-        call = readCall(std::move(request), *configuration, m_running, start, m_random);
+        call = readCall(std::move(request), *configuration, m_running, m_settings.hostAddress,
+                        start, m_random);
     } catch (const CallRejected &error) {
         m_metrics.didRefuseAtEntry(error.reason());
         log::Line(log::Severity::Info, "call-rejected")
@@ -59,9 +60,10 @@
                 .add("detail", error.what());
         co_return problemResponse(Outcome::NotRun, error.reason(), error.what(), Duration::zero());
     }
+    const auto className = call.request.className;
     auto answer = co_await route(std::move(call), std::move(cancellation));
     refreshFloors(monotonicNow());
-    m_metrics.didAnswerAtEntry(answer.outcome, monotonicNow() - start);
+    m_metrics.didAnswerAtEntry(className, answer.outcome, monotonicNow() - start);
     co_return responseFor(std::move(answer));
 }
 
@@ -106,6 +108,7 @@
         if (attempts.last.outcome == Outcome::Answered)
             co_return std::move(attempts.last);
         const auto step = nextStep(call, routes, attempts);
+        m_metrics.didDecideRetry(step);
         if (step == RetryDecision::GiveUp)
             co_return finalRefusal(attempts, attempts.last.reason, attempts.last.retryAfter);
         if (step == RetryDecision::Retry) {
@@ -136,6 +139,7 @@
         attempts.budget.didAnswer(answer.unspentBudget);
     attempts.mayHaveRun =
             attempts.mayHaveRun || answer.wasDispatched || answer.outcome == Outcome::Unknown;
+    m_metrics.didEndAttempt(answer.outcome, answer.reason);
     if (answer.outcome == Outcome::Answered)
         routes.bucket.didSucceed();
     attempts.last = std::move(answer);
@@ -163,6 +167,8 @@
 /// The final answer of a call without a whole one. It is `not-run` only if no attempt can have reached a backend server.
 auto Entry::finalRefusal(const Attempts &attempts, Reason reason, Duration retryAfter) -> CallAnswer
 {
+    if (attempts.sent == 0)
+        m_metrics.didRefuseAtEntry(reason);
     auto answer = CallAnswer();
     if (attempts.last.outcome == Outcome::Failed && attempts.last.status != 0)
         answer = attempts.last;
@@ -275,10 +281,10 @@
         }
         floors.push_back(floor);
     }
-    if (floors == m_toldFloors && now - m_toldAt < ConfirmInterval)
+    if (floors == m_toldFloors && now - m_toldAt < FloorConfirmInterval)
         return;
-    m_toldFloors = floors;
     m_toldAt = now;
+    m_toldFloors = floors;
     m_board.deeperFloors.publish(std::move(floors));
 }
 
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -20,11 +20,12 @@
 static constexpr auto UnavailableRetryAfter = Duration{500'000};
 
 Gate::Gate(transport::asio::io_context &io, const NodeBoard &board, RunningCalls &running,
-           NodeMetrics &metrics, std::uint64_t seed)
+           NodeMetrics &metrics, CallIdSource &callIds, std::uint64_t seed)
     : m_io(io)
     , m_board(board)
     , m_running(running)
     , m_metrics(metrics)
+    , m_callIds(callIds)
     , m_random(seed)
     , m_admission(std::make_unique<AdmissionController>(admission::AdmissionSettings()))
     , m_ticker(io)
@@ -89,7 +90,7 @@
     answer.unspentBudget = request.retryBudget;
     answer.retryAfter = retryAfter;
     answer.report = report();
-    m_metrics.didRefuseAtGate(reason);
+    m_metrics.didRefuseAtGate(request.className, reason);
     if (log::isDecisionSampled()) {
         log::Line(log::Severity::Info, "admission")
                 .add("decision", "refuse")
@@ -111,8 +112,8 @@
     if (const auto reason = reasonToRefuse(request); reason != Reason::None)
         co_return refusal(request, reason, UnavailableRetryAfter);
 
+    const auto id = m_callIds.next();
     ++m_calls;
-    const auto id = CallId{m_random()};
     const auto deadline = now + request.remaining;
     const auto decision = co_await waitForPlace(id, {id, request.level, deadline}, cancellation);
     auto answer = CallAnswer();
@@ -153,7 +154,8 @@
                     CancellationPtr cancellation) -> Task<CallAnswer>
 {
     const auto start = monotonicNow();
-
+    const auto arrival = deadline - request.remaining;
+    const auto className = request.className;
     m_running.open(id, {request.className, request.level, request.root, deadline, request.caller},
                    request.retryBudget, request.isRepeat);
     const auto client = m_client; // A newer backend server must not end this call's connections.
@@ -181,7 +183,8 @@
     if (verdict.outcome == Outcome::NotRun)
         answer.retryAfter = UnavailableRetryAfter;
     answer.report = report();
-    m_metrics.didRunAtBackend(verdict.outcome, now - start);
+    m_metrics.didRunAtBackend(className, verdict.outcome, now - start);
+    m_metrics.didAddAtGate(start - arrival + (monotonicNow() - now));
     co_return answer;
 }
 
--- a/source/node/Node.h
+++ b/source/node/Node.h
@@ -9,12 +9,14 @@
 #include <stairspur/transport/PeerClient.h>
 #include <stairspur/transport/PeerServer.h>
 
+#include "CallIdSource.h"
 #include "ControlPlane.h"
 #include "Entry.h"
 #include "Gate.h"
 #include "IoThread.h"
 #include "NodeBoard.h"
 #include "NodeMetrics.h"
+#include "PeriodicTask.h"
 #include "RunningCalls.h"
 
 namespace stairspur::node {
@@ -41,6 +43,8 @@
 
 private:
     auto handlers() -> ControlHandlers;
+    auto publishEntryState() -> void;
+    auto publishGateState() -> void;
     auto drainGate() -> void;
     auto drainEntry() -> void;
     auto drainPeers() -> void;
@@ -50,6 +54,7 @@
     NodeBoard m_board;
     NodeMetrics m_metrics;
     RunningCalls m_running;
+    SecureCallIds m_callIds; ///< For the gate alone.
     IoThread m_control{"control"};
     IoThread m_entryThread{"entry"};
     IoThread m_gateThread{"gate"};
@@ -58,6 +63,8 @@
     Entry m_entry;
     Gate m_gate;
     transport::HttpServer m_entryServer;
+    PeriodicTask m_publishEntry;
+    PeriodicTask m_publishGate;
     std::unique_ptr<ControlPlane> m_controlPlane;
     transport::asio::steady_timer m_drainTimer;
     bool m_isDraining = false;
