Transport: Let an idle link hold a fifth of its memory

Cause: each end of a peer link held 69.7 KB: a read buffer of 32 KB, websocketpp's of 16 KB, and an endpoint of either role with a generator of masking keys of 5 KB each. A node that calls nine services keeps 144 links out and as many in: 20 MB.

Weighed: smaller buffers of its own for each link (more system calls for bodies), and waiting without a buffer. Taken the second: a link waits until bytes are there and reads them into one buffer of its thread. websocketpp's buffer shrinks to 4 KB, the endpoint that is not needed is not made, and the generator is one of 8 bytes; masking protects nothing here.

--- a/source/transport/WebSocketStream.cpp
+++ b/source/transport/WebSocketStream.cpp
@@ -1,5 +1,7 @@
 #include "WebSocketStream.h"
 
+#include <array>
+#include <optional>
 #include <random>
 
 #include <netinet/tcp.h>
@@ -15,19 +17,22 @@
 
 static constexpr auto ReadBytes = std::size_t{32} << 10U;
 
+/// What websocketpp keeps for each connection to take bytes out of; a larger frame goes through it in several turns.
+static constexpr auto ProtocolReadBytes = std::size_t{4} << 10U;
+
 /// Bytes that the kernel may hold unsent, beyond which a socket takes no more: what waits there can't be overtaken by
 /// a small message, what waits with us can.
 static constexpr auto MaxUnsentBytes = 32 << 10;
 
 /// Masking keys (RFC 6455, section 5.3). They keep browsers' scripts from forging bytes at proxies, which does not
-/// concern links between nodes, so that a fast generator does.
+/// concern links between nodes, so that a fast and small generator does.
 class MaskingKeys
 {
 public:
     auto operator()() -> std::uint32_t { return static_cast<std::uint32_t>(m_random()); }
 
 private:
-    std::mt19937 m_random{std::random_device()()};
+    std::minstd_rand m_random{std::random_device()()};
 };
 
 /// One thread, no logs of its own (we write them), no compression. websocketpp gives the names.
@@ -45,6 +50,7 @@
     static const websocketpp::log::level elog_level = websocketpp::log::elevel::none;
     static const websocketpp::log::level alog_level = websocketpp::log::alevel::none;
     static const std::size_t max_http_body_size = 4096;
+    static const std::size_t connection_read_buffer_size = ProtocolReadBytes;
 
     struct transport_config : public websocketpp::config::core::transport_config
     {
@@ -66,18 +72,19 @@
 {
 public:
     Protocol(WebSocketStream &owner, Role role, std::size_t maxMessageBytes)
-        : m_role(role)
     {
         namespace ws = websocketpp;
         auto ec = ws::lib::error_code();
         if (role == Role::Server) {
-            m_server.clear_access_channels(ws::log::alevel::all);
-            m_server.clear_error_channels(ws::log::elevel::all);
-            m_connection = m_server.get_connection();
+            m_server.emplace();
+            m_server->clear_access_channels(ws::log::alevel::all);
+            m_server->clear_error_channels(ws::log::elevel::all);
+            m_connection = m_server->get_connection();
         } else {
-            m_client.clear_access_channels(ws::log::alevel::all);
-            m_client.clear_error_channels(ws::log::elevel::all);
-            m_connection = m_client.get_connection("ws://peer/", ec);
+            m_client.emplace();
+            m_client->clear_access_channels(ws::log::alevel::all);
+            m_client->clear_error_channels(ws::log::elevel::all);
+            m_connection = m_client->get_connection("ws://peer/", ec);
         }
         m_connection->set_max_message_size(maxMessageBytes);
         setHandlers(owner);
@@ -85,10 +92,10 @@
 
     auto start() -> void
     {
-        if (m_role == Role::Server)
-            m_connection->start();
+        if (m_client)
+            m_client->connect(m_connection);
         else
-            m_client.connect(m_connection);
+            m_connection->start();
     }
 
     [[nodiscard]] auto connection() const -> WebSocketConnection & { return *m_connection; }
@@ -126,9 +133,8 @@
         });
     }
 
-    Role m_role;
-    WebSocketServer m_server;
-    WebSocketClient m_client;
+    std::optional<WebSocketServer> m_server;
+    std::optional<WebSocketClient> m_client;
     WebSocketConnection::ptr m_connection;
 };
 
@@ -138,10 +144,10 @@
     , m_role(role)
     , m_observer(observer)
     , m_protocol(std::make_unique<Protocol>(*this, role, maxMessageBytes))
-    , m_input(ReadBytes)
 {
     auto ec = boost::system::error_code();
     m_socket.set_option(asio::ip::tcp::no_delay(true), ec);
+    m_socket.non_blocking(true, ec);
     const auto remote = m_socket.remote_endpoint(ec);
     m_remoteAddress = ec ? std::string() : remote.address().to_string();
     const auto limit = MaxUnsentBytes;
@@ -211,22 +217,36 @@
     return n + BasicHeader + extended + (m_role == Role::Server ? MaskingKey : 0U);
 }
 
+/// Waits without a buffer: most links of a node are idle, and one buffer serves all links of a thread.
 auto WebSocketStream::read() -> void
 {
-    m_socket.async_read_some(asio::buffer(m_input), [self = shared_from_this()](auto ec, auto n) {
+    m_socket.async_wait(asio::socket_base::wait_read, [self = shared_from_this()](auto ec) {
         if (self->m_isClosed)
             return;
         if (ec)
             self->finish(false, ec.message());
         else
-            self->didRead(n);
+            self->readWaiting();
     });
 }
 
-auto WebSocketStream::didRead(std::size_t n) -> void
+auto WebSocketStream::readWaiting() -> void
+{
+    static thread_local auto input = std::array<char, ReadBytes>();
+    auto ec = boost::system::error_code();
+    const auto n = m_socket.read_some(asio::buffer(input), ec);
+    if (ec == asio::error::would_block)
+        read();
+    else if (ec)
+        finish(false, ec.message());
+    else
+        didRead(std::string_view(input.data(), n));
+}
+
+auto WebSocketStream::didRead(std::string_view bytes) -> void
 {
-    m_bytesReceived += n;
-    m_protocol->connection().read_all(m_input.data(), n);
+    m_bytesReceived += bytes.size();
+    m_protocol->connection().read_all(bytes.data(), bytes.size());
     if (m_isClosed)
         return;
     if (!m_isClosing && m_protocol->hasFarEndGone()) {
--- a/source/transport/WebSocketStream.h
+++ b/source/transport/WebSocketStream.h
@@ -4,7 +4,6 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -70,7 +69,8 @@
     class Protocol;
 
     auto read() -> void;
-    auto didRead(std::size_t n) -> void;
+    auto readWaiting() -> void;
+    auto didRead(std::string_view bytes) -> void;
     auto flush() -> void;
     auto didWrite() -> void;
     auto finish(bool isGraceful, const std::string &why) -> void;
@@ -80,7 +80,6 @@
     Observer &m_observer;
     std::unique_ptr<Protocol> m_protocol;
     std::string m_remoteAddress;
-    std::vector<char> m_input;
     std::string m_waiting;
     std::string m_writing;
     std::uint64_t m_bytesSent = 0;
