--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -103,7 +103,6 @@
     m_peerServer.start();
     m_entryServer.start();
     m_controlPlane->start();
-    m_entry.start();
     m_publishEntry.start();
     m_publishGate.start();
     m_gateThread.start();
