Keyed: Take over from a primary that cannot be reached, before membership calls it dead

Ruled out: shorter suspicion in membership, which would cost false deaths under loss; a heartbeat in each pair, whose bytes do not fit the 3 KB/s. Change: PeerReachability: a witness that entries ask about a key, and a primary whose witness does not acknowledge, probe the other one and hold it for lost after 0.3 s without an answer; a wrong suspicion costs one write, since the old epoch is sealed first. The rendezvous keys of all domains are read, so that domains that start at once without seeds find each other.

--- a/include/stairspur/keyed/KeyedRoute.h
+++ b/include/stairspur/keyed/KeyedRoute.h
@@ -49,7 +49,7 @@
 
 struct RouteSettings
 {
-    std::uint32_t maxSteps = 24;  ///< Of one attempt; it is answered `unknown` after them.
+    std::uint32_t maxSteps = 80;  ///< Of one attempt; it is answered `unknown` after them.
     Duration retryDelay{100'000}; ///< Before asking again, with jitter between half and the whole.
     Duration retryAfter{1'000'000}; ///< Told with `unknown`.
 };
--- a/include/stairspur/keyed/KeyedService.h
+++ b/include/stairspur/keyed/KeyedService.h
@@ -18,6 +18,7 @@
 #include <stairspur/core/Error.h>
 #include <stairspur/core/Random.h>
 #include <stairspur/keyed/HomeChanges.h>
+#include <stairspur/keyed/PeerReachability.h>
 #include <stairspur/keyed/PlacementKeeper.h>
 #include <stairspur/membership/Member.h>
 #include <stairspur/platform/StoreTypes.h>
@@ -61,6 +62,7 @@
     KeeperSettings keeper;
     Duration tickInterval{100'000};
     Duration peerTimeout{1'000'000};
+    ReachabilitySettings reachability;
 };
 
 /// Milliseconds of this host's wall clock.
@@ -126,6 +128,11 @@
     };
 
     auto tick() -> void;
+    auto probeSilentPeers() -> void;
+    /// An entry asks this witness about a key: it has lost the primary, or the primary has lost it.
+    auto suspectPrimaryOf(const Message &lookup) -> void;
+    auto didHear(const NodeId &node) -> void;
+    auto didLose(const NodeId &node) -> void;
     auto scheduleTick() -> void;
     auto ensureOwnKeeper() -> void;
     auto keeperOf(const std::string &service) -> Keeper &;
@@ -163,6 +170,7 @@
     config::ConfigurationPtr m_configuration;
     HomeChanges m_homes;
     std::set<NodeId> m_confirmedGone;
+    PeerReachability m_reachability;
     /// Where messages to the sender of the request in hand go: into its reply.
     std::vector<std::string> *m_replies = nullptr;
     NodeId m_requester;
--- a/include/stairspur/keyed/KeyedServiceCode.h
+++ b/include/stairspur/keyed/KeyedServiceCode.h
@@ -31,6 +31,8 @@
     , m_random(seed)
     , m_timer(io)
     , m_homes(wallNow())
+    , m_reachability(m_settings.reachability)
+
 {}
 
 template <PlacementStore Store, KeyedPeers Peers>
@@ -74,6 +76,7 @@
 auto KeyedService<Store, Peers>::tick() -> void
 {
     ensureOwnKeeper();
+    probeSilentPeers();
     for (auto &[service, keeper] : m_keepers) {
         auto effects = KeeperEffects();
         keeper->tick(now(), membersOf(service), effects);
@@ -154,7 +157,8 @@
             continue;
         auto member = PlacementMember{{it.node, it.start}, rackOf(it.node)};
         member.isOfService = it.service == service;
-        member.isAlive = it.liveness != membership::Liveness::Dead;
+        member.isAlive =
+                it.liveness != membership::Liveness::Dead && !m_reachability.isUnreachable(it.node);
         member.isLeaving = it.state == membership::ServingState::Draining
                            || it.state == membership::ServingState::Left;
         member.isConfirmedGone = m_confirmedGone.contains(it.node);
@@ -267,6 +271,7 @@
         for (const auto &it : messages) {
             auto message = decodeMessage(it);
             message.from.node = from; // A link proves who its other end is.
+            didHear(from);
             receive(message);
         }
     } catch (...) {
@@ -284,6 +289,8 @@
     // A Submit comes as a call, with its request.
     if (message.domain != m_settings.domain || std::holds_alternative<Submit>(message.body))
         return;
+    if (std::holds_alternative<Lookup>(message.body))
+        suspectPrimaryOf(message);
     keeperOf(message.service).didReceive(message, now(), effects);
     carryOut(message.service, std::move(effects));
 }
--- a/include/stairspur/keyed/KeyedServiceEffects.h
+++ b/include/stairspur/keyed/KeyedServiceEffects.h
@@ -2,6 +2,7 @@
 
 // The member functions of KeyedService that carry out what the keepers want done.
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -45,6 +46,7 @@
                                                               self->m_settings.peerTimeout);
             if (!*isRunning)
                 co_return;
+            self->didHear(to);
             for (const auto &it : decodeMessages(reply)) {
                 auto answer = decodeMessage(it);
                 answer.from.node = to;
@@ -52,6 +54,8 @@
             }
         } catch (const Error &e) {
             // Whoever sent it sends it again by its own timer.
+            if (*isRunning)
+                self->didLose(to);
             log::Line(log::Severity::Debug, "keyed-message-lost")
                     .add("to", to)
                     .add("error", e.what());
@@ -206,4 +210,46 @@
             .add("witness", proposed.witness.node);
 }
 
+template <PlacementStore Store, KeyedPeers Peers>
+auto KeyedService<Store, Peers>::didHear(const NodeId &node) -> void
+{
+    if (m_reachability.didHear(node))
+        m_members.clear();
+}
+
+template <PlacementStore Store, KeyedPeers Peers>
+auto KeyedService<Store, Peers>::didLose(const NodeId &node) -> void
+{
+    const auto wasUnreachable = m_reachability.isUnreachable(node);
+    m_reachability.didFail(node, monotonicNow());
+    if (wasUnreachable || !m_reachability.isUnreachable(node))
+        return;
+    log::Line(log::Severity::Info, "keyed-peer-unreachable").add("peer", node);
+    m_members.clear();
+}
+
+template <PlacementStore Store, KeyedPeers Peers>
+auto KeyedService<Store, Peers>::suspectPrimaryOf(const Message &lookup) -> void
+{
+    const auto &slots = keeperOf(lookup.service).table().slots;
+    if (lookup.slot >= slots.size() || slots[lookup.slot].witness != m_settings.own)
+        return;
+    m_reachability.suspect(slots[lookup.slot].primary.node, monotonicNow());
+}
+
+/// Asks the nodes that did not answer for their tables, which any node gives: a sign of life.
+template <PlacementStore Store, KeyedPeers Peers>
+auto KeyedService<Store, Peers>::probeSilentPeers() -> void
+{
+    if (!m_view || m_keepers.empty())
+        return;
+    const auto &service = m_keepers.begin()->first;
+    m_reachability.retain([this](const NodeId &node) {
+        const auto isIt = [&](const auto &member) { return member.node == node; };
+        return std::ranges::any_of(m_view->members, isIt);
+    });
+    for (const auto &it : m_reachability.takeDueProbes(monotonicNow()))
+        send({service, m_settings.domain, 0, m_settings.own, {it, 0}, TableRequest{}});
+}
+
 } // namespace stairspur::keyed
--- a/source/node/RendezvousKeeper.cpp
+++ b/source/node/RendezvousKeeper.cpp
@@ -1,5 +1,6 @@
 #include "RendezvousKeeper.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <boost/asio/co_spawn.hpp>
@@ -15,6 +16,8 @@
 using membership::RendezvousAction;
 using transport::Task;
 
+static constexpr auto AllDomainsPrefix = std::string_view("/stairspur/rendezvous/");
+static constexpr auto MaxLookDelay = Duration{600'000'000};
 static constexpr auto StepInterval = std::chrono::milliseconds(500);
 
 RendezvousKeeper::RendezvousKeeper(asio::io_context &io, platform::EtcdStore &store, NodeId ownNode,
@@ -22,7 +25,7 @@
     : m_io(io)
     , m_store(store)
     , m_ownNode(std::move(ownNode))
-    , m_prefix("/stairspur/rendezvous/" + std::move(domain) + "/")
+    , m_prefix(std::string(AllDomainsPrefix) + std::move(domain) + "/")
     , m_didRead(std::move(didRead))
     , m_slots(m_settings, seed, monotonicNow())
     , m_timer(io)
@@ -43,6 +46,7 @@
 {
     while (true) {
         co_await step();
+        co_await lookForOtherDomains();
         auto ec = boost::system::error_code();
         m_timer.expires_after(StepInterval);
         co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
@@ -73,21 +77,50 @@
 
 auto RendezvousKeeper::read() -> Task<void>
 {
-    const auto answer = co_await m_store.range({m_prefix, platform::endOfPrefix(m_prefix)});
-    if (!answer.isOk()) {
+    const auto isRead = co_await readHolders();
+    if (isRead)
+        m_slots.didRead(m_holders, monotonicNow());
+    else
         m_slots.didFail(monotonicNow());
-        co_return;
-    }
-    auto holders = std::vector<std::optional<NodeId>>(m_settings.slots);
+}
+
+/// Reads the keys of all failure domains: the own ones are the slots, all of them are ways in.
+auto RendezvousKeeper::readHolders() -> Task<bool>
+{
+    const auto prefix = std::string(AllDomainsPrefix);
+    const auto answer = co_await m_store.range({prefix, platform::endOfPrefix(prefix)});
+    if (!answer.isOk())
+        co_return false;
+    m_holders.assign(m_settings.slots, std::nullopt);
+    auto hints = std::vector<NodeId>();
     for (const auto &it : answer.value.pairs) {
-        auto slot = std::uint32_t{0};
-        const auto digits = std::string_view(it.key).substr(m_prefix.size());
-        const auto ec = std::from_chars(digits.data(), digits.data() + digits.size(), slot).ec;
-        if (ec == std::errc() && slot < holders.size())
-            holders[slot] = it.value;
+        hints.push_back(it.value);
+        if (it.key.starts_with(m_prefix))
+            noteHolder(std::string_view(it.key).substr(m_prefix.size()), it.value);
+        else
+            m_knowsOtherDomains = true;
     }
-    m_slots.didRead(holders, monotonicNow());
-    m_didRead(m_slots.hints());
+    m_didRead(hints);
+    co_return true;
+}
+
+auto RendezvousKeeper::noteHolder(std::string_view digits, const NodeId &node) -> void
+{
+    auto slot = std::uint32_t{0};
+    const auto ec = std::from_chars(digits.data(), digits.data() + digits.size(), slot).ec;
+    if (ec == std::errc() && slot < m_holders.size())
+        m_holders[slot] = node;
+}
+
+/// All domains may start at once, and each sees the others' keys only after they are claimed.
+auto RendezvousKeeper::lookForOtherDomains() -> Task<void>
+{
+    const auto now = monotonicNow();
+    if (m_knowsOtherDomains || now < m_nextLook)
+        co_return;
+    m_nextLook = now + m_lookDelay;
+    m_lookDelay = std::min(m_lookDelay * 2, MaxLookDelay);
+    co_await readHolders();
 }
 
 auto RendezvousKeeper::claim() -> Task<void>
--- a/source/node/RendezvousKeeper.h
+++ b/source/node/RendezvousKeeper.h
@@ -3,7 +3,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
@@ -35,6 +37,9 @@
     auto run() -> transport::Task<void>;
     auto step() -> transport::Task<void>;
     auto read() -> transport::Task<void>;
+    auto readHolders() -> transport::Task<bool>;
+    auto noteHolder(std::string_view digits, const NodeId &node) -> void;
+    auto lookForOtherDomains() -> transport::Task<void>;
     auto claim() -> transport::Task<void>;
     auto renew() -> transport::Task<void>;
     [[nodiscard]] auto keyOf(std::uint32_t slot) const -> std::string;
@@ -47,6 +52,11 @@
     membership::RendezvousSettings m_settings;
     membership::RendezvousSlots m_slots;
     platform::LeaseId m_lease = 0;
+    std::vector<std::optional<NodeId>> m_holders; ///< Of the own domain's slots, as last read.
+    bool m_knowsOtherDomains = false;
+    TimePoint m_nextLook;
+    Duration m_lookDelay{5'000'000}; ///< Doubles with each look that finds none.
+
     transport::asio::steady_timer m_timer;
 };
 
--- a/tests/keyed/KeyedBench.h
+++ b/tests/keyed/KeyedBench.h
@@ -161,6 +161,8 @@
         settings.tickInterval = Duration(2'000);
         settings.keeper.batchWindow = Duration(5'000);
         settings.keeper.storeBackoff = Duration(5'000);
+        settings.keeper.planInterval = Duration(5'000);
+        settings.reachability = {Duration(20'000), Duration(4'000)};
         m_peers[id] = std::make_unique<FakePeers>(FakePeers{id, handlers});
         services[id] = std::make_unique<Service>(
                 io, settings, store, *m_peers[id],
--- a/tests/keyed/TestKeyedMessages.cpp
+++ b/tests/keyed/TestKeyedMessages.cpp
@@ -15,8 +15,8 @@
 
 static auto someRecord() -> KeyRecord
 {
-    const auto answer =
-            RecordedAnswer{Outcome::Answered, Reason::None, 201, std::string(1, '\0') + "\xff payload", true};
+    const auto answer = RecordedAnswer{Outcome::Answered, Reason::None, 201,
+                                       std::string(1, '\0') + "\xff payload", true};
     return {"kitchen\x1fkey\xfe", 12,    KeyState::Settled, {6, 1}, {7, 2}, 3,
             1'700'000'000'000,    answer};
 }
--- a/tests/keyed/TestKeyedService.cpp
+++ b/tests/keyed/TestKeyedService.cpp
@@ -125,3 +125,15 @@
     }
     cr_assert_eq(bench.dispatches, 0);
 }
+
+Test(KeyedService, witnessTakesOverFromAPrimaryThatItCannotReachWhileMembershipStillTrustsIt)
+{
+    auto bench = KeyedBench();
+    bench.nextAnswer = answered("order 1");
+    bench.route("key-1", "two soups"); // Makes the entry know the placements.
+    const auto primary = bench.router->resolve("order-intake", "key-2", "kitchen");
+    bench.handlers.erase(primary);
+    cr_assert_eq(bench.route("key-2", "one soup").outcome, Outcome::Answered);
+    cr_assert_neq(bench.router->resolve("order-intake", "key-2", "kitchen"), primary);
+    cr_assert_eq(bench.dispatches, 2);
+}
