Node: Count the keyed calls' control bytes and store calls

Cause: calls that run at most once came with a client of the store and peer links of their own, on the gate's thread. Ruled out: metrics of their own, which an operator would have to add up; reading them from the control thread, which would race with the gate's. Change: the gate's thread publishes both with its state once a second; the control thread adds them up at each scrape. Tests: the fake state of the control metrics has traffic and store calls of both kinds, and the sums cover both. Conclusion: control bytes and store calls are those of the whole node again.

--- a/source/node/ControlMetrics.cpp
+++ b/source/node/ControlMetrics.cpp
@@ -121,6 +121,7 @@
                  {"received", counters.datagramBytesReceived + counters.requestBytesReceived}});
 }
 
+/// A node has two clients of the store, one on each thread that needs it; both add to the same counters.
 static auto addStore(Registry &registry, const platform::StoreCounters &counters) -> void
 {
     using platform::StoreCall;
@@ -143,7 +144,8 @@
 /// Both kinds of control bytes on the wire count against the budget; calls do not.
 static auto addTraffic(Registry &registry, const ControlState &state) -> void
 {
-    const auto links = std::array{&state.controlTraffic, &state.entry.traffic, &state.gate.traffic};
+    const auto links = std::array{&state.controlTraffic, &state.entry.traffic, &state.gate.traffic,
+                                  &state.gate.keyedTraffic};
     auto sum = transport::PeerTraffic();
     for (const auto *it : links) {
         sum.callBytesSent += it->callBytesSent;
@@ -190,7 +192,8 @@
                 .set(load.floors[rank].value);
     addGauge(registry, {"stairspur_entry_connections", "Connections of callers."},
              state.entry.connections);
-    addGauge(registry, {"stairspur_links", "Peer links that this node has opened."},
+    addGauge(registry,
+             {"stairspur_links", "Peer links that the entry and the control thread have opened."},
              std::uint64_t{state.entry.links} + state.controlLinks);
     addGauge(registry, {"stairspur_process_resident_bytes", "Resident memory of the process."},
              state.process.residentBytes);
@@ -215,8 +218,10 @@
     addMembers(registry, state.members);
     addMembership(registry, state.membership);
     addDistribution(registry, state);
-    if (state.store)
+    if (state.store) {
         addStore(registry, *state.store);
+        addStore(registry, state.gate.keyedStoreCounters);
+    }
     addTraffic(registry, state);
     addPresent(registry, state);
     return registry.renderPrometheus() + renderCpu(state.process);
--- a/source/node/KeyedGate.h
+++ b/source/node/KeyedGate.h
@@ -46,6 +46,13 @@
     /// survivors of the pairs take over as if this node had failed.
     auto handOver(std::function<void(bool isWhole)> didFinish) -> void;
 
+    /// Of the links of its own.
+    [[nodiscard]] auto traffic() const -> transport::PeerTraffic { return m_peers.traffic(); }
+    [[nodiscard]] auto storeCounters() const -> const platform::StoreCounters &
+    {
+        return m_store.counters();
+    }
+
 private:
     auto scheduleRefresh() -> void;
     auto refreshFromBoard() -> void;
--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -149,7 +149,12 @@
 
 auto Node::publishGateState() -> void
 {
-    m_board.gateState.publish({m_gate.report(), m_peerServer.traffic()});
+    auto state = GateState{m_gate.report(), m_peerServer.traffic(), {}, {}};
+    if (m_keyedGate) {
+        state.keyedTraffic = m_keyedGate->traffic();
+        state.keyedStoreCounters = m_keyedGate->storeCounters();
+    }
+    m_board.gateState.publish(std::move(state));
 }
 
 /// The order matters: running calls may still make deeper calls through this host's entry, so the gate empties first.
--- a/source/node/TrafficState.h
+++ b/source/node/TrafficState.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include <stairspur/admission/LoadReport.h>
+#include <stairspur/platform/EtcdStore.h>
 #include <stairspur/transport/PeerSettings.h>
 
 namespace stairspur::node {
@@ -20,6 +21,8 @@
 {
     admission::LoadReport load;
     transport::PeerTraffic traffic;
+    transport::PeerTraffic keyedTraffic;        ///< Of the links for calls that run at most once.
+    platform::StoreCounters keyedStoreCounters; ///< Of the store's client for these.
 };
 
 } // namespace stairspur::node
--- a/tests/node/TestNodeMetrics.cpp
+++ b/tests/node/TestNodeMetrics.cpp
@@ -20,6 +20,8 @@
     state.entry.traffic.controlBytesSent = 10;
     state.entry.traffic.callBytesSent = 5000;
     state.gate.traffic.controlBytesSent = 1;
+    state.gate.keyedTraffic.controlBytesSent = 20000;
+    state.gate.keyedStoreCounters.calls[0][2] = 4;
     state.entry.links = 4;
     state.controlLinks = 2;
     state.gate.load.limit = 16;
@@ -64,10 +66,10 @@
         const char *series;
         double expected;
     } cases[] = {
-            {R"(stairspur_control_bytes_total{direction="sent"})", 1111},
+            {R"(stairspur_control_bytes_total{direction="sent"})", 21111},
             {R"(stairspur_control_bytes_total{direction="received"})", 0},
             {R"(stairspur_call_bytes_total{direction="sent"})", 5000},
-            {R"(stairspur_store_calls_total{call="range",status="unreachable"})", 3},
+            {R"(stairspur_store_calls_total{call="range",status="unreachable"})", 7},
             {R"(stairspur_store_calls_total{call="watch",status="ok"})", 0},
             {R"(stairspur_members{liveness="suspect",state="starting"})", 2},
             {R"(stairspur_members{liveness="dead",state="left"})", 0},
