--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -1,5 +1,6 @@
 #include "ControlPlane.h"
 
+#include <algorithm>
 #include <set>
 
 #include <stairspur/log/Log.h>
@@ -26,6 +27,14 @@
     return peers;
 }
 
+auto storeSettings(const NodeSettings &settings) -> platform::StoreSettings
+{
+    auto store = platform::storeSettingsFromUrl(settings.store);
+    store.timeout = settings.storeTimeout;
+    store.callsPerSecond = settings.storeCallsPerSecond;
+    return store;
+}
+
 static auto datagramSettings(const NodeSettings &settings) -> transport::DatagramSettings
 {
     auto datagrams = transport::DatagramSettings();
@@ -36,35 +45,45 @@
     return datagrams;
 }
 
-static auto membershipSettings(const NodeSettings &settings) -> membership::MembershipSettings
+static auto membershipSettings(const NodeSettings &settings, Incarnation start)
+        -> membership::MembershipSettings
 {
     auto membership = membership::MembershipSettings();
     membership.node = settings.nodeId();
     membership.domain = settings.failureDomain;
-    membership.start = membership::startIncarnation();
+    membership.start = start;
     membership.seeds = settings.seeds;
     membership.period = settings.protocolPeriod;
     membership.probeTimeout = settings.protocolPeriod / 4;
     return membership;
 }
 
+/// The admin port serves the host's backend server and a few people and collectors; its bodies are announcements.
+static constexpr auto MaxAdminConnections = std::uint32_t{256};
+static constexpr auto MaxAdminBodyBytes = std::uint64_t{64U << 10U};
+
 static auto adminServerSettings(const NodeSettings &settings) -> transport::HttpServerSettings
 {
     auto server = transport::HttpServerSettings();
     server.address = settings.adminAddress;
     server.port = settings.adminPort;
+    server.maxConnections = std::min(settings.maxConnections, MaxAdminConnections);
+    server.maxHeaderBytes = settings.maxHeaderBytes;
+    server.maxBodyBytes = MaxAdminBodyBytes;
+    server.requestTimeout = settings.requestTimeout;
     return server;
 }
 
 ControlPlane::ControlPlane(asio::io_context &io, const NodeSettings &settings, NodeBoard &board,
-                           NodeMetrics &metrics, ControlHandlers handlers, std::uint64_t seed)
+                           NodeMetrics &metrics, ControlHandlers handlers, Incarnation start,
+                           std::uint64_t seed)
     : m_settings(settings)
     , m_board(board)
     , m_metrics(metrics)
     , m_handlers(std::move(handlers))
     , m_datagrams(io, datagramSettings(settings))
     , m_peers(io, peerSettings(settings))
-    , m_membership(io, m_datagrams, membershipSettings(settings), seed)
+    , m_membership(io, m_datagrams, membershipSettings(settings, start), seed)
     , m_announcements(settings.announcementTimeout)
     , m_adminApi(adminHooks())
     , m_adminServer(io, adminServerSettings(settings),
@@ -75,10 +94,7 @@
     , m_leaveTimer(io)
 {
     if (!settings.store.empty()) {
-        auto store = platform::storeSettingsFromUrl(settings.store);
-        store.timeout = settings.storeTimeout;
-        store.callsPerSecond = settings.storeCallsPerSecond;
-        m_store.emplace(io, store, seed + 1);
+        m_store.emplace(io, storeSettings(settings), seed + 1);
         auto didRead = [this](const std::vector<NodeId> &hints) { m_membership.addHints(hints); };
         m_rendezvous.emplace(io, *m_store, settings.nodeId(), settings.failureDomain,
                              std::move(didRead), seed + 2);
