--- a/include/stairspur/blackboard/Blackboard.h
+++ b/include/stairspur/blackboard/Blackboard.h
@@ -32,7 +32,13 @@
     /// Replaces the value. Only the controller that owns this key calls this, from the control thread.
     auto publish(Value value) -> void
     {
-        auto snapshot = std::make_shared<const Value>(std::move(value));
+        publishSnapshot(std::make_shared<const Value>(std::move(value)));
+    }
+
+    /// As publish(), for a value that is shared already: a large one is not copied. Never null.
+    auto publishSnapshot(Snapshot snapshot) -> void
+    {
+        assert(snapshot);
         {
             const auto lock = std::scoped_lock(m_mutex);
             m_value.swap(snapshot);
--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -135,8 +135,12 @@
             .add("services", services.size());
     m_board.configuration.publish(
             std::make_shared<const config::ConfigurationIndex>(std::move(configuration)));
-    // Every entry may be asked for every service, and spills to other failure domains.
-    m_membership.setServicesOfInterest(services);
+    // Every entry may be asked for every service, and spills to other failure domains. Most changes leave the set as it
+    // is, and each one told costs a new view of all members.
+    if (services != m_servicesOfInterest) {
+        m_membership.setServicesOfInterest(services);
+        m_servicesOfInterest = std::move(services);
+    }
     m_membership.setAnnotation(m_distribution->digest());
 }
 
@@ -144,7 +148,7 @@
 {
     m_datagrams.start();
     m_adminServer.start();
-    m_membership.setViewCallback([this](const auto &view) { didChangeView(*view); });
+    m_membership.setViewCallback([this](const auto &view) { didChangeView(view); });
     m_membership.start();
     m_distribution->start();
     if (m_rendezvous)
@@ -184,10 +188,10 @@
             .add("state", current->state);
 }
 
-auto ControlPlane::didChangeView(const membership::MembershipView &view) -> void
+auto ControlPlane::didChangeView(std::shared_ptr<const membership::MembershipView> view) -> void
 {
-    m_livenessHistory.didSee(view, monotonicNow());
-    m_board.members.publish(view);
+    m_livenessHistory.didSee(*view, monotonicNow());
+    m_board.members.publishSnapshot(std::move(view));
 }
 
 auto ControlPlane::scheduleTick() -> void
--- a/source/node/ControlPlane.h
+++ b/source/node/ControlPlane.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -70,7 +71,7 @@
     auto adminHooks() -> AdminHooks;
     auto didAnnounce(const std::string &body) -> void;
     auto publishBackend() -> void;
-    auto didChangeView(const membership::MembershipView &view) -> void;
+    auto didChangeView(std::shared_ptr<const membership::MembershipView> view) -> void;
     auto didPublish(config::ConfigurationPtr configuration) -> void;
     auto makeDistribution(transport::asio::io_context &io, std::uint64_t seed) -> void;
     auto scheduleTick() -> void;
@@ -87,6 +88,7 @@
     std::optional<platform::EtcdStore> m_store;
     membership::MembershipService m_membership;
     std::optional<RendezvousKeeper> m_rendezvous;
+    std::set<std::string> m_servicesOfInterest;
     std::optional<distribution::DistributionService> m_distribution;
     VersionsHeard m_versionsHeard;
     LivenessHistory m_livenessHistory;
