Tests: Fuzz the edges, and run the tests under ThreadSanitizer

Seven libFuzzer programs read what comes from outside: frames and message fields of peer links, membership and configuration messages, the operators' TOML, announcements, and the headers of calls. They hold more than "no crash": what was read is written and read again, only the error that the caller expects may be thrown, and no call gets a class or a time that is not its own. `Meta/stairspur.sh fuzz` builds them with ASan and UBSan and runs each for 20 s in at most 1 GiB.

Weighed: other address layouts (not ours to set), no tests at all under it, another test library. Taken: a small runner that takes the place of the functions that Criterion's macros call and runs one named test a process; a test with a fixture or an expected signal fails in it rather than pass without.

--- a/Meta/run-tests.py
+++ b/Meta/run-tests.py
@@ -32,14 +32,35 @@
         return program, 1, f"{error.stdout}\nnot ok - {program.name}::timeout ({TIMEOUT_SECONDS} s)\n"
 
 
+def run_tests_one_by_one(program: pathlib.Path) -> tuple[pathlib.Path, int, str]:
+    """The same for the runner of tests/sanitize, which runs one test of that name in its own process."""
+    names = subprocess.run([program.resolve(), "--list"], stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
+    status, lines = names.returncode, []
+    for name in names.stdout.split():
+        try:
+            done = subprocess.run([program.resolve(), name], stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
+                                  errors="replace", timeout=TIMEOUT_SECONDS)
+            code, output = done.returncode, done.stdout
+        except subprocess.TimeoutExpired as error:
+            code, output = 1, f"{error.stdout}\n# no end within {TIMEOUT_SECONDS} s\n"
+        status = status or code
+        lines.append(f"{output}not ok - {name} exit code {code}\n" if code else f"ok - {name}\n")
+    return program, status, "".join(lines)
+
+
+def is_thread_sanitized(build: pathlib.Path) -> bool:
+    return "STAIRSPUR_SANITIZE:STRING=thread" in (build / "CMakeCache.txt").read_text()
+
+
 def main() -> int:
     build = pathlib.Path(sys.argv[1])
+    run = run_tests_one_by_one if is_thread_sanitized(build) else run_program
     red = known_red(pathlib.Path.cwd())
     programs = sorted(build.glob("tests/test_*"))
     programs = [it for it in programs if it.is_file() and it.stat().st_mode & 0o111]
     passed, failed, known = 0, 0, 0
     with concurrent.futures.ThreadPoolExecutor(max_workers=6) as pool:
-        for program, status, output in pool.map(run_program, programs):
+        for program, status, output in pool.map(run, programs):
             oks = re.findall(r"^ok - (\S+)", output, re.M)
             bad = re.findall(r"^not ok - (\S+)", output, re.M)
             if status != 0 and not bad:
--- a/Meta/stairspur.sh
+++ b/Meta/stairspur.sh
@@ -17,6 +17,8 @@
   run               build, then run the Association's example on loopback and print its table
   test [--sanitize=address,undefined|thread]
                     build, then run every test; the last line is 'N passed, N failed'
+  fuzz [--seconds N] [EDGE...]
+                    build the fuzzers with ASan and UBSan, then run each for N seconds (20)
   lint              check the formatting and run the linter
   format            format every file in place
   measure NAME      run a measurement (overload, membership, keyed, capacity, latency)
@@ -39,10 +41,10 @@
     export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1
     cmake -S . -B "$BUILD" -G Ninja -Wno-dev \
         -DCMAKE_CXX_COMPILER=clang++-16 -DCMAKE_CXX_COMPILER_LAUNCHER=ccache \
-        -DSTAIRSPUR_SANITIZE="${STAIRSPUR_SANITIZE:-}" >"$BUILD.configure.log" 2>&1 \
+        -DSTAIRSPUR_SANITIZE="${STAIRSPUR_SANITIZE:-}" -DSTAIRSPUR_FUZZ="${STAIRSPUR_FUZZ:-OFF}" >"$BUILD.configure.log" 2>&1 \
         || { cat "$BUILD.configure.log"; exit 1; }
     mv "$BUILD.configure.log" "$BUILD/configure.log"
-    cmake --build "$BUILD" -j "$JOBS" -- --quiet
+    cmake --build "$BUILD" -j "$JOBS" --target "${TARGET:-all}" -- --quiet
 }
 
 sources() {
@@ -60,6 +62,12 @@
     STAIRSPUR_BUILD="$BUILD" python3 Meta/run-tests.py "$BUILD"
 }
 
+fuzz() {
+    STAIRSPUR_SANITIZE=address,undefined STAIRSPUR_FUZZ=ON BUILD="${STAIRSPUR_BUILD:-build-fuzz}" TARGET=fuzz
+    build
+    python3 Meta/run-fuzzers.py "$BUILD" "$@"
+}
+
 lint() {
     build
     sources | xargs -r clang-format-16 --dry-run --Werror
@@ -73,6 +81,7 @@
 build) build ;;
 run) shift; build; exec python3 Meta/run-example.py "$BUILD" "$@" ;;
 test) shift; run_tests "$@" ;;
+fuzz) shift; fuzz "$@" ;;
 lint) lint ;;
 format) sources | xargs -r clang-format-16 -i ;;
 measure) shift; build; exec python3 Meta/measure.py "$BUILD" "$@" ;;
--- a/cmake/Stairspur.cmake
+++ b/cmake/Stairspur.cmake
@@ -13,6 +13,11 @@
     target_link_options(stairspur_settings INTERFACE -fsanitize=${STAIRSPUR_SANITIZE})
 endif()
 
+# Everything is instrumented for the fuzzer, which steers by the code that an input reaches.
+if(STAIRSPUR_FUZZ)
+    target_compile_options(stairspur_settings INTERFACE -fsanitize=fuzzer-no-link)
+endif()
+
 # stairspur_library(name PUBLIC targets...): the library stairspur_<name> from source/<name>/*.cpp.
 # A module of headers alone becomes an interface library.
 function(stairspur_library name)
@@ -47,5 +52,19 @@
     add_executable(test_${module} ${sources})
     target_include_directories(test_${module} PRIVATE ${CMAKE_SOURCE_DIR}/tests ${CMAKE_SOURCE_DIR}/tests/${module})
     target_link_libraries(test_${module} PRIVATE stairspur_${module} stairspur_settings PkgConfig::criterion ${ARGN})
+    if(STAIRSPUR_SANITIZE STREQUAL "thread")
+        target_sources(test_${module} PRIVATE ${CMAKE_SOURCE_DIR}/tests/sanitize/InProcessRunner.cpp)
+    endif()
     add_test(NAME ${module} COMMAND test_${module})
 endfunction()
+
+# stairspur_fuzz(edge sources... LIBRARIES libraries...): the libFuzzer program fuzz_<edge> from tests/fuzz/<edge>/main.cpp
+# and the sources that it needs of modules with sockets, whose whole libraries would be built for nothing.
+function(stairspur_fuzz edge)
+    cmake_parse_arguments(ARG "" "" "LIBRARIES" ${ARGN})
+    list(TRANSFORM ARG_UNPARSED_ARGUMENTS PREPEND ${CMAKE_SOURCE_DIR}/source/)
+    add_executable(fuzz_${edge} ${CMAKE_SOURCE_DIR}/tests/fuzz/${edge}/main.cpp ${ARG_UNPARSED_ARGUMENTS})
+    target_link_libraries(fuzz_${edge} PRIVATE stairspur_settings stairspur_core ${ARG_LIBRARIES})
+    target_link_options(fuzz_${edge} PRIVATE -fsanitize=fuzzer)
+    add_dependencies(fuzz fuzz_${edge})
+endfunction()
