--- a/tests/sanitize/InProcessRunner.cpp
+++ b/tests/sanitize/InProcessRunner.cpp
@@ -16,7 +16,7 @@
 extern "C" criterion_test *__start_cr_tst; // NOLINT(bugprone-reserved-identifier)
 extern "C" criterion_test *__stop_cr_tst;  // NOLINT(bugprone-reserved-identifier)
 
-static auto s_failedAsserts = 0;
+static auto failedAsserts = 0;
 
 [[noreturn]] static auto endAsFailed() -> void
 {
@@ -28,7 +28,7 @@
 {
     if (stats->passed)
         return;
-    ++s_failedAsserts;
+    ++failedAsserts;
     std::printf("# %s:%u: %s\n", stats->file, stats->line, stats->message);
 }
 
@@ -78,7 +78,7 @@
         return EXIT_FAILURE;
     }
     test.test();
-    return s_failedAsserts == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return failedAsserts == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
 auto main(int argc, char **argv) -> int
