--- a/include/stairspur/log/Log.h
+++ b/include/stairspur/log/Log.h
@@ -40,6 +40,18 @@
 /// Writes what is waiting and stops the writer.
 auto stop() -> void;
 
+/// Starts the writer and stops it at the end of its scope, however that is left.
+class Session
+{
+public:
+    explicit Session(const LogSettings &settings) { start(settings); }
+    ~Session() { stop(); }
+    Session(const Session &) = delete;
+    Session(Session &&) = delete;
+    auto operator=(const Session &) -> Session & = delete;
+    auto operator=(Session &&) -> Session & = delete;
+};
+
 /// Whether a line of this severity would be written: ask before building a costly one.
 auto isEnabled(Severity severity) -> bool;
 
@@ -50,8 +62,8 @@
 ///
 ///     log::Line(Severity::Info, "route").add("service", name).add("reason", nameOf(reason));
 ///
-/// Values are quoted where they hold a space, a quote, '=', a backslash, a control character or a byte beyond ASCII, the
-/// last two escaped as \xNN, so that a caller's input cannot forge a line or a pair.
+/// Values are quoted where they hold a space, a quote, '=', a backslash or anything that is no printable ASCII, and
+/// escaped there (`\"`, `\\`, `\x0a`), so that a caller's input cannot forge a line or a pair.
 class Line
 {
 public:
--- a/source/log/Log.cpp
+++ b/source/log/Log.cpp
@@ -1,7 +1,7 @@
 #include <stairspur/log/Log.h>
 
-#include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -16,6 +16,10 @@
 /// Lines that wait for the writer at most; more are dropped and counted, since logs must not hold up traffic.
 static constexpr auto MaxWaitingLines = std::size_t{20000};
 
+/// How long the writer gathers lines before it writes them all at once. Being woken and a system call for each line cost
+/// several times what the line itself does; a warning or an error is written at once.
+static constexpr auto GatherTime = std::chrono::milliseconds(50);
+
 struct WaitingLine
 {
     Severity severity;
@@ -57,7 +61,8 @@
                 return;
             }
             m_waiting.push_back({severity, std::move(text)});
-            if (m_waiting.size() > 1)
+            const auto wasUrgent = std::exchange(m_isUrgent, m_isUrgent || isUrgent(severity));
+            if (m_waiting.size() > 1 && wasUrgent == m_isUrgent)
                 return; // The writer is awake, or about to be.
         }
         m_wakeUp.notify_one();
@@ -76,6 +81,8 @@
     [[nodiscard]] auto suffix() const -> const std::string & { return m_suffix; }
 
 private:
+    static auto isUrgent(Severity severity) -> bool { return severity >= Severity::Warning; }
+
     static auto configureLibrary() -> void
     {
         auto configuration = el::Configurations();
@@ -97,20 +104,28 @@
         auto handle(const el::LogDispatchData *data) -> void override
         {
             const auto *message = data->logMessage();
-            auto text = message->logger()->logBuilder()->build(message, true);
-            std::fwrite(text.data(), 1, text.size(), stderr);
+            batch() += message->logger()->logBuilder()->build(message, true);
         }
     };
 
+    /// What the library has made of the lines of one batch. Belongs to the writer's thread.
+    static auto batch() -> std::string &
+    {
+        static auto text = std::string();
+        return text;
+    }
+
     auto writeUntilStopped() -> void
     {
         auto lock = std::unique_lock(m_mutex);
         while (true) {
             m_wakeUp.wait(lock, [this] { return m_isStopping || !m_waiting.empty(); });
+            m_wakeUp.wait_for(lock, GatherTime, [this] { return m_isStopping || m_isUrgent; });
             if (m_waiting.empty())
                 return;
             auto lines = std::move(m_waiting);
             m_waiting.clear();
+            m_isUrgent = false;
             const auto dropped = std::exchange(m_dropped, 0);
             lock.unlock();
             for (const auto &it : lines)
@@ -118,6 +133,8 @@
             if (dropped > 0)
                 writeLine({Severity::Warning,
                            "event=log-dropped lines=" + std::to_string(dropped) + m_suffix});
+            std::fwrite(batch().data(), 1, batch().size(), stderr);
+            batch().clear();
             lock.lock();
         }
     }
@@ -148,6 +165,7 @@
     std::condition_variable m_wakeUp;
     std::vector<WaitingLine> m_waiting;
     std::uint64_t m_dropped = 0;
+    bool m_isUrgent = false;
     bool m_isStopping = false;
     std::thread m_thread;
 };
@@ -191,18 +209,22 @@
         writer().push(m_severity, std::move(m_text) + writer().suffix());
 }
 
-/// Control characters, and every byte beyond ASCII: among those are the C1 controls and the Unicode line separators,
-/// which end a line for some collectors, and marks that turn the direction of writing.
-static auto needsEscape(char it) -> bool
+/// Bytes beyond ASCII are none: some readers of logs end lines at U+0085 or U+2028, and a caller's bytes need not be
+/// UTF-8 at all.
+static auto isPrintable(char c) -> bool
 {
-    return it < ' ' || it == '\x7f' || (static_cast<unsigned char>(it) & 0x80U) != 0;
+    return c >= ' ' && c <= '~';
 }
 
 static auto needsQuotes(std::string_view value) -> bool
 {
-    return value.empty() || std::ranges::any_of(value, [](char it) {
-               return it == ' ' || it == '"' || it == '=' || it == '\\' || needsEscape(it);
-           });
+    if (value.empty())
+        return true;
+    for (const auto it : value) {
+        if (!isPrintable(it) || it == ' ' || it == '"' || it == '=' || it == '\\')
+            return true;
+    }
+    return false;
 }
 
 static auto appendQuoted(std::string &text, std::string_view value) -> void
@@ -214,7 +236,7 @@
         if (it == '"' || it == '\\') {
             text.push_back('\\');
             text.push_back(it);
-        } else if (needsEscape(it)) {
+        } else if (!isPrintable(it)) {
             text += "\\x";
             text.push_back(Digits[byte >> 4]);
             text.push_back(Digits[byte & 0xf]);
--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -5,6 +5,7 @@
 
 #include <stairspur/log/Log.h>
 
+#include "ControlMetrics.h"
 #include "StatusReport.h"
 
 namespace stairspur::node {
@@ -26,6 +27,14 @@
     return peers;
 }
 
+auto storeSettings(const NodeSettings &settings) -> platform::StoreSettings
+{
+    auto store = platform::storeSettingsFromUrl(settings.store);
+    store.timeout = settings.storeTimeout;
+    store.callsPerSecond = settings.storeCallsPerSecond;
+    return store;
+}
+
 static auto datagramSettings(const NodeSettings &settings) -> transport::DatagramSettings
 {
     auto datagrams = transport::DatagramSettings();
@@ -36,12 +45,13 @@
     return datagrams;
 }
 
-static auto membershipSettings(const NodeSettings &settings) -> membership::MembershipSettings
+static auto membershipSettings(const NodeSettings &settings, Incarnation start)
+        -> membership::MembershipSettings
 {
     auto membership = membership::MembershipSettings();
     membership.node = settings.nodeId();
     membership.domain = settings.failureDomain;
-    membership.start = membership::startIncarnation();
+    membership.start = start;
     membership.seeds = settings.seeds;
     membership.period = settings.protocolPeriod;
     membership.probeTimeout = settings.protocolPeriod / 4;
@@ -65,14 +75,15 @@
 }
 
 ControlPlane::ControlPlane(asio::io_context &io, const NodeSettings &settings, NodeBoard &board,
-                           NodeMetrics &metrics, ControlHandlers handlers, std::uint64_t seed)
+                           NodeMetrics &metrics, ControlHandlers handlers, Incarnation start,
+                           std::uint64_t seed)
     : m_settings(settings)
     , m_board(board)
     , m_metrics(metrics)
     , m_handlers(std::move(handlers))
     , m_datagrams(io, datagramSettings(settings))
     , m_peers(io, peerSettings(settings))
-    , m_membership(io, m_datagrams, membershipSettings(settings), seed)
+    , m_membership(io, m_datagrams, membershipSettings(settings, start), seed)
     , m_announcements(settings.announcementTimeout)
     , m_adminApi(adminHooks())
     , m_adminServer(io, adminServerSettings(settings),
@@ -83,10 +94,7 @@
     , m_leaveTimer(io)
 {
     if (!settings.store.empty()) {
-        auto store = platform::storeSettingsFromUrl(settings.store);
-        store.timeout = settings.storeTimeout;
-        store.callsPerSecond = settings.storeCallsPerSecond;
-        m_store.emplace(io, store, seed + 1);
+        m_store.emplace(io, storeSettings(settings), seed + 1);
         auto didRead = [this](const std::vector<NodeId> &hints) { m_membership.addHints(hints); };
         m_rendezvous.emplace(io, *m_store, settings.nodeId(), settings.failureDomain,
                              std::move(didRead), seed + 2);
@@ -127,8 +135,12 @@
             .add("services", services.size());
     m_board.configuration.publish(
             std::make_shared<const config::ConfigurationIndex>(std::move(configuration)));
-    // Every entry may be asked for every service, and spills to other failure domains.
-    m_membership.setServicesOfInterest(services);
+    // Every entry may be asked for every service, and spills to other failure domains. Most changes leave the set as it
+    // is, and each one told costs a new view of all members.
+    if (services != m_servicesOfInterest) {
+        m_membership.setServicesOfInterest(services);
+        m_servicesOfInterest = std::move(services);
+    }
     m_membership.setAnnotation(m_distribution->digest());
 }
 
@@ -136,7 +148,7 @@
 {
     m_datagrams.start();
     m_adminServer.start();
-    m_membership.setViewCallback([this](const auto &view) { didChangeView(*view); });
+    m_membership.setViewCallback([this](const auto &view) { didChangeView(view); });
     m_membership.start();
     m_distribution->start();
     if (m_rendezvous)
@@ -176,9 +188,10 @@
             .add("state", current->state);
 }
 
-auto ControlPlane::didChangeView(const membership::MembershipView &view) -> void
+auto ControlPlane::didChangeView(std::shared_ptr<const membership::MembershipView> view) -> void
 {
-    m_board.members.publish(view);
+    m_livenessHistory.didSee(*view, monotonicNow());
+    m_board.members.publishSnapshot(std::move(view));
 }
 
 auto ControlPlane::scheduleTick() -> void
@@ -216,12 +229,28 @@
 
 auto ControlPlane::renderStatus() const -> std::string
 {
-    return statusReport(m_settings, m_board, m_versionsHeard.recent(monotonicNow()));
+    const auto now = monotonicNow();
+    return statusReport(m_settings, m_board, m_versionsHeard.recent(now), m_livenessHistory, now);
 }
 
 auto ControlPlane::renderMetrics() const -> std::string
 {
-    return m_metrics.render();
+    auto state = ControlState();
+    state.version = m_distribution->version();
+    state.isReady = isReady();
+    state.isRelay = m_distribution->isRelay();
+    state.members = *m_board.members.read();
+    state.membership = m_membership.counters();
+    state.distribution = m_distribution->counters();
+    if (m_store)
+        state.store = m_store->counters();
+    state.datagrams = m_datagrams.traffic();
+    state.controlTraffic = m_peers.traffic();
+    state.controlLinks = m_peers.links();
+    state.entry = *m_board.entryState.read();
+    state.gate = *m_board.gateState.read();
+    state.process = readProcessUsage();
+    return m_metrics.render() + renderControlMetrics(state);
 }
 
 } // namespace stairspur::node
--- a/source/node/ControlPlane.h
+++ b/source/node/ControlPlane.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -20,6 +21,7 @@
 #include <stairspur/transport/PeerServer.h>
 
 #include "AdminApi.h"
+#include "LivenessHistory.h"
 #include "NodeBoard.h"
 #include "NodeMetrics.h"
 #include "RendezvousKeeper.h"
@@ -36,13 +38,17 @@
 /// What peer links of this node are set to, on each of its threads.
 auto peerSettings(const NodeSettings &settings) -> transport::PeerSettings;
 
+/// What clients of the platform's store are set to, on each of its threads. The settings must name a store.
+auto storeSettings(const NodeSettings &settings) -> platform::StoreSettings;
+
 /// The controllers: announcements, membership, configuration in force, the operators' port. They read and write the
 /// blackboard. Belongs to the control thread.
 class ControlPlane
 {
 public:
     ControlPlane(transport::asio::io_context &io, const NodeSettings &settings, NodeBoard &board,
-                 NodeMetrics &metrics, ControlHandlers handlers, std::uint64_t seed);
+                 NodeMetrics &metrics, ControlHandlers handlers, Incarnation start,
+                 std::uint64_t seed);
     ~ControlPlane();
     ControlPlane(const ControlPlane &) = delete;
     ControlPlane(ControlPlane &&) = delete;
@@ -65,7 +71,7 @@
     auto adminHooks() -> AdminHooks;
     auto didAnnounce(const std::string &body) -> void;
     auto publishBackend() -> void;
-    auto didChangeView(const membership::MembershipView &view) -> void;
+    auto didChangeView(std::shared_ptr<const membership::MembershipView> view) -> void;
     auto didPublish(config::ConfigurationPtr configuration) -> void;
     auto makeDistribution(transport::asio::io_context &io, std::uint64_t seed) -> void;
     auto scheduleTick() -> void;
@@ -82,8 +88,10 @@
     std::optional<platform::EtcdStore> m_store;
     membership::MembershipService m_membership;
     std::optional<RendezvousKeeper> m_rendezvous;
+    std::set<std::string> m_servicesOfInterest;
     std::optional<distribution::DistributionService> m_distribution;
     VersionsHeard m_versionsHeard;
+    LivenessHistory m_livenessHistory;
     membership::BackendAnnouncements m_announcements;
     AdminApi m_adminApi;
     transport::HttpServer m_adminServer;
--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -7,13 +7,18 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
+#include <stairspur/keyed/AnswerPayload.h>
 #include <stairspur/log/Log.h>
 
 namespace stairspur::node {
 
 namespace asio = transport::asio;
 
+/// How often the traffic threads publish what operators see of them.
+static constexpr auto PublishInterval = Duration{1'000'000};
+
 static auto entryServerSettings(const NodeSettings &settings) -> transport::HttpServerSettings
 {
     auto server = transport::HttpServerSettings();
@@ -34,21 +39,42 @@
     return (std::uint64_t{device()} << 32U) | device();
 }
 
+/// Placements stand in the store: a node without one is never the primary of a key.
+static auto refuseKeyedCall() -> transport::Task<transport::CallAnswer>
+{
+    auto answer = transport::CallAnswer();
+    answer.outcome = Outcome::NotRun;
+    answer.reason = Reason::WrongPlacement;
+    co_return answer;
+}
+
 Node::Node(const NodeSettings &settings)
     : m_settings(settings)
+    , m_start(membership::startIncarnation())
     , m_entryPeers(m_entryThread.io(), peerSettings(settings))
     , m_peerServer(m_gateThread.io(), settings.hostAddress, settings.peerPort,
                    peerSettings(settings))
-    , m_entry(m_entryThread.io(), m_settings, m_board, m_running, m_metrics, m_entryPeers, seed())
+    , m_entry(m_entryThread.io(), m_settings, m_board, m_running, m_metrics, m_entryPeers, m_start,
+              seed())
     , m_gate(m_gateThread.io(), m_board, m_running, m_metrics, m_callIds, seed())
     , m_entryServer(m_entryThread.io(), entryServerSettings(settings),
                     [this](auto request, auto cancellation) {
                         return m_entry.handle(std::move(request), std::move(cancellation));
                     })
+    , m_publishEntry(m_entryThread.io(), PublishInterval, [this] { publishEntryState(); })
+    , m_publishGate(m_gateThread.io(), PublishInterval, [this] { publishGateState(); })
     , m_drainTimer(m_control.io())
 {
     m_controlPlane = std::make_unique<ControlPlane>(m_control.io(), m_settings, m_board, m_metrics,
-                                                    handlers(), seed());
+                                                    handlers(), m_start, seed());
+    if (settings.store.empty())
+        return;
+    m_keyedGate.emplace(
+            m_gateThread.io(), m_settings, m_board, keyed::Replica{settings.nodeId(), m_start},
+            [this](auto request, auto cancellation) {
+                return placeBoundCall(std::move(request), std::move(cancellation));
+            },
+            seed());
 }
 
 Node::~Node()
@@ -69,13 +95,16 @@
 {
     m_peerServer.setCallHandler(
             [this](const NodeId &, transport::CallRequest request, auto cancellation) {
-                return m_gate.handle(std::move(request), std::move(cancellation));
+                return handleCall(std::move(request), std::move(cancellation));
             });
     m_controlPlane->registerRequests(m_peerServer);
+    if (m_keyedGate)
+        m_keyedGate->start(m_peerServer);
     m_peerServer.start();
     m_entryServer.start();
     m_controlPlane->start();
-    m_entry.start();
+    m_publishEntry.start();
+    m_publishGate.start();
     m_gateThread.start();
     m_entryThread.start();
     m_control.start();
@@ -85,6 +114,49 @@
             .add("peer_port", m_peerServer.port());
 }
 
+/// On the gate's thread: a call for this host's backend server, or one whose key this node may have to bind first.
+auto Node::handleCall(transport::CallRequest request, transport::CancellationPtr cancellation)
+        -> transport::Task<transport::CallAnswer>
+{
+    if (!request.headers.contains(keyed::KeyedHeader))
+        return m_gate.handle(std::move(request), std::move(cancellation));
+    if (m_keyedGate)
+        return m_keyedGate->handle(std::move(request), std::move(cancellation));
+    return refuseKeyedCall();
+}
+
+/// From the gate's thread to the entry's and back: the key is bound here, the call runs at any upstream of its service.
+auto Node::placeBoundCall(transport::CallRequest request, transport::CancellationPtr cancellation)
+        -> transport::Task<transport::CallAnswer>
+{
+    auto &entryIo = m_entryThread.io();
+    auto onEntry = std::make_shared<transport::Cancellation>();
+    if (cancellation)
+        cancellation->onCancel(
+                [&entryIo, onEntry] { asio::post(entryIo, [onEntry] { onEntry->cancel(); }); });
+    auto answer = co_await asio::co_spawn(entryIo, m_entry.place(std::move(request), onEntry),
+                                          asio::use_awaitable);
+    if (cancellation)
+        cancellation->onCancel(nullptr);
+    co_return answer;
+}
+
+auto Node::publishEntryState() -> void
+{
+    m_board.entryState.publish(
+            {m_entryServer.connections(), m_entryPeers.links(), m_entryPeers.traffic()});
+}
+
+auto Node::publishGateState() -> void
+{
+    auto state = GateState{m_gate.report(), m_peerServer.traffic(), {}, {}};
+    if (m_keyedGate) {
+        state.keyedTraffic = m_keyedGate->traffic();
+        state.keyedStoreCounters = m_keyedGate->storeCounters();
+    }
+    m_board.gateState.publish(std::move(state));
+}
+
 /// The order matters: running calls may still make deeper calls through this host's entry, so the gate empties first.
 auto Node::startDrain(std::string cause) -> void
 {
@@ -105,9 +177,19 @@
 
 auto Node::drainGate() -> void
 {
-    asio::post(m_gateThread.io(), [this] {
-        m_gate.drain([this] { asio::post(m_control.io(), [this] { drainEntry(); }); });
-    });
+    asio::post(m_gateThread.io(), [this] { m_gate.drain([this] { drainKeys(); }); });
+}
+
+/// Hands the keyed slots over while the entry still places the calls that are bound here. On the gate's thread.
+auto Node::drainKeys() -> void
+{
+    auto didFinish = [this](bool /*isWhole*/) {
+        asio::post(m_control.io(), [this] { drainEntry(); });
+    };
+    if (m_keyedGate)
+        m_keyedGate->handOver(didFinish);
+    else
+        didFinish(true);
 }
 
 auto Node::drainEntry() -> void
@@ -147,24 +229,20 @@
 auto runNode(const NodeSettings &settings) -> int
 {
     static constexpr auto DrainTimedOut = 1;
-    log::start({fromName<log::Severity>(settings.logLevel).value_or(log::Severity::Info),
-                settings.nodeId(), settings.logDecisionSample});
-    auto signals = asio::io_context(1);
-    auto terminate = asio::signal_set(signals, SIGTERM, SIGINT);
-    auto isWhole = true;
-    {
-        auto node = Node(settings);
-        node.start();
-        terminate.async_wait([&node](const boost::system::error_code &ec, int number) {
-            if (!ec)
-                node.startDrain(number == SIGTERM ? "sigterm" : "sigint");
-        });
-        auto signalThread = std::thread([&signals] { signals.run(); });
-        isWhole = node.waitUntilStopped();
-        signals.stop();
-        signalThread.join();
-    }
-    log::stop();
+    const auto logging =
+            log::Session({fromName<log::Severity>(settings.logLevel).value_or(log::Severity::Info),
+                          settings.nodeId(), settings.logDecisionSample});
+    auto signals = IoThread("signals");
+    auto terminate = asio::signal_set(signals.io(), SIGTERM, SIGINT);
+    auto node = Node(settings);
+    node.start();
+    terminate.async_wait([&node](const boost::system::error_code &ec, int number) {
+        if (!ec)
+            node.startDrain(number == SIGTERM ? "sigterm" : "sigint");
+    });
+    signals.start();
+    const auto isWhole = node.waitUntilStopped();
+    signals.stop();
     return isWhole ? 0 : DrainTimedOut;
 }
 
--- a/tests/log/TestLog.cpp
+++ b/tests/log/TestLog.cpp
@@ -1,102 +1,89 @@
 #include <criterion/criterion.h>
 
-#include <array>
-#include <cstdio>
-#include <string>
+#include <algorithm>
 
-#include <unistd.h>
+#include <stairspur/core/Outcome.h>
 
-#include <stairspur/log/Log.h>
+#include "CapturedLog.h"
 
 using namespace stairspur;
+using namespace stairspur::log;
+using namespace std::string_literals;
 
-/// What the writer gives out for what `write` logs: less than a pipe holds.
-template <typename Write>
-static auto linesOf(Write write, std::uint32_t decisionSample = 1) -> std::string
+/// What a line of one event holds behind its time and level.
+static auto eventOf(const std::string &log) -> std::string
 {
-    auto ends = std::array<int, 2>{};
-    cr_assert_eq(pipe(ends.data()), 0);
-    const auto before = dup(STDERR_FILENO);
-    dup2(ends[1], STDERR_FILENO);
-    log::start({log::Severity::Info, "192.0.2.7:7100", decisionSample});
-    write();
-    log::stop();
-    std::fflush(stderr);
-    dup2(before, STDERR_FILENO);
-    close(ends[1]);
-    close(before);
-    auto text = std::string();
-    auto buf = std::array<char, 4096>{};
-    for (auto n = read(ends[0], buf.data(), buf.size()); n > 0;
-         n = read(ends[0], buf.data(), buf.size()))
-        text.append(buf.data(), static_cast<std::size_t>(n));
-    close(ends[0]);
-    return text;
+    const auto at = log.find("event=");
+    return at == std::string::npos ? log : log.substr(at);
 }
 
-/// Each of these, in a value, must stay one value of one line.
-struct ForgeryCase
+Test(Log, valuesCannotForgeALineOrAPair)
 {
-    const char *name;
-    std::string value;
-    const char *expected;
-};
-
-Test(Log, callersForgeNeitherLinesNorPairs)
-{
-    const ForgeryCase cases[] = {
-            {"plain", "menu-catalogue", "value=menu-catalogue"},
-            {"empty", "", "value=\"\""},
-            {"line end", "x\nevent=forged", R"(value="x\x0aevent=forged")"},
-            {"carriage return", "x\revent=forged", R"(value="x\x0devent=forged")"},
-            {"pair", "x reason=forged", R"(value="x reason=forged")"},
-            {"equals sign", "x=y", R"(value="x=y")"},
-            {"closing quote", "x\" reason=forged", R"(value="x\" reason=forged")"},
-            {"backslash", "x\\", R"(value="x\\")"},
-            {"terminal escape", "\x1b[2J", R"(value="\x1b[2J")"},
-            {"zero byte", std::string("x\0y", 3), R"(value="x\x00y")"},
-            {"delete", "x\x7f", R"(value="x\x7f")"},
-            {"next line, U+0085", "x\xc2\x85y", R"(value="x\xc2\x85y")"},
-            {"line separator, U+2028", "x\xe2\x80\xa8y", R"(value="x\xe2\x80\xa8y")"},
-            {"right to left, U+202E", "\xe2\x80\xae", R"(value="\xe2\x80\xae")"},
-            {"no UTF-8", "\xff\xfe", R"(value="\xff\xfe")"},
-            {"the library's own marks", "%level%msg%datetime", "value=%level%msg%datetime"},
+    struct
+    {
+        const char *name;
+        std::string value;
+        const char *expected;
+    } cases[] = {
+            {"plain", "menu-catalogue:7100", "v=menu-catalogue:7100"},
+            {"empty", "", R"(v="")"},
+            {"space", "a b", R"(v="a b")"},
+            {"pair", "a outcome=answered", R"(v="a outcome=answered")"},
+            {"equals sign", "a=b", R"(v="a=b")"},
+            {"quote", R"(a" b="c)", R"(v="a\" b=\"c")"},
+            {"backslash", R"(a\)", R"(v="a\\")"},
+            {"escaped quote", R"(\" b=)", R"(v="\\\" b=")"},
+            {"newline", "a\nlevel=E event=x", R"(v="a\x0alevel=E event=x")"},
+            {"carriage return", "a\rb", R"(v="a\x0db")"},
+            {"tab", "a\tb", R"(v="a\x09b")"},
+            {"terminal's escape", "\x1b[2J", R"(v="\x1b[2J")"},
+            {"zero byte", "a\0b"s, R"(v="a\x00b")"},
+            {"delete", "a\x7f", R"(v="a\x7f")"},
+            {"beyond ASCII", "\xc5\xbei", R"(v="\xc5\xbei")"},
+            {"Unicode's own newlines", "a\xc2\x85\xe2\x80\xa8", R"(v="a\xc2\x85\xe2\x80\xa8")"},
+            {"no UTF-8", "\xff", R"(v="\xff")"},
+            {"percent signs", "%s%n%datetime", "v=%s%n%datetime"},
     };
-    const auto text = linesOf([&] {
-        for (const auto &it : cases)
-            log::Line(log::Severity::Info, "test").add("value", it.value);
-    });
-    auto start = std::size_t{0};
     for (const auto &it : cases) {
-        const auto end = text.find('\n', start);
-        cr_assert(end != std::string::npos, "%s: the line is missing", it.name);
-        const auto line = text.substr(start, end - start);
-        const auto expected =
-                std::string(" level=I event=test ") + it.expected + " node=192.0.2.7:7100";
-        cr_expect(line.ends_with(expected), "%s: %s", it.name, line.c_str());
-        start = end + 1;
+        auto log = CapturedLog({});
+        Line(Severity::Info, "e").add("v", std::string_view(it.value)).add("end", true);
+        const auto text = log.finish();
+        const auto expected = "event=e "s + it.expected + " end=true\n";
+        cr_expect_eq(eventOf(text), expected, "%s: %s", it.name, text.c_str());
+        cr_expect_eq(std::count(text.begin(), text.end(), '\n'), 1, "%s", it.name);
     }
-    cr_assert_eq(start, text.size(), "there are more lines than events");
 }
 
-Test(Log, onlyTheSeveritiesAskedForAreWritten)
+Test(Log, lineHasTimeLevelAndNode)
+{
+    auto log = CapturedLog({Severity::Info, "192.0.2.7:7100", 1});
+    Line(Severity::Warning, "route")
+            .add("reason", Reason::BelowFloor)
+            .add("wait_us", Duration{250})
+            .add("share", 0.25)
+            .add("n", 7U);
+    const auto text = log.finish();
+    cr_assert(text.starts_with("time=20"), "%s", text.c_str());
+    cr_assert(text.find(" level=W event=route ") != std::string::npos, "%s", text.c_str());
+    cr_assert_eq(eventOf(text), "event=route reason=below-floor wait_us=250 share=0.25 n=7 "
+                                "node=192.0.2.7:7100\n");
+}
+
+Test(Log, lessThanTheMinimumIsNotWritten)
 {
-    const auto text = linesOf([] {
-        log::Line(log::Severity::Debug, "hidden").add("a", 1);
-        log::Line(log::Severity::Error, "shown").add("a", true).add("b", 0.5);
-    });
-    cr_assert(text.find("hidden") == std::string::npos);
-    cr_assert(text.find("event=shown a=true b=0.5") != std::string::npos);
+    auto log = CapturedLog({Severity::Warning, "", 1});
+    cr_assert(!isEnabled(Severity::Info));
+    Line(Severity::Info, "quiet").add("n", 1);
+    Line(Severity::Error, "loud").add("n", 2);
+    cr_assert_eq(eventOf(log.finish()), "event=loud n=2\n");
 }
 
-Test(Log, decisionsAreSampledByCount)
+Test(Log, oneDecisionInSoManyIsSampled)
 {
+    auto log = CapturedLog({Severity::Info, "", 4});
     auto sampled = 0;
-    linesOf(
-            [&] {
-                for (auto i = 0; i < 100; ++i)
-                    sampled += log::isDecisionSampled() ? 1 : 0;
-            },
-            10);
+    for (auto n = 0; n < 40; ++n)
+        sampled += isDecisionSampled() ? 1 : 0;
     cr_assert_eq(sampled, 10);
+    log.finish();
 }
