Transport: Accept connections in one class for both servers

Ruled out: a base class for the two, which have nothing else in common. Conclusion: the logic stands once.

--- a/source/transport/HttpServer.cpp
+++ b/source/transport/HttpServer.cpp
@@ -8,22 +8,19 @@
 #include <stairspur/core/Error.h>
 
 #include "HttpConnection.h"
+#include "TcpListener.h"
 
 namespace stairspur::transport {
 
 /// Connections past the limit that are told so; those past these as well are closed without a word.
 static constexpr auto MaxRefusedConnections = std::size_t{64};
 
-/// How long accepting rests after it failed for want of file descriptors.
-static constexpr auto AcceptRest = std::chrono::milliseconds(20);
-
 class HttpServer::Listener : public std::enable_shared_from_this<HttpServer::Listener>
 {
 public:
     Listener(asio::io_context &io, HttpServerSettings settings, Handler handler)
         : m_io(io)
-        , m_acceptor(io)
-        , m_rest(io)
+        , m_tcp(std::make_shared<TcpListener>(io))
         , m_context(std::make_shared<HttpConnectionContext>())
     {
         m_context->settings = std::move(settings);
@@ -39,15 +36,15 @@
         };
         if (!m_context->settings.certificateFile.empty())
             loadCertificate();
-        bind();
-        accept();
+        m_tcp->listen(m_context->settings.address, m_context->settings.port);
+        m_tcp->accept([self = shared_from_this()](auto socket) { self->serve(std::move(socket)); });
     }
 
     auto drain(std::function<void()> didFinish) -> void
     {
         m_didFinish = std::move(didFinish);
         m_isDraining = true;
-        closeAcceptor();
+        m_tcp->close();
         // A connection that closes leaves the set only later, from the io_context.
         for (auto *it : m_connections)
             it->drain();
@@ -56,13 +53,13 @@
 
     auto abort() -> void
     {
-        closeAcceptor();
+        m_tcp->close();
         m_didFinish = nullptr;
         for (auto *it : m_connections)
             it->abort();
     }
 
-    [[nodiscard]] auto port() const -> std::uint16_t { return m_port; }
+    [[nodiscard]] auto port() const -> std::uint16_t { return m_tcp->port(); }
     [[nodiscard]] auto connections() const -> std::uint32_t
     {
         return static_cast<std::uint32_t>(m_connections.size());
@@ -84,48 +81,6 @@
         }
     }
 
-    auto bind() -> void
-    {
-        const auto &settings = m_context->settings;
-        try {
-            const auto address = asio::ip::make_address(settings.address);
-            const auto endpoint = asio::ip::tcp::endpoint(address, settings.port);
-            m_acceptor.open(endpoint.protocol());
-            m_acceptor.set_option(asio::socket_base::reuse_address(true));
-            m_acceptor.bind(endpoint);
-            m_acceptor.listen();
-            m_port = m_acceptor.local_endpoint().port();
-        } catch (const boost::system::system_error &error) {
-            throw SettingError("cannot listen on " + settings.address + ":"
-                                       + std::to_string(settings.port) + " (" + error.what() + ")",
-                               "name an address of this host and a port that is free");
-        }
-    }
-
-    auto accept() -> void
-    {
-        m_acceptor.async_accept([self = shared_from_this()](auto ec, auto socket) {
-            if (!self->m_acceptor.is_open())
-                return;
-            if (ec) {
-                self->restThenAccept(ec);
-                return;
-            }
-            self->serve(std::move(socket));
-            self->accept();
-        });
-    }
-
-    auto restThenAccept(boost::system::error_code why) -> void
-    {
-        log::Line(log::Severity::Warning, "http-accept-failed").add("error", why.message());
-        m_rest.expires_after(AcceptRest);
-        m_rest.async_wait([self = shared_from_this()](auto ec) {
-            if (!ec && self->m_acceptor.is_open())
-                self->accept();
-        });
-    }
-
     auto serve(asio::ip::tcp::socket socket) -> void
     {
         const auto limit = m_context->settings.maxConnections;
@@ -159,21 +114,12 @@
             asio::post(m_io, std::exchange(m_didFinish, nullptr));
     }
 
-    auto closeAcceptor() -> void
-    {
-        auto ec = boost::system::error_code();
-        m_acceptor.close(ec);
-        m_rest.cancel();
-    }
-
     asio::io_context &m_io;
-    asio::ip::tcp::acceptor m_acceptor;
-    asio::steady_timer m_rest;
+    std::shared_ptr<TcpListener> m_tcp;
     std::shared_ptr<HttpConnectionContext> m_context;
     std::optional<asio::ssl::context> m_tls;
     std::set<HttpConnectionBase *> m_connections;
     std::function<void()> m_didFinish;
-    std::uint16_t m_port = 0;
     bool m_isDraining = false;
 };
 
--- a/source/transport/PeerServer.cpp
+++ b/source/transport/PeerServer.cpp
@@ -9,18 +9,15 @@
 #include <stairspur/log/Log.h>
 
 #include "PeerServerLink.h"
+#include "TcpListener.h"
 
 namespace stairspur::transport {
 
-/// How long accepting rests after it failed for want of file descriptors.
-static constexpr auto AcceptRest = std::chrono::milliseconds(20);
-
 class PeerServer::Acceptor : public std::enable_shared_from_this<PeerServer::Acceptor>
 {
 public:
     Acceptor(asio::io_context &io, std::string address, std::uint16_t port, PeerSettings settings)
-        : m_acceptor(io)
-        , m_rest(io)
+        : m_tcp(std::make_shared<TcpListener>(io))
         , m_address(std::move(address))
         , m_port(port)
         , m_context(std::make_shared<PeerServerContext>(io))
@@ -29,7 +26,7 @@
     }
 
     auto context() -> PeerServerContext & { return *m_context; }
-    [[nodiscard]] auto port() const -> std::uint16_t { return m_port; }
+    [[nodiscard]] auto port() const -> std::uint16_t { return m_tcp->port(); }
 
     auto start() -> void
     {
@@ -37,15 +34,15 @@
             if (const auto self = weak.lock())
                 self->didEnd(it);
         };
-        bind();
-        accept();
+        m_tcp->listen(m_address, m_port);
+        m_tcp->accept([self = shared_from_this()](auto socket) { self->serve(std::move(socket)); });
     }
 
     auto drain(std::function<void()> didFinish) -> void
     {
         m_didFinish = std::move(didFinish);
         m_isDraining = true;
-        closeAcceptor();
+        m_tcp->close();
         // A link leaves the map while it is told, so that a copy is walked over.
         const auto links = m_links;
         for (const auto &[key, link] : links)
@@ -55,7 +52,7 @@
 
     auto abort() -> void
     {
-        closeAcceptor();
+        m_tcp->close();
         m_didFinish = nullptr;
         const auto links = std::exchange(m_links, {});
         for (const auto &[key, link] : links)
@@ -63,47 +60,6 @@
     }
 
 private:
-    auto bind() -> void
-    {
-        try {
-            const auto endpoint =
-                    asio::ip::tcp::endpoint(asio::ip::make_address(m_address), m_port);
-            m_acceptor.open(endpoint.protocol());
-            m_acceptor.set_option(asio::socket_base::reuse_address(true));
-            m_acceptor.bind(endpoint);
-            m_acceptor.listen();
-            m_port = m_acceptor.local_endpoint().port();
-        } catch (const boost::system::system_error &error) {
-            throw SettingError("cannot listen on " + m_address + ":" + std::to_string(m_port) + " ("
-                                       + error.what() + ")",
-                               "name an address of this host and a port that is free");
-        }
-    }
-
-    auto accept() -> void
-    {
-        m_acceptor.async_accept([self = shared_from_this()](auto ec, auto socket) {
-            if (!self->m_acceptor.is_open())
-                return;
-            if (ec) {
-                self->restThenAccept(ec);
-                return;
-            }
-            self->serve(std::move(socket));
-            self->accept();
-        });
-    }
-
-    auto restThenAccept(boost::system::error_code why) -> void
-    {
-        log::Line(log::Severity::Warning, "peer-accept-failed").add("error", why.message());
-        m_rest.expires_after(AcceptRest);
-        m_rest.async_wait([self = shared_from_this()](auto ec) {
-            if (!ec && self->m_acceptor.is_open())
-                self->accept();
-        });
-    }
-
     auto serve(asio::ip::tcp::socket socket) -> void
     {
         if (m_links.size() >= m_context->settings.maxLinks) {
@@ -127,15 +83,7 @@
             asio::post(m_context->io, std::exchange(m_didFinish, nullptr));
     }
 
-    auto closeAcceptor() -> void
-    {
-        auto ec = boost::system::error_code();
-        m_acceptor.close(ec);
-        m_rest.cancel();
-    }
-
-    asio::ip::tcp::acceptor m_acceptor;
-    asio::steady_timer m_rest;
+    std::shared_ptr<TcpListener> m_tcp;
     std::string m_address;
     std::uint16_t m_port;
     std::shared_ptr<PeerServerContext> m_context;
