Transport: Ping links on which nothing waits only every 20 s

Cause: every silent link was pinged each second; at the size that decides the design that is 2.7 KB/s a node with three services called and 27 KB/s with nine (docs/CAPACITY.md, worked out), more than all control traffic may take. Ways weighed: dropping pings of idle links altogether (a half-open link would be kept for ever at the listening end), and pings by a timer of each call (a timer set per call). Taken: the link's own tick rests for PeerSettings::idlePingInterval when nothing waits and the latest interval was not silent; a message that is sent or begins to come ends the rest. A silent link stays watched: else calls that are given up one after another on a dead link would each begin the count anew. Conclusion: worked out, pings add nothing in traffic; not measured at size.

--- a/include/stairspur/transport/PeerSettings.h
+++ b/include/stairspur/transport/PeerSettings.h
@@ -21,6 +21,9 @@
     Duration connectTimeout{500'000};
     Duration pingInterval{
             1'000'000}; ///< A link that is silent for three of these is taken for broken.
+    /// A link on which nothing waits is pinged this seldom; a call that is sent on it watches it by pingInterval again.
+    Duration idlePingInterval{20'000'000};
+};
 };
 
 /// Bytes on the wire since the start.
--- a/source/transport/PeerClientLink.h
+++ b/source/transport/PeerClientLink.h
@@ -56,6 +56,7 @@
     auto didReceive(LinkMessage message) -> void override;
     auto didRefuse(FrameKind kind, CallId id, Reason reason) -> void override;
     auto didCancel(CallId id) -> void override;
+    [[nodiscard]] auto isAwaitingAnswer() const -> bool override { return !m_pending.empty(); }
     auto didFlush() -> void override;
     auto didClose(bool isGraceful, const std::string &why) -> void override;
 
--- a/source/transport/PeerLink.cpp
+++ b/source/transport/PeerLink.cpp
@@ -63,6 +63,7 @@
         return;
     }
     m_outgoing.push_back({kind, id, std::move(fields), std::move(body)});
+    ensureWatched();
     pump();
 }
 
@@ -94,6 +95,7 @@
     if (m_isClosing || m_isClosed)
         return;
     m_isClosing = true;
+    m_isResting = false;
     m_outgoing.clear();
     // The tick ends the link when the far end does not.
     scheduleTick(m_settings.connectTimeout);
@@ -204,6 +206,7 @@
     }
     if (!m_observer.isExpected(frame.kind, frame.id))
         return;
+    ensureWatched();
     if (frame.bodyLength > m_settings.maxBodyBytes) {
         m_observer.didRefuse(frame.kind, frame.id, Reason::TooLarge);
         return;
@@ -335,6 +338,35 @@
     // One end's pings show life to both, so the listening end only pings when it has heard none.
     if (isSilent && (m_role == Role::Client || m_silentTicks > 1))
         m_stream->ping();
+    scheduleNextTick();
+}
+
+auto PeerLink::scheduleNextTick() -> void
+{
+    m_isResting = mayRest();
+    if (!m_isResting) {
+        scheduleTick(m_settings.pingInterval);
+        return;
+    }
+    // The interval after the ping, in which the answer is looked for, is a part of the connecting end's idle interval.
+    // The listening end waits it out besides, and so does not ping a link that the other end pings in time.
+    const auto watched = m_role == Role::Client ? m_settings.pingInterval : Duration(0);
+    scheduleTick(std::max(m_settings.pingInterval, m_settings.idlePingInterval - watched));
+}
+
+auto PeerLink::mayRest() const -> bool
+{
+    // A silent link stays watched until it has answered its ping, so that calls that are given up one after another on a
+    // dead link can't put off that it is noticed.
+    return m_silentTicks == 0 && m_incoming.empty() && isFlushed()
+           && !m_observer.isAwaitingAnswer();
+}
+
+auto PeerLink::ensureWatched() -> void
+{
+    if (!std::exchange(m_isResting, false))
+        return;
+    m_receivedAtTick = m_stream->bytesReceived();
     scheduleTick(m_settings.pingInterval);
 }
 
--- a/source/transport/PeerLink.h
+++ b/source/transport/PeerLink.h
@@ -47,6 +47,8 @@
         /// A message that begins is dropped: its body is too large, or too many others have begun.
         virtual auto didRefuse(FrameKind kind, CallId id, Reason reason) -> void = 0;
         virtual auto didCancel(CallId id) -> void = 0;
+        /// Whether a call or a control request waits for its answer.
+        [[nodiscard]] virtual auto isAwaitingAnswer() const -> bool = 0;
         /// All that was sent is out.
         virtual auto didFlush() -> void = 0;
         /// The last event.
@@ -135,6 +137,10 @@
     auto countControl() -> void;
     auto tick() -> void;
     auto scheduleTick(Duration after) -> void;
+    auto scheduleNextTick() -> void;
+    /// Ends a rest: from now on the link is to show life within three ping intervals.
+    auto ensureWatched() -> void;
+    [[nodiscard]] auto mayRest() const -> bool;
     auto breakOff(const std::string &why) -> void;
     [[nodiscard]] auto proofInput(bool isOwn) const -> ProofInput;
 
@@ -154,6 +160,7 @@
     std::uint64_t m_receivedAtTick = 0;
     std::uint32_t m_silentTicks = 0;
     bool m_isPumping = false;
+    bool m_isResting = false; ///< The next tick is that of a link on which nothing waits.
     bool m_isReady = false;
     bool m_isClosing = false;
     bool m_isClosed = false;
--- a/source/transport/PeerServerLink.h
+++ b/source/transport/PeerServerLink.h
@@ -51,6 +51,10 @@
     auto didReceive(LinkMessage message) -> void override;
     auto didRefuse(FrameKind kind, CallId id, Reason reason) -> void override;
     auto didCancel(CallId id) -> void override;
+    [[nodiscard]] auto isAwaitingAnswer() const -> bool override
+    {
+        return !m_running.empty() || m_runningRequests > 0;
+    }
     auto didFlush() -> void override;
     auto didClose(bool isGraceful, const std::string &why) -> void override;
 
--- a/tests/transport/FakePeer.h
+++ b/tests/transport/FakePeer.h
@@ -73,6 +73,8 @@
         runUntil(m_io, [&] { return m_isClosed; });
     }
 
+    /// Of everything, pings included.
+    [[nodiscard]] auto bytesReceived() const -> std::uint64_t { return m_stream->bytesReceived(); }
     [[nodiscard]] auto isClosed() const -> bool { return m_isClosed; }
 
 private:
--- a/tests/transport/TestPeerEnds.cpp
+++ b/tests/transport/TestPeerEnds.cpp
@@ -74,8 +74,11 @@
 Test(PeerEnds, idleLinkIsKeptAliveByPings)
 {
     auto io = asio::io_context();
-    auto pair = Pair(io, echo, RunningCall::settingsOf("server", Duration(10'000)),
-                     RunningCall::settingsOf("client", Duration(10'000)));
+    auto server = RunningCall::settingsOf("server", Duration(10'000));
+    auto client = RunningCall::settingsOf("client", Duration(10'000));
+    server.idlePingInterval = server.pingInterval;
+    client.idlePingInterval = client.pingInterval;
+    auto pair = Pair(io, echo, server, client);
     pair.call(callOf("x"));
     const auto before = pair.server.traffic().controlBytesSent;
     // Pongs of two bytes each, well past the three silent intervals that would end the link.
