Transport: Close links that nobody has used for a minute

Cause: a client's links were kept for as long as the node at the far end was known; an entry that once called all 520 services would hold 130 MB of them (docs/CAPACITY.md), and pay for their pings. Ways weighed: closing from the entry (it knows pools, not links, and control clients have none), and a timer set anew with each call. Taken: PeerClientLink looks when it may have become idle, after PeerSettings::idleLinkTimeout, and then has itself released; never while a call or request waits. The next use opens another link. Found beside: a released link was destroyed as soon as its close frame was handed on, with the socket closed before the far end's close was read.

--- a/include/stairspur/transport/PeerSettings.h
+++ b/include/stairspur/transport/PeerSettings.h
@@ -23,7 +23,8 @@
             1'000'000}; ///< A link that is silent for three of these is taken for broken.
     /// A link on which nothing waits is pinged this seldom; a call that is sent on it watches it by pingInterval again.
     Duration idlePingInterval{20'000'000};
-};
+    /// The connecting end closes a link that it has not used for so long; the next use opens it again. Zero: it never does.
+    Duration idleLinkTimeout{60'000'000};
 };
 
 /// Bytes on the wire since the start.
--- a/source/transport/PeerClient.cpp
+++ b/source/transport/PeerClient.cpp
@@ -53,12 +53,17 @@
             return;
         const auto link = std::move(it->second.link);
         m_entries.erase(it);
-        if (link)
-            link->release();
+        if (!link)
+            return;
+        m_leaving.emplace(link.get(), link);
+        link->release();
     }
 
     auto abort() -> void
     {
+        const auto leaving = std::exchange(m_leaving, {});
+        for (const auto &[key, link] : leaving)
+            link->abort();
         const auto entries = std::exchange(m_entries, {});
         for (const auto &[node, entry] : entries) {
             if (entry.link)
@@ -102,13 +107,25 @@
             if (const auto self = weak.lock())
                 self->didClose(node, key, wasReady);
         });
+        link->setDidIdle([weak = weak_from_this(), node, key = link.get()] {
+            if (const auto self = weak.lock())
+                self->didIdle(node, key);
+        });
         entry.link = link;
         link->start();
         return link;
     }
 
+    auto didIdle(const NodeId &node, const PeerClientLink *link) -> void
+    {
+        const auto it = m_entries.find(node);
+        if (it != m_entries.end() && it->second.link.get() == link)
+            release(node);
+    }
+
     auto didClose(const NodeId &node, const PeerClientLink *link, bool wasReady) -> void
     {
+        m_leaving.erase(link);
         const auto it = m_entries.find(node);
         if (it == m_entries.end() || it->second.link.get() != link)
             return; // Released meanwhile, and perhaps replaced.
@@ -130,6 +147,8 @@
     std::shared_ptr<PeerClientContext> m_context;
     Random m_random;
     std::unordered_map<NodeId, Entry> m_entries;
+    /// Released links, until the far end has closed too: a link that is let go of before may lose that it was closed.
+    std::unordered_map<const PeerClientLink *, std::shared_ptr<PeerClientLink>> m_leaving;
 };
 
 PeerClient::PeerClient(asio::io_context &io, PeerSettings settings)
--- a/source/transport/PeerClientLink.cpp
+++ b/source/transport/PeerClientLink.cpp
@@ -66,13 +66,13 @@
     : m_context(std::move(context))
     , m_node(std::move(node))
     , m_socket(m_context->io)
-    , m_connectTimer(m_context->io)
+    , m_timer(m_context->io)
 {}
 
 auto PeerClientLink::start() -> void
 {
-    m_connectTimer.expires_after(m_context->settings.connectTimeout);
-    m_connectTimer.async_wait([weak = weak_from_this()](auto ec) {
+    m_timer.expires_after(m_context->settings.connectTimeout);
+    m_timer.async_wait([weak = weak_from_this()](auto ec) {
         if (const auto self = weak.lock(); self && !ec && self->m_state == State::Connecting)
             self->close(false, "connecting took too long");
     });
@@ -144,6 +144,7 @@
         m_link->send(FrameKind::Call, id, std::move(fields), std::move(request.body));
         ending = co_await waitForAnswer(waiter);
     }
+    m_lastUsed = monotonicNow();
     auto answer = ending == Ending::Answered ? readAnswer(std::move(*waiter.answer))
                                              : endCall(request, ending, id);
     closeIfReleased();
@@ -230,6 +231,7 @@
         m_link->send(FrameKind::Request, id, writeRequest(topic), std::move(payload));
         ending = co_await waitForAnswer(waiter);
     }
+    m_lastUsed = monotonicNow();
     const auto isUnsent = m_link->withdraw(FrameKind::Request, id);
     m_link->forget(id);
     closeIfReleased();
@@ -247,13 +249,40 @@
 {
     const auto self = shared_from_this();
     m_state = State::Ready;
-    m_connectTimer.cancel();
+    m_timer.cancel();
     log::Line(log::Severity::Info, "link-opened").add("peer", m_node);
     for (auto *it : m_waitersForReady)
         it->wakeUp();
+    m_lastUsed = monotonicNow();
+    if (m_context->settings.idleLinkTimeout > Duration(0))
+        scheduleIdleCheck(m_context->settings.idleLinkTimeout);
     closeIfReleased();
 }
 
+auto PeerClientLink::scheduleIdleCheck(Duration after) -> void
+{
+    m_timer.expires_after(after);
+    m_timer.async_wait([weak = weak_from_this()](auto ec) {
+        if (const auto self = weak.lock(); self && !ec && self->m_state == State::Ready)
+            self->checkIdle();
+    });
+}
+
+/// Looks when the link may have become idle, in place of setting a timer anew with each call.
+auto PeerClientLink::checkIdle() -> void
+{
+    const auto timeout = m_context->settings.idleLinkTimeout;
+    if (!isUnused()) {
+        scheduleIdleCheck(timeout);
+        return;
+    }
+    const auto idle = std::chrono::duration_cast<Duration>(monotonicNow() - m_lastUsed);
+    if (idle < timeout)
+        scheduleIdleCheck(timeout - idle);
+    else if (m_didIdle)
+        std::exchange(m_didIdle, nullptr)();
+}
+
 auto PeerClientLink::isExpected(FrameKind kind, CallId id) -> bool
 {
     if (kind != FrameKind::Answer && kind != FrameKind::Reply)
@@ -317,7 +346,7 @@
             .add("ready", wasReady)
             .add("calls", m_pending.size())
             .add("detail", why);
-    m_connectTimer.cancel();
+    m_timer.cancel();
     auto ec = boost::system::error_code();
     m_socket.close(ec);
     if (m_link)
@@ -332,7 +361,7 @@
 
 auto PeerClientLink::closeIfReleased() -> void
 {
-    if (m_isReleased && m_state == State::Ready && m_pending.empty() && m_waitersForReady.empty())
+    if (m_isReleased && m_state == State::Ready && isUnused())
         m_link->close();
 }
 
--- a/source/transport/PeerClientLink.h
+++ b/source/transport/PeerClientLink.h
@@ -31,12 +31,16 @@
 {
 public:
     using DidClose = std::function<void(bool wasReady)>;
+    using DidIdle = std::function<void()>;
 
     PeerClientLink(std::shared_ptr<PeerClientContext> context, NodeId node);
 
     /// Told once, when the link has closed, unless abort() ended it.
     auto setDidClose(DidClose didClose) -> void { m_didClose = std::move(didClose); }
 
+    /// Told once, when nobody has used the link for idleLinkTimeout.
+    auto setDidIdle(DidIdle didIdle) -> void { m_didIdle = std::move(didIdle); }
+
     auto start() -> void;
     auto abort() -> void;
     /// Closes once nobody waits any more.
@@ -67,12 +71,20 @@
     auto readAnswer(LinkMessage message) -> CallAnswer;
     auto close(bool isGraceful, const std::string &why) -> void;
     auto closeIfReleased() -> void;
+    auto scheduleIdleCheck(Duration after) -> void;
+    auto checkIdle() -> void;
+    [[nodiscard]] auto isUnused() const -> bool
+    {
+        return m_pending.empty() && m_waitersForReady.empty();
+    }
 
     std::shared_ptr<PeerClientContext> m_context;
     NodeId m_node;
     DidClose m_didClose;
+    DidIdle m_didIdle;
     asio::ip::tcp::socket m_socket;
-    asio::steady_timer m_connectTimer;
+    asio::steady_timer m_timer; ///< Ends a connect that takes too long, later looks for idleness.
+    TimePoint m_lastUsed;
     std::shared_ptr<PeerLink> m_link;
     std::set<LinkWaiter *> m_waitersForReady;
     std::unordered_map<CallId, LinkWaiter *> m_pending;
--- a/tests/transport/TestPeerIdle.cpp
+++ b/tests/transport/TestPeerIdle.cpp
@@ -147,3 +147,34 @@
         it.pair.call(callOf("x", PingInterval / 10));
     cr_assert_lt(calls, MostCalls);
 }
+
+Test(PeerIdle, linksThatNobodyUsesAreClosedAndOpenedAgainUponUse)
+{
+    auto io = asio::io_context();
+    auto client = settingsWith("client", LongTimeout);
+    client.idleLinkTimeout = PingInterval;
+    auto pair = Pair(io, echo, settingsWith("server", LongTimeout), client);
+    for (auto n = 0; n < 3; ++n) {
+        cr_assert(pair.call(callOf("x")).outcome == Outcome::Answered);
+        runUntil(io, [&] { return pair.client.links() == 0; });
+    }
+    // The server has been told of each close: nothing is left that would keep it from ending.
+    auto isDrained = false;
+    pair.server.drain([&] { isDrained = true; });
+    runUntil(io, [&] { return isDrained; });
+}
+
+Test(PeerIdle, linksThatACallWaitsOnAreNotClosed)
+{
+    auto io = asio::io_context();
+    auto settings = settingsWith("client", LongTimeout);
+    settings.idleLinkTimeout = PingInterval / 2;
+    auto client = PeerClient(io, settings);
+    auto link = FakeLink(io, client);
+    link.waitForPings(5);
+    cr_assert_eq(client.links(), 1);
+    link.answerCall();
+    cr_assert(link.answer->outcome == Outcome::Answered);
+    runUntil(io, [&] { return client.links() == 0; });
+    link.peer->waitForClose();
+}
