Keyed: Renew a slot at once when its new members did not take the records

Ruled out: going without the seal, which is what makes the move safe. Change: offers end after 0.5 s; a dropped proposal is planned anew after the plan interval, in place of the store's backoff. The fault matrix and its mutants pass twice (60 of 60).

--- a/include/stairspur/keyed/PlacementKeeper.h
+++ b/include/stairspur/keyed/PlacementKeeper.h
@@ -20,7 +20,7 @@
     PlacementSettings placement;
     Duration batchWindow{
             300'000}; ///< Changes that fall into this time go into one write, if they can.
-    Duration offerTimeout{1'000'000}; ///< For new members to take the records.
+    Duration offerTimeout{500'000}; ///< For new members to take the records.
     Duration storeBackoff{
             1'000'000}; ///< After a store call that failed, doubled with each up to 16 times.
     Duration planInterval{200'000}; ///< Between two looks at the members while nothing is going on.
--- a/include/stairspur/keyed/PlacementKeeperProposals.h
+++ b/include/stairspur/keyed/PlacementKeeperProposals.h
@@ -123,7 +123,12 @@
                 effects.decisions.push_back({DecisionStage::Dropped, it.change});
             return !it.awaited.empty();
         });
-        return m_proposals.empty() ? backOff(now) : startWriting(effects);
+        if (!m_proposals.empty())
+            return startWriting(effects);
+        // The slots are sealed until a renewal is written, so that no time is lost. Whoever did not answer is probed
+        // meanwhile and left out of the next plan.
+        m_shouldRefresh = true;
+        return finish(now, m_settings.planInterval);
     }
     if (now.steady < m_nextOffer)
         return;
