Transport: Test that one silent call is enough to find a dead link

Cause: the test of calls that are given up one after another did not ask what becomes of a dead link when no further call comes. Ruled out: changing the rule; the code already keeps such a link watched, and the test passed at once. Change: one call is given up on a link that has gone mute; the link is to be given up without another.

--- a/tests/transport/TestPeerIdle.cpp
+++ b/tests/transport/TestPeerIdle.cpp
@@ -148,6 +148,13 @@
     cr_assert_lt(calls, MostCalls);
 }
 
+Test(PeerIdle, linkThatWasSilentToACallIsGivenUpWithoutAnother)
+{
+    auto it = DyingLink();
+    it.pair.call(callOf("x", PingInterval / 10));
+    runUntil(it.io, [&] { return it.pair.client.links() == 1; });
+}
+
 Test(PeerIdle, linksThatNobodyUsesAreClosedAndOpenedAgainUponUse)
 {
     auto io = asio::io_context();
