Node: Say why the last upstream refused, not that none was left

Cause: a call that every upstream had refused was answered no-upstream, which sends operators looking for missing hosts. Ruled out: doing so in the pool, which does not keep reasons by call. Change: once somebody was asked, the last one's reason and the longer retry-after count. Conclusion: the reason is the true one.

--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -165,8 +165,12 @@
         const auto decision = routes.pool.choose(
                 {call.request.level, call.deadline, attempts.excluded}, now, m_random);
         logDecision(call, decision, attempts);
-        if (!decision.node)
-            co_return finalRefusal(attempts, decision.refusal, decision.retryAfter);
+        if (!decision.node) {
+            // Whoever was asked knows better why than a pool in which nobody is left to ask.
+            const auto isAsked = attempts.sent > 0 && decision.refusal == Reason::NoUpstream;
+            co_return finalRefusal(attempts, isAsked ? attempts.last.reason : decision.refusal,
+                                   std::max(decision.retryAfter, attempts.last.retryAfter));
+        }
 
         co_await attempt(call, routes, attempts, *decision.node, cancellation);
         if (attempts.last.outcome == Outcome::Answered)
--- a/tests/node/TestCallPath.cpp
+++ b/tests/node/TestCallPath.cpp
@@ -112,6 +112,10 @@
         cr_assert(path.finish());
         cr_expect_eq(outcomeOf(path.responses[0]), it.expected, "%s: %s", it.name,
                      outcomeOf(path.responses[0]).c_str());
+        const auto reason = path.responses[0].headers.find("Stairspur-Reason");
+        const auto hasOwnAnswer = std::string_view(it.expected) == "failed";
+        cr_expect(hasOwnAnswer || reason == "backend-shed", "%s: %s", it.name,
+                  std::string(reason).c_str());
         cr_expect_eq(runs, it.runs, "%s: %zu runs", it.name, runs);
     }
 }
