--- a/include/stairspur/admission/AdmissionController.h
+++ b/include/stairspur/admission/AdmissionController.h
@@ -18,8 +18,8 @@
 {
     std::uint32_t maxQueue = 256;
     std::uint32_t coldLimit = 4; ///< Limit of a backend server that has just started.
-    std::uint32_t reportedSlots =
-            16; ///< Upper bound of the limit, as the backend server reports it.
+    /// Upper bound of the limit, as the backend server reports it.
+    std::uint32_t reportedSlots = 16;
     Duration retryAfterBase{100'000}; ///< Retry-After of the mildest overload.
     Duration retryAfterMax{10'000'000};
 };
--- a/include/stairspur/cli/CommandLine.h
+++ b/include/stairspur/cli/CommandLine.h
@@ -36,8 +36,8 @@
 {
     Command command = Command::Help;
     std::string operand; ///< Empty when there is none.
-    std::vector<Assignment>
-            assignments; ///< One for each flag that is set; flags win over the environment.
+    /// One for each flag that is set; flags win over the environment.
+    std::vector<Assignment> assignments;
 };
 
 /// Reads `COMMAND [flags] [operand]`. A flag is written `--flag=VALUE` or `--flag VALUE`; one without a value, such as
--- a/include/stairspur/config/Configuration.h
+++ b/include/stairspur/config/Configuration.h
@@ -16,8 +16,8 @@
 struct FailureDomain
 {
     std::string name;
-    std::string
-            region; ///< Domains of one region are near each other; empty means a region of its own.
+    /// Domains of one region are near each other; empty means a region of its own.
+    std::string region;
 };
 
 /// A priority class. Its rank is its place in the file: the first is the most important.
@@ -30,8 +30,8 @@
 /// What binds one service. Values that the file leaves out have these defaults.
 struct ServiceLimits
 {
-    std::uint32_t maxConcurrency =
-            0; ///< Per upstream; 0 takes the slots that the backend server reports.
+    /// Per upstream; 0 takes the slots that the backend server reports.
+    std::uint32_t maxConcurrency = 0;
     std::uint32_t maxQueue = 256;       ///< Calls waiting at one gate.
     Duration defaultTimeout{2'000'000}; ///< For calls that name none.
     Duration maxTimeout{30'000'000};    ///< Calls that name more get this.
--- a/include/stairspur/distribution/Head.h
+++ b/include/stairspur/distribution/Head.h
@@ -65,8 +65,8 @@
     static constexpr auto Buckets = std::size_t{32};
 
     config::SectionHashes hashes;
-    std::map<std::string, std::uint64_t>
-            retired; ///< Hashes no longer named, and since which version.
+    /// Hashes no longer named, and since which version.
+    std::map<std::string, std::uint64_t> retired;
 };
 
 struct ListRoot
--- a/include/stairspur/keyed/Effects.h
+++ b/include/stairspur/keyed/Effects.h
@@ -36,8 +36,8 @@
 {
     std::string key;
     UpdateId bind;
-    std::vector<Waiter>
-            waiters; ///< Any of them may give the request; the fingerprints are the same.
+    /// Any of them may give the request; the fingerprints are the same.
+    std::vector<Waiter> waiters;
 };
 
 struct Delivery
--- a/include/stairspur/keyed/KeyRecord.h
+++ b/include/stairspur/keyed/KeyRecord.h
@@ -37,8 +37,8 @@
     Reason reason = Reason::None;
     std::uint32_t status = 0; ///< The backend server's HTTP status.
     std::string payload{};    ///< The encoded answer, for replay.
-    bool isPayloadKept =
-            true; ///< False: it was larger than records may hold, and `payload` is empty.
+    /// False: it was larger than records may hold, and `payload` is empty.
+    bool isPayloadKept = true;
 
     auto operator==(const RecordedAnswer &) const -> bool = default;
 };
--- a/include/stairspur/keyed/KeyedMessages.h
+++ b/include/stairspur/keyed/KeyedMessages.h
@@ -45,8 +45,8 @@
 struct SnapshotOffer
 {
     SlotPlacement proposed;
-    std::uint64_t sequence =
-            0; ///< Of two offers for one epoch from one source, the greater is newer.
+    /// Of two offers for one epoch from one source, the greater is newer.
+    std::uint64_t sequence = 0;
     WallMilliseconds lowWater = 0;
     WallMilliseconds lostAt = 0;
     WallMilliseconds homesChangedAt = 0;
--- a/include/stairspur/keyed/PlacementKeeper.h
+++ b/include/stairspur/keyed/PlacementKeeper.h
@@ -165,8 +165,8 @@
     std::uint64_t m_revision = 0;
     std::map<std::uint32_t, std::unique_ptr<SlotReplica<Guards>>> m_slots;
     WallMilliseconds m_homesChangedAt = 0;
-    std::vector<Replica>
-            m_peers; ///< The service's other nodes; entries ask any of them for the table.
+    /// The service's other nodes; entries ask any of them for the table.
+    std::vector<Replica> m_peers;
 
     Phase m_phase = Phase::Idle;
     TimePoint m_nextStep;
--- a/include/stairspur/keyed/PlacementPlan.h
+++ b/include/stairspur/keyed/PlacementPlan.h
@@ -15,8 +15,8 @@
 {
     Replica replica;
     std::string rack; ///< Nodes of one rack are likely to fail together.
-    bool isOfService =
-            true; ///< May be a primary. Others serve as witnesses where the service has too few nodes.
+    /// May be a primary. Others serve as witnesses where the service has too few nodes.
+    bool isOfService = true;
     bool isAlive = true;          ///< Not taken for dead.
     bool isLeaving = false;       ///< Draining or left: gets no slots and gives up those it has.
     bool isConfirmedGone = false; ///< An operator vouches that the process is gone for good.
--- a/include/stairspur/keyed/PrimarySlot.h
+++ b/include/stairspur/keyed/PrimarySlot.h
@@ -36,8 +36,8 @@
 struct DispatchEnd
 {
     bool didNotRun = false; ///< Proven: it reached no backend server, nor can it.
-    RecordedAnswer
-            answer; ///< Otherwise: Answered, Failed or Unknown. With didNotRun only the reason counts.
+    /// Otherwise: Answered, Failed or Unknown. With didNotRun only the reason counts.
+    RecordedAnswer answer;
 };
 
 /// The primary's part of a slot: binds each key with the witness, has it dispatched once, records and replays how it
--- a/include/stairspur/keyed/SlotReplica.h
+++ b/include/stairspur/keyed/SlotReplica.h
@@ -56,8 +56,8 @@
     SlotState m_state;
     PrimarySlot<Guards> m_primary;
     WitnessSlot<Guards> m_witness;
-    std::map<Replica, SnapshotOffer>
-            m_offers; ///< By source; each for an epoch that is not written yet.
+    /// By source; each for an epoch that is not written yet.
+    std::map<Replica, SnapshotOffer> m_offers;
     std::uint64_t m_offerSequence = 0;
 };
 
--- a/include/stairspur/membership/DigestExchange.h
+++ b/include/stairspur/membership/DigestExchange.h
@@ -201,8 +201,8 @@
 
     MembershipCore<Policy> &m_core;
     std::uint64_t m_periodsToNext;
-    std::uint32_t
-            m_allowance; ///< Datagrams with records that this node may still send; grows by one a period.
+    /// Datagrams with records that this node may still send; grows by one a period.
+    std::uint32_t m_allowance;
     std::uint32_t m_sequence = 0;
     std::vector<Hurried> m_hurried;
     std::vector<std::string> m_knownDomains;
--- a/include/stairspur/membership/Member.h
+++ b/include/stairspur/membership/Member.h
@@ -31,8 +31,8 @@
     std::string service; ///< Empty: no backend server has announced itself yet.
     std::string domain;
     Incarnation incarnation = 0;
-    Incarnation start =
-            0; ///< The incarnation with which its process started: changes by a restart only.
+    /// The incarnation with which its process started: changes by a restart only.
+    Incarnation start = 0;
     ServingState state = ServingState::Starting;
     std::uint32_t slots = 0;
     Liveness liveness = Liveness::Alive;
--- a/include/stairspur/membership/MembershipCounters.h
+++ b/include/stairspur/membership/MembershipCounters.h
@@ -12,8 +12,8 @@
     std::uint64_t datagramsSent = 0;
     std::uint64_t datagramsReceived = 0;
     std::uint64_t rejectedDatagrams = 0; ///< Garbage, truncated or too large.
-    std::uint64_t rejectedRecords =
-            0; ///< From a sender that may not state them, or above the bound.
+    /// From a sender that may not state them, or above the bound.
+    std::uint64_t rejectedRecords = 0;
     std::uint64_t probes = 0;
     std::uint64_t indirectProbes = 0;
     std::uint64_t failedProbes = 0;
--- a/include/stairspur/membership/MembershipSettings.h
+++ b/include/stairspur/membership/MembershipSettings.h
@@ -20,12 +20,12 @@
     Duration period{1'000'000};
     Duration probeTimeout{250'000};   ///< Until a direct probe is followed by indirect ones.
     std::uint32_t indirectProbes = 3; ///< Peers that are asked to probe for us (SWIM's k).
-    double suspicionMultiplier =
-            4; ///< Suspicion lasts this many periods times log10 of the members.
-    double retransmitMultiplier =
-            3; ///< An update is sent this often times log2 of the members (lambda).
-    std::uint32_t maxHealthPenalty =
-            3; ///< Periods that an unhealthy node waits longer (Lifeguard, 2018).
+    /// Suspicion lasts this many periods times log10 of the members.
+    double suspicionMultiplier = 4;
+    /// An update is sent this often times log2 of the members (lambda).
+    double retransmitMultiplier = 3;
+    /// Periods that an unhealthy node waits longer (Lifeguard, 2018).
+    std::uint32_t maxHealthPenalty = 3;
 
     std::uint32_t urgentFanOut = 4; ///< Peers that are told at once that a member drains or leaves.
     std::uint32_t urgentPerPeriod = 8;  ///< Such updates that are passed on at once, at most.
@@ -36,15 +36,15 @@
 
     std::uint32_t relays = 3;        ///< Of each domain, by rendezvous rank.
     std::uint32_t relayPeriods = 10; ///< Between two exchanges of one relay with one other domain.
-    std::uint32_t contactLostPeriods =
-            30; ///< Silence of another domain that counts as lost contact.
+    /// Silence of another domain that counts as lost contact.
+    std::uint32_t contactLostPeriods = 30;
 
     Duration deadRetention{3'600'000'000}; ///< So long a partition heals by itself.
     Duration leftRetention{600'000'000};
     Duration foreignRetention{86'400'000'000}; ///< Of members of other domains, dead or unheard of.
     std::uint32_t maxMembers = 20'000;
-    std::uint32_t maxPayloadBytes =
-            1200; ///< Leaves room for the envelope in a datagram of 1400 bytes.
+    /// Leaves room for the envelope in a datagram of 1400 bytes.
+    std::uint32_t maxPayloadBytes = 1200;
     Duration viewPause{
             1'000'000}; ///< Between two views while members keep changing; see ViewPacer.
 };
--- a/include/stairspur/metrics/LatencyHistogram.h
+++ b/include/stairspur/metrics/LatencyHistogram.h
@@ -12,8 +12,8 @@
 /// A histogram at one moment, merged over all threads.
 struct HistogramSnapshot
 {
-    std::vector<Duration>
-            upperEdges; ///< Of the buckets, rising. Above the last one stands `above`.
+    /// Of the buckets, rising. Above the last one stands `above`.
+    std::vector<Duration> upperEdges;
     std::vector<std::uint64_t> counts;
     std::uint64_t above = 0; ///< Values beyond the last edge.
     Duration sum{0};
--- a/include/stairspur/retry/RetryPolicy.h
+++ b/include/stairspur/retry/RetryPolicy.h
@@ -13,8 +13,8 @@
 {
     Outcome outcome = Outcome::Unknown;
     Reason reason = Reason::None;
-    bool wasDispatched =
-            false; ///< It may have reached a backend server, so another one counts as a retry.
+    /// It may have reached a backend server, so another one counts as a retry.
+    bool wasDispatched = false;
     bool isIdempotent = false;    ///< The call may run more than once.
     std::uint32_t budget = 0;     ///< Extra attempts left for this call.
     bool hasServiceToken = false; ///< The service's bucket has a token.
--- a/include/stairspur/routing/UpstreamPool.h
+++ b/include/stairspur/routing/UpstreamPool.h
@@ -31,8 +31,8 @@
 {
     NodeId ownNode;
     std::string ownDomain;
-    std::uint32_t subsetSize =
-            16; ///< Upstreams per entry and service that get links, besides the local one.
+    /// Upstreams per entry and service that get links, besides the local one.
+    std::uint32_t subsetSize = 16;
     Duration reportHalfLife{500'000}; ///< Age at which a report counts half.
     Duration slowStart{5'000'000};    ///< Time over which a new upstream comes to its full share.
     double maxEjectedShare = 0.34;    ///< Of the pool, rounded down; never the last one.
@@ -76,8 +76,8 @@
     Reason reason = Reason::None;
     Duration latency{0};
     std::optional<admission::LoadReport> report;
-    std::optional<Level>
-            level; ///< Of the call: what the gate did with it outranks the floors it reports.
+    /// Of the call: what the gate did with it outranks the floors it reports.
+    std::optional<Level> level;
 };
 
 /// One service's upstreams, as one entry sees them.
--- a/include/stairspur/transport/CallMessages.h
+++ b/include/stairspur/transport/CallMessages.h
@@ -35,8 +35,8 @@
 {
     Outcome outcome = Outcome::Unknown;
     Reason reason = Reason::None;
-    bool wasDispatched =
-            false; ///< The call, or an earlier attempt at it, may have reached a backend server.
+    /// The call, or an earlier attempt at it, may have reached a backend server.
+    bool wasDispatched = false;
     std::uint32_t unspentBudget = 0; ///< What is left of CallRequest::retryBudget.
     Duration retryAfter{0};          ///< When to come back, for refusals.
     std::uint32_t status = 0; ///< The backend server's, when the outcome is `answered` or `failed`.
--- a/include/stairspur/transport/DatagramChannel.h
+++ b/include/stairspur/transport/DatagramChannel.h
@@ -16,8 +16,8 @@
 {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
-    std::string
-            secret; ///< Datagrams carry an HMAC of it; those without are dropped and counted. Empty: none.
+    /// Datagrams carry an HMAC of it; those without are dropped and counted. Empty: none.
+    std::string secret;
     std::uint32_t maxBytes = 1400; ///< Stays below the usual path MTU.
     NodeId ownNode; ///< How other nodes address this one. Empty: `address` and the bound port.
 };
@@ -29,8 +29,8 @@
     std::uint64_t received = 0;
     std::uint64_t bytesSent = 0;
     std::uint64_t bytesReceived = 0;
-    std::uint64_t rejected =
-            0; ///< Garbage, strangers' and misdirected ones; too large ones to send.
+    /// Garbage, strangers' and misdirected ones; too large ones to send.
+    std::uint64_t rejected = 0;
 };
 
 /// Small control messages between nodes by UDP: a topic and CBOR bytes each. Nothing is resent.
--- a/include/stairspur/transport/PeerSettings.h
+++ b/include/stairspur/transport/PeerSettings.h
@@ -11,10 +11,10 @@
 struct PeerSettings
 {
     NodeId ownNode;
-    std::string
-            secret; ///< Shared by all nodes; each link proves that it knows it. Empty: no proof.
-    std::uint32_t frameBytes =
-            16U << 10U; ///< A large body goes in pieces of this size, so that it delays nobody.
+    /// Shared by all nodes; each link proves that it knows it. Empty: no proof.
+    std::string secret;
+    /// A large body goes in pieces of this size, so that it delays nobody.
+    std::uint32_t frameBytes = 16U << 10U;
     std::uint64_t maxBodyBytes = 8U << 20U;
     std::uint32_t maxLinks = 4096;
     std::uint32_t maxCallsPerLink = 4096;
