--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 
