--- a/include/stairspur/node/CallProtocol.h
+++ b/include/stairspur/node/CallProtocol.h
@@ -39,6 +39,8 @@
 /// How callers and backend servers speak where they don't speak the product's own protocol.
 struct CallProtocol
 {
+    /// A backend server runs exactly as many calls at once as it announces slots.
+    bool areSlotsExact = false;
     std::function<RoutedRequest(transport::HttpRequest)> readRequest;
     /// The response to a caller; never withheld.
     std::function<transport::HttpResponse(transport::CallAnswer)> writeAnswer;
--- a/include/stairspur/retry/RetryPolicy.h
+++ b/include/stairspur/retry/RetryPolicy.h
@@ -15,13 +15,13 @@
     Reason reason = Reason::None;
     /// It may have reached a backend server, so another one counts as a retry.
     bool wasDispatched = false;
-    /// The backend server itself refused it, and counts the next attempt as one more arrival.
-    bool didArrive = false;
     bool isIdempotent = false;    ///< The call may run more than once.
     std::uint32_t budget = 0;     ///< Extra attempts left for this call.
     bool hasServiceToken = false; ///< The service's bucket has a token.
     Duration remaining{0};        ///< Until the deadline.
     Duration expectedLatency{0};  ///< Of another attempt.
+    /// The backend server itself refused it, and counts the next attempt as one more arrival.
+    bool didArrive = false;
 };
 
 enum class RetryDecision {
--- a/source/admission/AdaptiveLimit.cpp
+++ b/source/admission/AdaptiveLimit.cpp
@@ -27,6 +27,13 @@
     m_limit = std::clamp(static_cast<double>(coldLimit), 1.0, m_slots);
 }
 
+auto AdaptiveLimit::fixedAt(std::uint32_t slots) -> AdaptiveLimit
+{
+    auto limit = AdaptiveLimit(slots, slots);
+    limit.m_isFixed = true;
+    return limit;
+}
+
 auto AdaptiveLimit::limit() const -> std::uint32_t
 {
     return static_cast<std::uint32_t>(m_limit);
@@ -36,14 +43,14 @@
 {
     const auto wasInSlowStart = m_slowStartEnd >= m_slots;
     m_slots = std::max(slots, 1U);
-    m_limit = std::min(m_limit, m_slots);
+    m_limit = m_isFixed ? m_slots : std::min(m_limit, m_slots);
     if (wasInSlowStart)
         m_slowStartEnd = m_slots;
 }
 
 auto AdaptiveLimit::didComplete(const Ended &ended, TimePoint now) -> void
 {
-    if (ended.completion == Completion::Cancelled)
+    if (m_isFixed || ended.completion == Completion::Cancelled)
         return;
     if (isTrouble(ended)) {
         shrink(ended, now);
--- a/source/admission/AdaptiveLimit.h
+++ b/source/admission/AdaptiveLimit.h
@@ -14,6 +14,9 @@
 public:
     AdaptiveLimit(std::uint32_t coldLimit, std::uint32_t slots);
 
+    /// A limit that always is the number of slots.
+    static auto fixedAt(std::uint32_t slots) -> AdaptiveLimit;
+
     /// The limit now, at least 1.
     [[nodiscard]] auto limit() const -> std::uint32_t;
 
@@ -36,6 +39,7 @@
     auto shrink(const Ended &ended, TimePoint now) -> void;
     [[nodiscard]] auto isTrouble(const Ended &ended) -> bool;
 
+    bool m_isFixed = false;
     double m_limit;
     double m_slots;
     double m_slowStartEnd; ///< Below this the limit doubles with each round of calls.
--- a/source/admission/State.cpp
+++ b/source/admission/State.cpp
@@ -31,9 +31,16 @@
 
 } // namespace
 
+static auto newLimit(const AdmissionSettings &settings) -> AdaptiveLimit
+{
+    return settings.trustsReportedSlots
+                   ? AdaptiveLimit::fixedAt(settings.reportedSlots)
+                   : AdaptiveLimit(settings.coldLimit, settings.reportedSlots);
+}
+
 AdmissionController::State::State(const AdmissionSettings &settings)
     : m_settings(settings)
-    , m_limit(settings.coldLimit, settings.reportedSlots)
+    , m_limit(newLimit(settings))
     , m_retryAfter(settings)
 {}
 
@@ -113,7 +120,7 @@
 
 auto AdmissionController::State::didReplaceBackend() -> void
 {
-    m_limit = AdaptiveLimit(m_settings.coldLimit, m_settings.reportedSlots);
+    m_limit = newLimit(m_settings);
     m_serviceTime = ServiceTime();
 }
 
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -21,6 +21,13 @@
 /// When to come back to a gate that has no serving backend server: about the time in which entries learn of it.
 static constexpr auto UnavailableRetryAfter = Duration{500'000};
 
+static auto admissionSettings(const CallProtocol *protocol) -> admission::AdmissionSettings
+{
+    auto settings = admission::AdmissionSettings();
+    settings.trustsReportedSlots = protocol && protocol->areSlotsExact;
+    return settings;
+}
+
 Gate::Gate(transport::asio::io_context &io, const NodeBoard &board, RunningCalls &running,
            NodeMetrics &metrics, CallIdSource &callIds, std::uint64_t seed,
            const CallProtocol *protocol)
@@ -30,7 +37,7 @@
     , m_metrics(metrics)
     , m_callIds(callIds)
     , m_random(seed)
-    , m_admission(std::make_unique<AdmissionController>(admission::AdmissionSettings()))
+    , m_admission(std::make_unique<AdmissionController>(admissionSettings(protocol)))
     , m_ticker(io)
     , m_protocol(protocol)
 {}
