Entry: Learn the call graph from the calls that backend servers make

Change: ObservedCalls notes by class which services the host's backend server calls; floors over these are told to the gate as if call paths named them.

--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -97,6 +97,7 @@
         co_return co_await routeShare(std::move(call), share, cancellation);
     }
     const auto parent = *call.parent;
+    m_observedCalls.didCall(call.request.level.rank(), call.request.service, monotonicNow());
     const auto childId = CallId{m_random()};
     auto cancelHere = [this, cancellation] {
         transport::asio::post(m_io, [cancellation] { cancellation->cancel(); });
@@ -384,6 +385,19 @@
     });
 }
 
+/// The greatest floor that a call of class `rank` meets at one of these services.
+auto Entry::floorOver(const std::vector<std::string> &services, ClassRank rank, TimePoint now) const
+        -> Level
+{
+    auto floor = LowestLevel;
+    for (const auto &it : services) {
+        const auto found = m_routes.find(it);
+        if (found != m_routes.end())
+            floor = std::max(floor, found->second->pool.floorFor(rank, now));
+    }
+    return floor;
+}
+
 /// Publishes the floors that calls of each class meet below this host's service, so that the gate can advertise them.
 auto Entry::tellDeeperFloors(TimePoint now) -> void
 {
@@ -393,13 +407,9 @@
         return;
     auto floors = std::vector<Level>();
     for (const auto &it : configuration->whole().classes) {
-        auto floor = LowestLevel;
-        for (const auto &deeper : configuration->deeperServices(service, it.rank)) {
-            const auto found = m_routes.find(deeper);
-            if (found != m_routes.end())
-                floor = std::max(floor, found->second->pool.floorFor(it.rank, now));
-        }
-        floors.push_back(floor);
+        auto deeper = configuration->deeperServices(service, it.rank);
+        std::ranges::move(m_observedCalls.servicesFor(it.rank, now), std::back_inserter(deeper));
+        floors.push_back(floorOver(deeper, it.rank, now));
     }
     if (floors == m_toldFloors && now - m_toldAt < FloorConfirmInterval)
         return;
--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -25,6 +25,7 @@
 #include "CallIntake.h"
 #include "NodeBoard.h"
 #include "NodeMetrics.h"
+#include "ObservedCalls.h"
 #include "RunningCalls.h"
 
 namespace stairspur::node {
@@ -105,6 +106,8 @@
     auto refreshFloors(TimePoint now) -> void;
     auto ensureFloorTimer() -> void;
     auto tellDeeperFloors(TimePoint now) -> void;
+    [[nodiscard]] auto floorOver(const std::vector<std::string> &services, ClassRank rank,
+                                 TimePoint now) const -> Level;
 
     transport::asio::io_context &m_io;
     const NodeSettings &m_settings;
@@ -120,6 +123,7 @@
     transport::asio::steady_timer m_floorTimer;
     std::vector<Level> m_toldFloors;
     TimePoint m_toldAt;
+    ObservedCalls m_observedCalls;
     const CallProtocol *m_protocol; ///< Null: the product's own.
     TimePoint m_floorsAt;
     bool m_hasFloorTimer = false;
