Retry: Feed buckets by requests, keep scarce tokens for few roots, retry only where the cause is

Change: where callers speak the platform's protocol, a shed attempt costs only a token of the service's bucket; buckets fill by requests, share the fleet's allowance, are charged for calls below a repeat, and raise a floor by level when tokens run out; a run that failed after a deeper call failed is not run anew.

--- a/include/stairspur/config/Configuration.h
+++ b/include/stairspur/config/Configuration.h
@@ -69,6 +69,9 @@
     std::uint32_t extraAttempts = 3; ///< Per root request, over its whole call graph.
     double successShare = 0.1;       ///< Tokens that each success adds to a service's retry bucket.
     double bucketSize = 10;          ///< Tokens that a bucket holds at most.
+    double requestShare = 0; ///< Tokens that each request adds, whatever becomes of it.
+    /// Tokens that the buckets of all hosts hold together at most; 0: `bucketSize` alone holds.
+    double fleetBucketSize = 0;
 };
 
 /// A service that a share of a route's requests goes to.
--- a/include/stairspur/core/Outcome.h
+++ b/include/stairspur/core/Outcome.h
@@ -47,10 +47,11 @@
     TooLarge,
     TooManyConnections,
     DamagedAnswer,
+    DeeperCallFailed, ///< It ran and failed after one of its own calls had failed for good.
 };
 
 template <>
-inline constexpr auto enumNames<Reason> = std::array<std::string_view, 28>{"none",
+inline constexpr auto enumNames<Reason> = std::array<std::string_view, 29>{"none",
                                                                            "bad-request",
                                                                            "unauthorized",
                                                                            "class-not-allowed",
@@ -77,6 +78,7 @@
                                                                            "wrong-placement",
                                                                            "too-large",
                                                                            "too-many-connections",
-                                                                           "damaged-answer"};
+                                                                           "damaged-answer",
+                                                                           "deeper-call-failed"};
 
 } // namespace stairspur
--- a/include/stairspur/node/NodeAdapter.h
+++ b/include/stairspur/node/NodeAdapter.h
@@ -43,6 +43,8 @@
     std::function<store::AnyStore(boost::asio::io_context &io, std::uint64_t seed)> makeStore;
     std::optional<distribution::WholeItemSource> configuration;
     std::vector<ControlListener> listeners;
+    /// Upon SIGHUP: the settings may have changed. Called on the thread of the signals; logs what it finds.
+    std::function<void()> reload;
 };
 
 } // namespace stairspur::node
--- a/include/stairspur/retry/RetryTokenBucket.h
+++ b/include/stairspur/retry/RetryTokenBucket.h
@@ -1,28 +1,59 @@
 #pragma once
 
+#include <stairspur/core/Level.h>
+
 namespace stairspur::retry {
 
-/// Bounds retries to a share of the successes of a service, so that a failing service is not flooded by retries.
+/// What fills a service's bucket.
+struct BucketLimits
+{
+    double successShare = 0; ///< Tokens that come with each success.
+    double requestShare = 0; ///< Tokens that come with each request, whatever becomes of it.
+    double size = 0;         ///< Tokens that the bucket holds at most.
+};
+
+/// Bounds retries to a share of the successes or requests of a service, so that a failing service is not flooded by
+/// retries.
+///
+/// When tokens are short, a floor rises under those who may have them. All calls of one root have one level, so that the
+/// tokens go to few roots that are served whole, and not to many of which each fails with some other call.
 class RetryTokenBucket
 {
 public:
-    /// `successShare` tokens come with each success, up to `size`; each retry takes one.
-    RetryTokenBucket(double successShare, double size);
+    explicit RetryTokenBucket(const BucketLimits &limits);
+    RetryTokenBucket(double successShare, double size)
+        : RetryTokenBucket(BucketLimits{successShare, 0, size})
+    {}
 
-    /// Other limits from a newer configuration; tokens above the new size are lost.
-    auto setLimits(double successShare, double size) -> void;
+    /// Other limits from a newer configuration or another size of the fleet; tokens above the new size are lost.
+    auto setLimits(const BucketLimits &limits) -> void;
 
+    auto didRequest() -> void;
     auto didSucceed() -> void;
 
     /// Takes a token, or says that none is left.
     auto tryTake() -> bool;
 
+    /// A call was sent that is a repeat already, because the call above it is one. It cannot be refused, so the bucket may
+    /// run into debt.
+    auto didRepeat() -> void;
+
+    /// Whether there is a token, and a call of this level may have it.
+    [[nodiscard]] auto hasTokenFor(Level level) const -> bool;
+
+    /// A call of this level wanted a token and got none.
+    auto didRefuse(Level level) -> void;
+
+    [[nodiscard]] auto floor() const -> Level { return m_floor; }
+
     [[nodiscard]] auto tokens() const -> double { return m_tokens; }
 
 private:
-    double m_successShare;
-    double m_size;
+    auto add(double tokens) -> void;
+
+    BucketLimits m_limits;
     double m_tokens;
+    Level m_floor = LowestLevel;
 };
 
 } // namespace stairspur::retry
--- a/source/config/SectionCodec.cpp
+++ b/source/config/SectionCodec.cpp
@@ -87,6 +87,11 @@
     json = {{"extraAttempts", retry.extraAttempts},
             {"successShare", retry.successShare},
             {"bucketSize", retry.bucketSize}};
+    // Left out where they are not used, so that the hashes of older files stay what they are.
+    if (retry.requestShare > 0)
+        json["requestShare"] = retry.requestShare;
+    if (retry.fleetBucketSize > 0)
+        json["fleetBucketSize"] = retry.fleetBucketSize;
 }
 
 auto from_json(const nlohmann::json &json, RetryLimits &retry) -> void
@@ -94,6 +99,8 @@
     json.at("extraAttempts").get_to(retry.extraAttempts);
     json.at("successShare").get_to(retry.successShare);
     json.at("bucketSize").get_to(retry.bucketSize);
+    retry.requestShare = json.value("requestShare", 0.0);
+    retry.fleetBucketSize = json.value("fleetBucketSize", 0.0);
 }
 
 auto to_json(nlohmann::json &json, const RouteTarget &target) -> void
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -104,8 +104,10 @@
     };
     auto share = m_running.addChild(parent, childId, std::move(cancelHere));
     // Routed calls are bounded by their route's attempts and their service's bucket, not by their parent's share.
-    if (m_protocol && share.refusal != Reason::ParentUnknown)
-        share = {Reason::None, call.request.retryBudget, false};
+    if (m_protocol && share.refusal != Reason::ParentUnknown) {
+        const auto isRepeat = share.isRepeat || share.refusal == Reason::RetryBudgetSpent;
+        share = {Reason::None, call.request.retryBudget, isRepeat};
+    }
     auto answer = co_await routeShare(std::move(call), share, cancellation);
     if (share.refusal == Reason::None)
         m_running.removeChild(parent, childId, answer.unspentBudget,
@@ -178,6 +180,7 @@
 auto Entry::attemptUntilFinal(const IncomingCall &call, ServiceRoutes &routes, Attempts &attempts,
                               const CancellationPtr &cancellation) -> Task<CallAnswer>
 {
+    routes.bucket.didRequest();
     while (true) {
         const auto now = monotonicNow();
         if (cancellation->isCancelled())
@@ -188,6 +191,11 @@
         const auto decision = routes.pool.choose(
                 {call.request.level, call.deadline, attempts.excluded}, now, m_random);
         logDecision(call, decision, attempts);
+        if (m_protocol && !decision.node && wasShed(attempts) && !attempts.excluded.empty()) {
+            // All have refused it once; what one of them refused for a moment it may take now.
+            attempts.excluded.clear();
+            continue;
+        }
         if (!decision.node) {
             // Whoever was asked knows better why than a pool in which nobody is left to ask.
             const auto isAsked = attempts.sent > 0 && decision.refusal == Reason::NoUpstream;
@@ -200,16 +208,30 @@
             co_return std::move(attempts.last);
         const auto step = nextStep(call, routes, attempts);
         noteRetryDecision(call, step, attempts);
+        if (step == RetryDecision::GiveUp && !routes.bucket.hasTokenFor(call.request.level))
+            routes.bucket.didRefuse(call.request.level);
         if (step == RetryDecision::GiveUp)
             co_return finalRefusal(attempts, attempts.last.reason, attempts.last.retryAfter);
-        if (step == RetryDecision::Retry) {
-            attempts.budget.trySpend();
-            routes.bucket.tryTake();
-        }
+        if (step == RetryDecision::Retry)
+            payForRetry(routes, attempts);
         attempts.excluded.push_back(*decision.node);
     }
 }
 
+/// The backend server itself refused the last attempt: it did not run, but it arrived.
+auto Entry::wasShed(const Attempts &attempts) -> bool
+{
+    return attempts.last.outcome == Outcome::NotRun && attempts.last.reason == Reason::BackendShed;
+}
+
+/// The root's budget bounds runs, the service's bucket arrivals.
+auto Entry::payForRetry(ServiceRoutes &routes, Attempts &attempts) -> void
+{
+    if (!m_protocol || !wasShed(attempts))
+        attempts.budget.trySpend();
+    routes.bucket.tryTake();
+}
+
 auto Entry::attempt(const IncomingCall &call, ServiceRoutes &routes, Attempts &attempts,
                     const NodeId &node, const CancellationPtr &cancellation) -> Task<void>
 {
@@ -218,7 +240,9 @@
     request.remaining = call.deadline - start;
     const auto share = attempts.budget.startAttempt(call.hasDeeperCalls);
     request.retryBudget = share.retryBudget;
-    request.isRepeat = share.isRepeat;
+    request.isRepeat = share.isRepeat || (m_protocol && attempts.hasArrived);
+    if (m_protocol && share.isRepeat && !attempts.hasArrived)
+        routes.bucket.didRepeat();
     ++attempts.sent;
     routes.pool.didSend(node, start);
     auto answer = co_await m_peers.call(node, std::move(request), cancellation);
@@ -230,6 +254,8 @@
         attempts.budget.didAnswer(answer.unspentBudget);
     attempts.mayHaveRun =
             attempts.mayHaveRun || answer.wasDispatched || answer.outcome == Outcome::Unknown;
+    attempts.hasArrived = attempts.hasArrived || answer.outcome != Outcome::NotRun
+                          || answer.reason == Reason::BackendShed;
     m_metrics.didEndAttempt(answer.outcome, answer.reason);
     if (answer.outcome == Outcome::Answered)
         routes.bucket.didSucceed();
@@ -243,15 +269,16 @@
     end.outcome = attempts.last.outcome;
     end.reason = attempts.last.reason;
     end.wasDispatched = attempts.last.wasDispatched || attempts.last.outcome != Outcome::NotRun;
-    end.didArrive = m_protocol && attempts.last.reason == Reason::BackendShed;
+    end.didArrive = m_protocol && wasShed(attempts);
     end.isIdempotent = call.isIdempotent;
-    end.budget = attempts.budget.left();
-    end.hasServiceToken = routes.bucket.tokens() >= 1.0;
+    end.budget = end.didArrive ? 1 : attempts.budget.left();
+    end.hasServiceToken = m_protocol ? routes.bucket.hasTokenFor(call.request.level)
+                                     : routes.bucket.tokens() >= 1.0;
     end.remaining = call.deadline - monotonicNow();
     end.expectedLatency = routes.pool.expectedLatency();
     const auto decision = retry::decideRetry(end);
-    if (decision == RetryDecision::Elsewhere
-        && attempts.excluded.size() >= retry::MaxElsewhereTries)
+    const auto isUnrun = decision == RetryDecision::Elsewhere || end.didArrive;
+    if (isUnrun && attempts.sent > retry::MaxElsewhereTries)
         return RetryDecision::GiveUp;
     return decision;
 }
@@ -284,22 +311,36 @@
     settings.ownNode = m_settings.nodeId();
     settings.ownDomain = m_settings.failureDomain;
     settings.subsetSize = m_settings.subsetSize;
-    const auto configuration = *m_board.configuration.read();
-    const auto limits = configuration ? configuration->whole().retry : config::RetryLimits();
-    auto routes = std::make_unique<ServiceRoutes>(
-            ServiceRoutes{routing::UpstreamPool(service, settings),
-                          retry::RetryTokenBucket(limits.successShare, limits.bucketSize)});
+    auto routes = std::make_unique<ServiceRoutes>(ServiceRoutes{
+            routing::UpstreamPool(service, settings), retry::RetryTokenBucket(bucketLimits())});
     return *m_routes.emplace(service, std::move(routes)).first->second;
 }
 
 auto Entry::didChangeConfiguration() -> void
+{
+    const auto limits = bucketLimits();
+    for (auto &[service, routes] : m_routes)
+        routes->bucket.setLimits(limits);
+}
+
+auto Entry::bucketLimits() const -> retry::BucketLimits
 {
     const auto configuration = *m_board.configuration.read();
-    if (!configuration)
+    const auto limits = configuration ? configuration->whole().retry : config::RetryLimits();
+    auto size = limits.bucketSize;
+    if (limits.fleetBucketSize > 0)
+        size = limits.fleetBucketSize / static_cast<double>(m_fleetSize);
+    return {limits.successShare, limits.requestShare, size};
+}
+
+auto Entry::noteFleetSize(const membership::MembershipView &view) -> void
+{
+    const auto isThere = [](const auto &it) { return it.liveness != membership::Liveness::Dead; };
+    const auto n = static_cast<std::size_t>(std::ranges::count_if(view.members, isThere));
+    if (n <= m_fleetSize)
         return;
-    const auto &limits = configuration->whole().retry;
-    for (auto &[service, routes] : m_routes)
-        routes->bucket.setLimits(limits.successShare, limits.bucketSize);
+    m_fleetSize = n;
+    didChangeConfiguration();
 }
 
 auto Entry::refreshMembers(const std::string &service, ServiceRoutes &routes) -> void
@@ -309,6 +350,7 @@
         return;
     routes.membersGeneration = generation;
     const auto view = m_board.members.read();
+    noteFleetSize(*view);
     auto upstreams = std::vector<routing::Upstream>();
     for (const auto &it : view->members) {
         const auto mayServe = it.state == membership::ServingState::Serving
--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -71,9 +71,13 @@
         retry::CallBudget budget;
         std::uint32_t sent = 0;
         bool mayHaveRun = false;
+        bool hasArrived = false;      ///< A backend server has got it, whether it ran it or not.
         transport::CallAnswer last{}; ///< Of the latest attempt.
     };
 
+    /// A node that knows no others yet must not take the retries of the whole fleet for its own.
+    static constexpr auto LeastFleetSize = std::size_t{16};
+
     auto readIncoming(transport::HttpRequest request,
                       const config::ConfigurationIndex &configuration, TimePoint start)
             -> IncomingCall;
@@ -87,6 +91,10 @@
             -> transport::Task<transport::CallAnswer>;
     auto refreshKeyedRouter() -> void;
     auto routesFor(const std::string &service) -> ServiceRoutes &;
+    [[nodiscard]] auto bucketLimits() const -> retry::BucketLimits;
+    auto noteFleetSize(const membership::MembershipView &view) -> void;
+    [[nodiscard]] static auto wasShed(const Attempts &attempts) -> bool;
+    auto payForRetry(ServiceRoutes &routes, Attempts &attempts) -> void;
     auto refreshMembers(const std::string &service, ServiceRoutes &routes) -> void;
     auto attemptUntilFinal(const IncomingCall &call, ServiceRoutes &routes, Attempts &attempts,
                            const transport::CancellationPtr &cancellation)
@@ -124,6 +132,7 @@
     std::vector<Level> m_toldFloors;
     TimePoint m_toldAt;
     ObservedCalls m_observedCalls;
+    std::size_t m_fleetSize = LeastFleetSize; ///< The most hosts that were known at once.
     const CallProtocol *m_protocol; ///< Null: the product's own.
     TimePoint m_floorsAt;
     bool m_hasFloorTimer = false;
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -246,6 +246,8 @@
     answer.wasDispatched = verdict.outcome != Outcome::NotRun;
     const auto closed = m_running.close(id);
     answer.unspentBudget = closed.unspentBudget;
+    if (verdict.outcome == Outcome::Failed && closed.wasHeldUpBelow)
+        answer.reason = Reason::DeeperCallFailed;
     apply(m_admission->didComplete(id, completionOf(verdict, closed), now - start, now, m_random));
     if (verdict.outcome == Outcome::NotRun)
         answer.retryAfter = UnavailableRetryAfter;
--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -282,6 +282,19 @@
     return isWhole;
 }
 
+/// SIGHUP asks for the settings to be read again, and never ends the process.
+static auto reloadUponSignal(asio::signal_set &hangUp, const NodeAdapter &adapter) -> void
+{
+    hangUp.async_wait([&hangUp, &adapter](const boost::system::error_code &ec, int) {
+        if (ec)
+            return;
+        log::Line(log::Severity::Info, "reload").add("has_settings_file", bool(adapter.reload));
+        if (adapter.reload)
+            adapter.reload();
+        reloadUponSignal(hangUp, adapter);
+    });
+}
+
 auto runNode(const NodeSettings &settings) -> int
 {
     return runAdaptedNode(settings, NodeAdapter());
@@ -295,6 +308,8 @@
                           settings.nodeId(), settings.logDecisionSample});
     auto signals = IoThread("signals");
     auto terminate = asio::signal_set(signals.io(), SIGTERM, SIGINT);
+    auto hangUp = asio::signal_set(signals.io(), SIGHUP);
+    reloadUponSignal(hangUp, adapter);
     auto node = Node(settings, adapter);
     node.start();
     terminate.async_wait([&node](const boost::system::error_code &ec, int number) {
--- a/source/retry/RetryPolicy.cpp
+++ b/source/retry/RetryPolicy.cpp
@@ -18,6 +18,9 @@
     case Reason::KeyUnknown:
     case Reason::KeyInProgress:
     case Reason::TooLarge:
+    // The call below was sent again as often as it may be. To run this one anew would make all of its calls anew: retries
+    // that multiply from level to level are what keeps an overload going.
+    case Reason::DeeperCallFailed:
         return true;
     default:
         return false;
--- a/source/routing/UpstreamView.cpp
+++ b/source/routing/UpstreamView.cpp
@@ -14,6 +14,7 @@
     case Reason::BackendFailed:
         return true;
     case Reason::Cancelled:
+    case Reason::DeeperCallFailed:
         return false;
     default:
         return result.outcome == Outcome::Failed || result.outcome == Outcome::Unknown;
--- a/tests/retry/TestRetryLedger.cpp
+++ b/tests/retry/TestRetryLedger.cpp
@@ -1,9 +1,13 @@
+#include <array>
+
 #include <criterion/criterion.h>
 
+#include <stairspur/core/Random.h>
 #include <stairspur/retry/CallBudget.h>
 #include <stairspur/retry/RetryLedger.h>
 #include <stairspur/retry/RetryTokenBucket.h>
 
+using namespace stairspur;
 using namespace stairspur::retry;
 
 Test(RetryLedger, shareIsHalfOfWhatIsLeftRoundedUp)
@@ -82,6 +86,68 @@
     cr_assert(!budget.trySpend());
 }
 
+Test(RetryTokenBucket, requestsFillItAndAnotherSizeCutsIt)
+{
+    auto bucket = RetryTokenBucket(BucketLimits{0, 0.5, 2});
+    cr_assert(bucket.tryTake() && bucket.tryTake() && !bucket.tryTake());
+    bucket.didRequest();
+    bucket.didSucceed();
+    cr_assert(!bucket.tryTake(), "a success alone adds nothing here");
+    bucket.didRequest();
+    cr_assert(bucket.tryTake());
+    bucket.setLimits({0, 1.0, 1});
+    for (auto n = 0; n < 9; ++n)
+        bucket.didRequest();
+    cr_assert_leq(bucket.tokens(), 1.0);
+}
+
+Test(RetryTokenBucket, repeatsOfTheCallAboveRunItIntoDebt)
+{
+    auto bucket = RetryTokenBucket(BucketLimits{0, 1.0, 2});
+    for (auto n = 0; n < 5; ++n)
+        bucket.didRepeat();
+    for (auto n = 0; n < 3; ++n)
+        bucket.didRequest();
+    cr_assert(!bucket.tryTake(), "three requests have paid for three of the five only");
+}
+
+Test(RetryTokenBucket, whenTokensAreShortTheyGoToFewRoots)
+{
+    constexpr auto Levels = std::uint16_t{128};
+    auto bucket = RetryTokenBucket(BucketLimits{0, 0.2, 2});
+    auto retries = std::array<int, Levels>();
+    auto random = Random(3);
+    for (auto n = 0; n < 20'000; ++n) {
+        const auto hash = static_cast<std::uint16_t>(randomBelow(random, Levels));
+        const auto level = makeLevel(0, hash);
+        bucket.didRequest();
+        const auto isGranted = bucket.hasTokenFor(level);
+        if (isGranted)
+            bucket.tryTake();
+        else
+            bucket.didRefuse(level);
+        if (n >= 10'000)
+            retries[hash] += isGranted ? 1 : 0;
+    }
+    auto low = 0;
+    auto high = 0;
+    for (auto hash = 0; hash < Levels; ++hash)
+        (hash < Levels / 2 ? low : high) += retries[hash];
+    cr_assert_gt(high, 20 * low, "the upper half got %d, the lower %d", high, low);
+}
+
+Test(RetryTokenBucket, theFloorFallsOnceThereAreTokensAgain)
+{
+    auto bucket = RetryTokenBucket(BucketLimits{0, 1.0, 1});
+    cr_assert(bucket.tryTake());
+    for (auto n = 0; n < 1000; ++n)
+        bucket.didRefuse(makeLevel(0, 127));
+    cr_assert_gt(bucket.floor(), makeLevel(0, 0));
+    for (auto n = 0; n < 5000; ++n)
+        bucket.didRequest();
+    cr_assert(bucket.hasTokenFor(LowestLevel));
+}
+
 Test(RetryTokenBucket, retriesAreAShareOfSuccesses)
 {
     auto bucket = RetryTokenBucket(0.1, 2);
