--- a/tests/node/CallPathHarness.h
+++ b/tests/node/CallPathHarness.h
@@ -40,10 +40,11 @@
     /// One host with its gate and its backend server.
     struct Host
     {
-        Host(transport::asio::io_context &io, Backend handler, const std::string &service)
+        Host(transport::asio::io_context &io, Backend handler, const std::string &service,
+             const CallProtocol *protocol = nullptr)
             : backend(io, {}, std::move(handler))
             , peerServer(io, "127.0.0.1", 0, {})
-            , gate(io, board, running, metrics, callIds, 7)
+            , gate(io, board, running, metrics, callIds, 7, protocol)
         {
             backend.start();
             board.backend.publish({service, backend.port(), 8, membership::ServingState::Serving});
@@ -68,9 +69,10 @@
         Gate gate;
     };
 
-    CallPathHarness()
-        : peers(io, {})
-        , entry(io, settings, board, running, metrics, peers, 1, 11)
+    explicit CallPathHarness(const CallProtocol *ownProtocol = nullptr)
+        : protocol(ownProtocol)
+        , peers(io, {})
+        , entry(io, settings, board, running, metrics, peers, 1, 11, ownProtocol)
     {
         settings.failureDomain = "centre";
         auto configuration = config::VersionedConfiguration();
@@ -88,7 +90,7 @@
 
     auto addHost(const std::string &service, Backend handler) -> Host &
     {
-        hosts.push_back(std::make_unique<Host>(io, std::move(handler), service));
+        hosts.push_back(std::make_unique<Host>(io, std::move(handler), service, protocol));
         auto view = *board.members.read();
         auto member = membership::Member();
         member.node = hosts.back()->node();
@@ -173,6 +175,7 @@
         return runUntil([this] { return waiting == 0; });
     }
 
+    const CallProtocol *protocol; ///< Null: the product's own.
     transport::asio::io_context io{1};
     NodeSettings settings;
     NodeBoard board;
--- /dev/null
+++ b/tests/node/TestRoutedIntake.cpp
@@ -0,0 +1,155 @@
+#include <memory>
+
+#include <stairspur/node/CallRejected.h>
+
+#include "../../source/node/RoutedIntake.h"
+
+#include <criterion/criterion.h>
+
+using namespace stairspur;
+using namespace stairspur::node;
+using namespace std::chrono_literals;
+
+static constexpr auto Now = TimePoint{1h};
+
+static auto makeIndex() -> config::ConfigurationIndex
+{
+    auto versioned = std::make_shared<config::VersionedConfiguration>();
+    auto &configuration = versioned->configuration;
+    configuration.classes = {{"orders", 0}, {"views", 1}};
+    configuration.services = {{.name = "menu"}, {.name = "beta"}, {.name = "maps"}};
+    configuration.ingress = config::IngressLimits{.maxBodyBytes = 4};
+    configuration.routes = {
+            {.name = "views", .host = "a", .pathPrefix = "/v/", .targets = {{"menu", 90}, {"beta", 10}},
+             .className = "views", .timeout = 5s, .maxAttempts = 2},
+            {.name = "maps", .host = "a", .pathPrefix = "/m/", .targets = {{"maps", 1}},
+             .className = "views", .isIdempotent = false, .timeout = 800ms, .maxAttempts = 1},
+            {.name = "lost", .host = "a", .pathPrefix = "/l/", .targets = {{"maps", 1}},
+             .className = "gone"},
+    };
+    return config::ConfigurationIndex(std::move(versioned));
+}
+
+static auto makeRequest(const std::string &path) -> RoutedRequest
+{
+    auto request = RoutedRequest();
+    request.attemptId = "root";
+    request.rootAttemptId = "root";
+    request.host = "a";
+    request.path = path;
+    request.remaining = 2s;
+    return request;
+}
+
+struct Intake
+{
+    config::ConfigurationIndex index = makeIndex();
+    RunningCalls running;
+    Random random{7};
+
+    auto route(RoutedRequest request) -> IncomingCall
+    {
+        return routeCall(std::move(request), index, running, "own", Now, random);
+    }
+};
+
+Test(RoutedIntake, theRouteGivesServiceClassAndAttempts)
+{
+    auto intake = Intake();
+    const auto call = intake.route(makeRequest("/m/1"));
+    cr_assert_eq(call.request.service, "maps");
+    cr_assert_eq(call.request.className, "views");
+    cr_assert_eq(call.request.level.rank(), 1);
+    cr_assert_eq(call.request.originService, "own");
+    cr_assert_eq(call.maxAttempts, 1);
+    cr_assert(!call.isIdempotent);
+    cr_assert(!call.parent);
+}
+
+Test(RoutedIntake, theDeadlineIsTheEarliestOfCallerAndRoute)
+{
+    auto intake = Intake();
+    cr_assert(intake.route(makeRequest("/v/1")).deadline == Now + 2s);
+    cr_assert(intake.route(makeRequest("/m/1")).deadline == Now + 800ms);
+    auto patient = makeRequest("/v/1");
+    patient.remaining.reset();
+    cr_assert(intake.route(patient).deadline == Now + 5s);
+}
+
+Test(RoutedIntake, weightsShareTheRequestsOut)
+{
+    auto intake = Intake();
+    auto toBeta = 0;
+    for (auto n = 0; n < 2000; ++n)
+        toBeta += intake.route(makeRequest("/v/1")).request.service == "beta" ? 1 : 0;
+    cr_assert(toBeta > 140 && toBeta < 260, "%d of 2000, where 200 are due", toBeta);
+}
+
+Test(RoutedIntake, aDeeperCallInheritsFromTheCallThatMakesIt)
+{
+    auto intake = Intake();
+    const auto parent = RunningCall{"orders", makeLevel(0, 9), {1, 2}, Now + 300ms, {}};
+    intake.running.open(callIdOf("root"), parent, 0, false);
+    auto deeper = makeRequest("/m/1");
+    deeper.attemptId = "root.child";
+    deeper.parentAttemptId = "root";
+    const auto call = intake.route(deeper);
+    cr_assert(call.parent == callIdOf("root"));
+    cr_assert(call.request.level == parent.level);
+    cr_assert(call.request.root == parent.root);
+    cr_assert_eq(call.request.className, "orders");
+    cr_assert(call.deadline == Now + 300ms);
+}
+
+Test(RoutedIntake, aDeeperCallWhoseParentIsUnknownHasItsRoutesClass)
+{
+    auto intake = Intake();
+    auto deeper = makeRequest("/m/1");
+    deeper.attemptId = "root.child";
+    deeper.parentAttemptId = "root";
+    const auto call = intake.route(deeper);
+    cr_assert(!call.parent);
+    cr_assert_eq(call.request.className, "views");
+}
+
+Test(RoutedIntake, aClassThatIsGoneIsTheLeastImportantOne)
+{
+    auto intake = Intake();
+    cr_assert_eq(intake.route(makeRequest("/l/1")).request.className, "views");
+}
+
+Test(RoutedIntake, oneRootHasOneLevelOnEveryHost)
+{
+    auto one = Intake();
+    auto other = Intake();
+    other.random.seed(99);
+    cr_assert(one.route(makeRequest("/v/1")).request.level
+              == other.route(makeRequest("/v/1")).request.level);
+}
+
+Test(RoutedIntake, whatHasNoRouteOrIsTooLargeIsRejected)
+{
+    auto intake = Intake();
+    auto elsewhere = makeRequest("/v/1");
+    elsewhere.host = "b";
+    auto large = makeRequest("/v/1");
+    large.body = "12345";
+    struct
+    {
+        RoutedRequest request;
+        Reason reason;
+    } const cases[] = {
+            {makeRequest("/x/"), Reason::UnknownService},
+            {elsewhere, Reason::UnknownService},
+            {large, Reason::TooLarge},
+    };
+    for (const auto &it : cases) {
+        auto reason = Reason::None;
+        try {
+            intake.route(it.request);
+        } catch (const CallRejected &error) {
+            reason = error.reason();
+        }
+        cr_expect(reason == it.reason, "%s", it.request.path.c_str());
+    }
+}
--- /dev/null
+++ b/tests/platform/TestKvStore.cpp
@@ -0,0 +1,209 @@
+#include <memory>
+#include <optional>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <platform/KvStore.h>
+#include <stairspur/store/AnyStore.h>
+
+#include "standins/platform/KvStandIn.h"
+
+// After Boost, whose headers its macros break.
+#include <criterion/criterion.h>
+
+/// The client of the platform's store and the stand-in against each other, on one io_context and loopback.
+using namespace stairspur;
+using namespace stairspur::store;
+using platform::KvStore;
+using standin::KvFault;
+using transport::Task;
+
+static_assert(PlatformStore<KvStore>);
+
+struct Bench
+{
+    boost::asio::io_context io{1};
+    standin::KvStandIn server{io};
+    KvStore store;
+
+    explicit Bench(Duration timeout = std::chrono::seconds(10))
+        : store(io, settings(timeout), 1)
+    {}
+
+    [[nodiscard]] auto settings(Duration timeout) const -> StoreSettings
+    {
+        auto it = StoreSettings();
+        it.port = server.port();
+        it.timeout = timeout;
+        it.callsPerSecond = 1000;
+        it.burst = 1000;
+        it.minBackoff = std::chrono::milliseconds(1);
+        it.maxBackoff = std::chrono::milliseconds(2);
+        return it;
+    }
+
+    template <typename Value>
+    auto wait(Task<Value> task) -> Value
+    {
+        auto result = std::optional<Value>();
+        boost::asio::co_spawn(io, std::move(task), [&](std::exception_ptr error, Value value) {
+            cr_assert(!error, "the coroutine threw");
+            result = std::move(value);
+        });
+        while (!result)
+            io.run_one();
+        return std::move(*result);
+    }
+
+    auto runUntil(const std::function<bool()> &isDone) -> void
+    {
+        while (!isDone())
+            io.run_one();
+    }
+};
+
+static auto createOnce(const std::string &key, const std::string &value, LeaseId lease)
+        -> Transaction
+{
+    auto transaction = Transaction();
+    transaction.compares.push_back({.key = key, .target = CompareTarget::Version, .number = 0});
+    transaction.operations.push_back({false, key, value, lease});
+    return transaction;
+}
+
+Test(KvStore, aKeyIsReadWithItsBytesAndOneThatIsMissingIsNone)
+{
+    auto bench = Bench();
+    const auto bytes = std::string("\0\xff\n\"", 4);
+    cr_assert(bench.wait(bench.store.put("/a b", bytes, 0)).isOk());
+    const auto found = bench.wait(bench.store.range({.key = "/a b"}));
+    cr_assert(found.isOk(), "%s", found.detail.c_str());
+    cr_assert_eq(found.value.pairs.size(), 1);
+    cr_assert(found.value.pairs[0].value == bytes);
+    const auto missing = bench.wait(bench.store.range({.key = "/none"}));
+    cr_assert(missing.isOk() && missing.value.pairs.empty());
+}
+
+Test(KvStore, aPrefixIsReadPageByPage)
+{
+    auto bench = Bench();
+    for (auto n = 0; n < 8; ++n)
+        bench.server.put("/p/" + std::to_string(n), "v");
+    bench.server.put("/q", "v");
+    const auto all = bench.wait(bench.store.range({.key = "/p/", .rangeEnd = endOfPrefix("/p/")}));
+    cr_assert(all.isOk());
+    cr_assert_eq(all.value.pairs.size(), 8);
+    const auto other = bench.wait(bench.store.range({.key = "/a", .rangeEnd = "/k"}));
+    cr_assert(other.status == StoreStatus::Rejected, "the store has no such range");
+}
+
+Test(KvStore, aKeyIsCreatedOnceAndItsLeaseTakesItAway)
+{
+    auto bench = Bench();
+    const auto lease = bench.wait(bench.store.grantLease(std::chrono::milliseconds(1500)));
+    cr_assert(lease.isOk());
+    cr_assert(lease.value.timeToLive == std::chrono::milliseconds(1500));
+    const auto id = lease.value.lease;
+    cr_assert(bench.wait(bench.store.txn(createOnce("/k", "1", id))).isOk());
+    cr_assert(bench.wait(bench.store.txn(createOnce("/k", "2", 0))).status
+              == StoreStatus::CasFailed);
+    cr_assert(bench.wait(bench.store.keepLeaseAlive(id)).isOk());
+    cr_assert(bench.wait(bench.store.revokeLease(id)).isOk());
+    cr_assert(bench.server.items().empty());
+    cr_assert(bench.wait(bench.store.keepLeaseAlive(id)).status == StoreStatus::Rejected);
+    cr_assert(bench.wait(bench.store.txn(createOnce("/k", "3", id))).status
+              == StoreStatus::Rejected);
+}
+
+Test(KvStore, conditionsThatTheStoreDoesNotHaveAreRejectedUnsent)
+{
+    auto bench = Bench();
+    auto transaction = Transaction();
+    transaction.compares.push_back({.key = "/k", .order = CompareOrder::Greater, .number = 3});
+    const auto calls = bench.server.calls();
+    cr_assert(bench.wait(bench.store.txn(transaction)).status == StoreStatus::Rejected);
+    cr_assert_eq(bench.server.calls(), calls);
+}
+
+Test(KvStore, eachFaultHasItsStatus)
+{
+    struct
+    {
+        const char *name;
+        KvFault fault;
+        std::uint32_t times;
+        StoreStatus read;
+        StoreStatus write;
+    } const cases[] = {
+            {"busy once", KvFault::Busy, 1, StoreStatus::Ok, StoreStatus::Ok},
+            {"busy for long", KvFault::Busy, 99, StoreStatus::Unreachable,
+             StoreStatus::Unreachable},
+            {"over the rate", KvFault::TooMany, 99, StoreStatus::Unreachable,
+             StoreStatus::Unreachable},
+            {"answer lost once", KvFault::LoseAnswer, 1, StoreStatus::Ok, StoreStatus::Unknown},
+            {"no JSON", KvFault::Garbage, 99, StoreStatus::Unknown, StoreStatus::Unknown},
+    };
+    for (const auto &it : cases) {
+        auto bench = Bench(std::chrono::seconds(1));
+        bench.server.put("/k", "v");
+        bench.server.failNext(it.fault, it.times);
+        const auto read = bench.wait(bench.store.range({.key = "/k"}));
+        cr_expect(read.status == it.read, "%s: read", it.name);
+        bench.server.failNext(it.fault, it.times);
+        const auto written = bench.wait(bench.store.put("/w", "v", 0));
+        cr_expect(written.status == it.write, "%s: write", it.name);
+    }
+}
+
+Test(KvStore, aWatchTellsWhatIsThereAndThenWhatChanges)
+{
+    auto bench = Bench();
+    bench.server.put("op/config", "one");
+    auto seen = std::vector<std::string>();
+    auto handler = [&](const WatchMessage &message) {
+        for (const auto &it : message.events)
+            seen.push_back(it.isDelete ? "(deleted)" : it.pair.value);
+    };
+    const auto cancellation = std::make_shared<transport::Cancellation>();
+    auto end = std::optional<StoreResult<WatchEnd>>();
+    boost::asio::co_spawn(
+            bench.io, bench.store.watch({.key = "op/config"}, handler, cancellation),
+            [&](std::exception_ptr, StoreResult<WatchEnd> it) { end = std::move(it); });
+    bench.runUntil([&] { return seen.size() == 1; });
+    bench.server.put("other", "x");
+    bench.server.put("op/config", "two");
+    bench.runUntil([&] { return seen.size() == 2; });
+    bench.server.remove("op/config");
+    bench.runUntil([&] { return seen.size() == 3; });
+    cancellation->cancel();
+    bench.runUntil([&] { return end.has_value(); });
+    cr_assert(seen == (std::vector<std::string>{"one", "two", "(deleted)"}));
+}
+
+Test(KvStore, aWatchWhoseHistoryIsGoneStartsAnew)
+{
+    auto bench = Bench();
+    bench.server.put("op/config", "one");
+    const auto start = bench.server.revision();
+    bench.server.put("op/config", "two");
+    bench.server.compact();
+    auto handler = [](const WatchMessage &) {};
+    const auto end = bench.wait(
+            bench.store.watch({.key = "op/config", .startRevision = start}, handler, nullptr));
+    cr_assert(end.status == StoreStatus::Rejected);
+    cr_assert_eq(end.value.nextRevision, 0);
+}
+
+Test(KvStore, aWatchThatFailsGoesOnFromWhereItWas)
+{
+    auto bench = Bench();
+    bench.server.put("op/config", "one");
+    const auto next = bench.server.revision() + 1;
+    bench.server.failNext(KvFault::Busy, 9);
+    auto handler = [](const WatchMessage &) {};
+    const auto end = bench.wait(
+            bench.store.watch({.key = "op/config", .startRevision = next}, handler, nullptr));
+    cr_assert(end.status == StoreStatus::Unreachable);
+    cr_assert_eq(end.value.nextRevision, next);
+}
--- a/tests/transport/TestHttpClient.cpp
+++ b/tests/transport/TestHttpClient.cpp
@@ -190,3 +190,53 @@
     request.headers.add("X", "a\r\nY: b");
     cr_assert_throw(runTask(io, client.send(request, LongTimeout, nullptr)), InputError);
 }
+
+/// An answer with an id, as a server sends it that names the request.
+static auto answerWithId(const std::string &id, const std::string &more = {}) -> std::string
+{
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\n" + more + "Content-Length: 2\r\n\r\nok";
+}
+
+static auto isSameId(const HttpRequest &request, const HttpResponse &response) -> bool
+{
+    return request.headers.find("X-Id") == response.headers.find("X-Id");
+}
+
+Test(HttpClient, anAnswerToAnotherRequestIsPassedOver)
+{
+    struct
+    {
+        const char *name;
+        std::string bytes;
+        std::optional<HttpFailure> failure;
+    } const cases[] = {
+            {"own", answerWithId("own"), std::nullopt},
+            {"late one first", answerWithId("old") + answerWithId("own"), std::nullopt},
+            {"only a late one, then the end", answerWithId("old", "Connection: close\r\n"),
+             HttpFailure::Broken},
+            {"many late ones",
+             answerWithId("1") + answerWithId("2") + answerWithId("3") + answerWithId("own"),
+             HttpFailure::Broken},
+    };
+    for (const auto &it : cases) {
+        auto io = asio::io_context();
+        auto server = ScriptedServer(io, it.bytes, true);
+        auto client = HttpClient(io, {.port = server.port(), .isAnswerTo = isSameId});
+        auto request = get("/");
+        request.headers.set("X-Id", "own");
+        const auto failure = failureOf(io, client.send(request, LongTimeout, nullptr));
+        cr_expect(failure == it.failure, "%s", it.name);
+    }
+}
+
+Test(HttpClient, aConnectionThatTheServerIsAboutToCloseIsNotUsed)
+{
+    auto io = asio::io_context();
+    // The announced idle limit is shorter than the margin before which a connection is given up.
+    auto server = ScriptedServer(
+            io, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n", true);
+    auto client = HttpClient(io, {.port = server.port()});
+    for (auto n = 0; n < 2; ++n)
+        cr_assert(!failureOf(io, client.send(get("/"), LongTimeout, nullptr)));
+    cr_assert_eq(server.requests(), 2, "each request came on a connection of its own");
+}
