Node: Seek lost links in the background, serve through the notice of a stop

Change: a link that was lost is reopened by a timer and calls to it are refused at once (not-run, so they go elsewhere); the gate drains after the notice; leaving is told while the last requests end.

--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -198,18 +198,36 @@
             return;
         log::Line(log::Severity::Info, "drain-started").add("cause", cause);
         m_board.stage.publish(LifeStage::Draining);
-        m_drainStart = monotonicNow();
-        m_controlPlane->announceDraining();
-        stopTakingCallers();
         m_drainTimer.expires_after(m_settings.drainTimeout);
         m_drainTimer.async_wait([this](const boost::system::error_code &ec) {
             if (!ec)
                 finishDrain(false);
         });
-        drainGate();
+        stopTakingCallers();
+    });
+}
+
+/// Callers that see that the node is not ready go elsewhere; until then everything is served as before.
+auto Node::stopTakingCallers() -> void
+{
+    if (m_settings.stopNotice <= Duration::zero()) {
+        stopTakingWork();
+        return;
+    }
+    asio::post(m_entryThread.io(), [this] { m_entryServer.startClosing(); });
+    m_noticeTimer.expires_after(m_settings.stopNotice);
+    m_noticeTimer.async_wait([this](const boost::system::error_code &ec) {
+        if (!ec)
+            stopTakingWork();
     });
 }
 
+auto Node::stopTakingWork() -> void
+{
+    m_controlPlane->announceDraining();
+    drainGate();
+}
+
 auto Node::drainGate() -> void
 {
     asio::post(m_gateThread.io(), [this] { m_gate.drain([this] { drainKeys(); }); });
@@ -219,7 +237,7 @@
 auto Node::drainKeys() -> void
 {
     auto didFinish = [this](bool /*isWhole*/) {
-        asio::post(m_control.io(), [this] { drainEntryWhenNoticed(); });
+        asio::post(m_control.io(), [this] { drainEntry(); });
     };
     if (m_keyedGate)
         m_keyedGate->handOver(didFinish);
@@ -227,30 +245,13 @@
         didFinish(true);
 }
 
-/// Callers that see that the node is not ready go elsewhere; until then their requests are still taken.
-auto Node::stopTakingCallers() -> void
-{
-    if (m_settings.stopNotice > Duration::zero())
-        asio::post(m_entryThread.io(), [this] { m_entryServer.startClosing(); });
-}
-
-auto Node::drainEntryWhenNoticed() -> void
-{
-    const auto rest = m_settings.stopNotice - (monotonicNow() - m_drainStart);
-    if (rest <= Duration::zero()) {
-        drainEntry();
-        return;
-    }
-    m_noticeTimer.expires_after(rest);
-    m_noticeTimer.async_wait([this](const boost::system::error_code &ec) {
-        if (!ec)
-            drainEntry();
-    });
-}
-
 auto Node::drainEntry() -> void
 {
     m_board.stage.publish(LifeStage::Stopping);
+    m_controlPlane->leave([this] {
+        m_hasLeft = true;
+        finishDrainIfDone();
+    });
     asio::post(m_entryThread.io(), [this] {
         m_entryServer.drain([this] { asio::post(m_control.io(), [this] { drainPeers(); }); });
     });
@@ -259,10 +260,22 @@
 auto Node::drainPeers() -> void
 {
     asio::post(m_gateThread.io(), [this] {
-        m_peerServer.drain([this] { asio::post(m_control.io(), [this] { finishDrain(true); }); });
+        m_peerServer.drain([this] {
+            asio::post(m_control.io(), [this] {
+                m_arePeersDrained = true;
+                finishDrainIfDone();
+            });
+        });
     });
 }
 
+/// The word that this node goes is repeated while its last requests end.
+auto Node::finishDrainIfDone() -> void
+{
+    if (m_arePeersDrained && m_hasLeft)
+        finishDrain(true);
+}
+
 auto Node::finishDrain(bool isWhole) -> void
 {
     if (std::exchange(m_isStopped, true))
@@ -270,7 +283,7 @@
     m_drainTimer.cancel();
     log::Line(isWhole ? log::Severity::Info : log::Severity::Warning, "drain-finished")
             .add("whole", isWhole);
-    m_controlPlane->leave([this, isWhole] { m_stopped.set_value(isWhole); });
+    m_stopped.set_value(isWhole);
 }
 
 auto Node::waitUntilStopped() -> bool
--- a/source/node/Node.h
+++ b/source/node/Node.h
@@ -50,7 +50,7 @@
     auto didChangeConfiguration() -> void;
     auto setIngressLimits(const config::IngressLimits &limits) -> void;
     auto stopTakingCallers() -> void;
-    auto drainEntryWhenNoticed() -> void;
+    auto stopTakingWork() -> void;
     auto publishEntryState() -> void;
     auto publishGateState() -> void;
     auto handleCall(transport::CallRequest request, transport::CancellationPtr cancellation)
@@ -61,6 +61,7 @@
     auto drainKeys() -> void;
     auto drainEntry() -> void;
     auto drainPeers() -> void;
+    auto finishDrainIfDone() -> void;
     auto finishDrain(bool isWhole) -> void;
 
     NodeSettings m_settings;
@@ -84,8 +85,9 @@
     std::unique_ptr<ControlPlane> m_controlPlane;
     transport::asio::steady_timer m_drainTimer;
     transport::asio::steady_timer m_noticeTimer;
-    TimePoint m_drainStart;
     bool m_isDraining = false;
+    bool m_arePeersDrained = false;
+    bool m_hasLeft = false; ///< The other nodes have been told that this one goes.
     bool m_isStopped = false;
     std::promise<bool> m_stopped;
 };
--- a/source/transport/PeerClient.cpp
+++ b/source/transport/PeerClient.cpp
@@ -3,15 +3,19 @@
 #include <algorithm>
 #include <unordered_map>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <stairspur/core/Random.h>
 
 #include "PeerClientLink.h"
 
 namespace stairspur::transport {
 
-/// The first rest after a failed connect; doubled with each further one, up to the greatest.
+/// The first rest after a link was lost; doubled with each further failure, up to the greatest.
 static constexpr auto FirstBackoff = Duration(50'000);
-static constexpr auto MaxBackoff = Duration(2'000'000);
+static constexpr auto MaxBackoff = Duration(1'000'000);
+/// A lost link that nobody has asked for in this time is no longer sought.
+static constexpr auto SeekTime = Duration(60'000'000);
 static constexpr auto MaxDoublings = 6U;
 
 class PeerClient::Links : public std::enable_shared_from_this<PeerClient::Links>
@@ -52,7 +56,7 @@
         if (it == m_entries.end())
             return;
         const auto link = std::move(it->second.link);
-        m_entries.erase(it);
+        m_entries.erase(it); // Its timer ends with it.
         if (!link)
             return;
         m_leaving.emplace(link.get(), link);
@@ -85,7 +89,11 @@
     {
         std::shared_ptr<PeerClientLink> link;
         std::uint32_t failures = 0;
-        TimePoint mayConnectAt;
+        /// The last link was lost and no other is open yet. Calls are refused meanwhile: they do not wait for a connect to
+        /// a host that may be dead.
+        bool isDown = false;
+        TimePoint lastWanted;
+        std::shared_ptr<asio::steady_timer> reconnect;
     };
 
     static auto refuse(const CallRequest &request, Reason reason) -> CallAnswer
@@ -94,18 +102,26 @@
                 .outcome = Outcome::NotRun, .reason = reason, .unspentBudget = request.retryBudget};
     }
 
-    /// The link to `node`, which may still be connecting; nothing while a failed one rests.
+    /// The link to `node`, which may still be connecting for the first time; nothing while a lost one is sought.
     auto obtain(const NodeId &node) -> std::shared_ptr<PeerClientLink>
     {
         auto &entry = m_entries[node];
-        if (entry.link)
-            return entry.link;
-        if (monotonicNow() < entry.mayConnectAt)
+        entry.lastWanted = monotonicNow();
+        if (entry.isDown)
             return nullptr;
+        return entry.link ? entry.link : open(node, entry);
+    }
+
+    auto open(const NodeId &node, Entry &entry) -> std::shared_ptr<PeerClientLink>
+    {
         auto link = std::make_shared<PeerClientLink>(m_context, node);
-        link->setDidClose([weak = weak_from_this(), node, key = link.get()](bool wasReady) {
+        link->setDidClose([weak = weak_from_this(), node, key = link.get()](LinkEnd end) {
+            if (const auto self = weak.lock())
+                self->didClose(node, key, end);
+        });
+        link->setDidReady([weak = weak_from_this(), node, key = link.get()] {
             if (const auto self = weak.lock())
-                self->didClose(node, key, wasReady);
+                self->didOpen(node, key);
         });
         link->setDidIdle([weak = weak_from_this(), node, key = link.get()] {
             if (const auto self = weak.lock())
@@ -123,7 +139,16 @@
             release(node);
     }
 
-    auto didClose(const NodeId &node, const PeerClientLink *link, bool wasReady) -> void
+    auto didOpen(const NodeId &node, const PeerClientLink *link) -> void
+    {
+        const auto it = m_entries.find(node);
+        if (it == m_entries.end() || it->second.link.get() != link)
+            return;
+        it->second.failures = 0;
+        it->second.isDown = false;
+    }
+
+    auto didClose(const NodeId &node, const PeerClientLink *link, LinkEnd end) -> void
     {
         m_leaving.erase(link);
         const auto it = m_entries.find(node);
@@ -131,9 +156,33 @@
             return; // Released meanwhile, and perhaps replaced.
         auto &entry = it->second;
         entry.link.reset();
-        entry.failures = wasReady ? 0 : std::min(entry.failures + 1, MaxDoublings);
-        if (!wasReady)
-            entry.mayConnectAt = monotonicNow() + backoff(entry.failures);
+        if (end == LinkEnd::Graceful)
+            return;
+        entry.failures = std::min(entry.failures + 1, MaxDoublings);
+        entry.isDown = true;
+        scheduleReconnect(node, entry);
+    }
+
+    auto scheduleReconnect(const NodeId &node, Entry &entry) -> void
+    {
+        entry.reconnect = std::make_shared<asio::steady_timer>(m_context->io,
+                                                               backoff(entry.failures));
+        entry.reconnect->async_wait([weak = weak_from_this(), node](auto ec) {
+            const auto self = weak.lock();
+            if (self && !ec)
+                self->reconnect(node);
+        });
+    }
+
+    auto reconnect(const NodeId &node) -> void
+    {
+        const auto it = m_entries.find(node);
+        if (it == m_entries.end() || it->second.link)
+            return;
+        if (monotonicNow() - it->second.lastWanted > SeekTime)
+            m_entries.erase(it); // The next call opens it as if for the first time.
+        else
+            open(node, it->second);
     }
 
     /// Half of it is random, so that nodes that lost the same peer don't come back all at once.
--- a/source/transport/PeerClientLink.cpp
+++ b/source/transport/PeerClientLink.cpp
@@ -253,6 +253,8 @@
     log::Line(log::Severity::Info, "link-opened").add("peer", m_node);
     for (auto *it : m_waitersForReady)
         it->wakeUp();
+    if (m_didReady)
+        std::exchange(m_didReady, nullptr)();
     m_lastUsed = monotonicNow();
     if (m_context->settings.idleLinkTimeout > Duration(0))
         scheduleIdleCheck(m_context->settings.idleLinkTimeout);
@@ -355,8 +357,11 @@
         it->wakeUp();
     for (const auto &[id, it] : m_pending)
         it->wakeUp();
+    const auto end = isGraceful || m_isReleased ? LinkEnd::Graceful
+                     : wasReady                 ? LinkEnd::Broken
+                                                : LinkEnd::NeverReady;
     if (m_didClose)
-        std::exchange(m_didClose, nullptr)(wasReady);
+        std::exchange(m_didClose, nullptr)(end);
 }
 
 auto PeerClientLink::closeIfReleased() -> void
--- a/source/transport/PeerClientLink.h
+++ b/source/transport/PeerClientLink.h
@@ -24,13 +24,21 @@
     PeerTraffic traffic;
 };
 
+/// How a link ended.
+enum class LinkEnd {
+    Graceful,   ///< Either end closed it in order.
+    Broken,     ///< It was lost while it was up.
+    NeverReady, ///< It could not be opened.
+};
+
 /// The connecting end of one link.
 class PeerClientLink final
     : public std::enable_shared_from_this<PeerClientLink>
     , private PeerLink::Observer
 {
 public:
-    using DidClose = std::function<void(bool wasReady)>;
+    using DidClose = std::function<void(LinkEnd)>;
+    using DidReady = std::function<void()>;
     using DidIdle = std::function<void()>;
 
     PeerClientLink(std::shared_ptr<PeerClientContext> context, NodeId node);
@@ -38,6 +46,9 @@
     /// Told once, when the link has closed, unless abort() ended it.
     auto setDidClose(DidClose didClose) -> void { m_didClose = std::move(didClose); }
 
+    /// Told once, when the link is open.
+    auto setDidReady(DidReady didReady) -> void { m_didReady = std::move(didReady); }
+
     /// Told once, when nobody has used the link for idleLinkTimeout.
     auto setDidIdle(DidIdle didIdle) -> void { m_didIdle = std::move(didIdle); }
 
@@ -81,6 +92,7 @@
     std::shared_ptr<PeerClientContext> m_context;
     NodeId m_node;
     DidClose m_didClose;
+    DidReady m_didReady;
     DidIdle m_didIdle;
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer; ///< Ends a connect that takes too long, later looks for idleness.
