Floors: Tell them by path; Rendezvous: find each other within a second

Change: a call carries its route's path; reports hold floors by path beside those by class; what a backend server calls is learnt by path; calls of a running request stand a quarter of a class above new ones.

--- a/include/stairspur/admission/AdmissionController.h
+++ b/include/stairspur/admission/AdmissionController.h
@@ -33,6 +33,7 @@
     CallId id = 0;
     Level level;
     TimePoint deadline;
+    PathKey path = NoPath;
 };
 
 /// A call that the controller has given up on. It gets its final answer at once.
@@ -93,9 +94,9 @@
     /// was learnt of its service time is forgotten. Calls that still run at the former one count until they end.
     auto didReplaceBackend() -> void;
 
-    /// The greatest floor of the deeper services, by class rank, for the next reports and admissions. Tell it again at
+    /// The greatest floor of the deeper services, by class rank and by path, for the next reports and admissions. Tell it again at
     /// least twice a second, changed or not: floors that nobody confirms lapse after one second.
-    auto setDeeperFloors(std::vector<Level> floors) -> void;
+    auto setDeeperFloors(std::vector<Level> floors, std::vector<PathFloor> pathFloors = {}) -> void;
 
     /// Refuses all calls that wait now. Later ones are offered as before.
     auto refuseWaiting(Reason reason, TimePoint now, Random &random) -> Progress;
--- a/include/stairspur/admission/LoadReport.h
+++ b/include/stairspur/admission/LoadReport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
@@ -25,12 +26,16 @@
     /// empty list admits all.
     std::vector<Level> floors;
 
-    /// The floor that a call of class `rank` meets.
-    [[nodiscard]] auto floorFor(ClassRank rank) const -> Level
+    /// Greater floors of single paths, because of the deeper services that their calls need.
+    std::vector<PathFloor> pathFloors;
+
+    /// The floor that a call of this class and path meets.
+    [[nodiscard]] auto floorFor(FloorKey key) const -> Level
     {
+        const auto ofPath = floorOfPath(pathFloors, key.path);
         if (floors.empty())
-            return LowestLevel;
-        return rank < floors.size() ? floors[rank] : floors.back();
+            return ofPath;
+        return std::max(ofPath, key.rank < floors.size() ? floors[key.rank] : floors.back());
     }
 };
 
--- a/include/stairspur/config/Configuration.h
+++ b/include/stairspur/config/Configuration.h
@@ -69,7 +69,7 @@
     std::uint32_t extraAttempts = 3; ///< Per root request, over its whole call graph.
     double successShare = 0.1;       ///< Tokens that each success adds to a service's retry bucket.
     double bucketSize = 10;          ///< Tokens that a bucket holds at most.
-    double requestShare = 0; ///< Tokens that each request adds, whatever becomes of it.
+    double requestShare = 0;         ///< Tokens that each request adds, whatever becomes of it.
     /// Tokens that the buckets of all hosts hold together at most; 0: `bucketSize` alone holds.
     double fleetBucketSize = 0;
 };
@@ -85,14 +85,14 @@
 struct Route
 {
     std::string name;
-    std::string host;                ///< Of the Host field, without a port.
-    std::string pathPrefix;          ///< Begins and ends with a slash; the longest one that fits decides.
-    std::vector<RouteTarget> targets; ///< At least one.
-    std::string className;           ///< Priority class of requests from outside.
-    bool isIdempotent = true;        ///< False: a request runs at most once, without any key.
-    Duration timeout{30'000'000};    ///< From the request's arrival to its final answer.
+    std::string host;       ///< Of the Host field, without a port.
+    std::string pathPrefix; ///< Begins and ends with a slash; the longest one that fits decides.
+    std::vector<RouteTarget> targets;     ///< At least one.
+    std::string className;                ///< Priority class of requests from outside.
+    bool isIdempotent = true;             ///< False: a request runs at most once, without any key.
+    Duration timeout{30'000'000};         ///< From the request's arrival to its final answer.
     Duration latencyObjective{1'000'000}; ///< An answer within it is worth most.
-    std::uint32_t maxAttempts = 2;   ///< Upstreams that one request is sent to, at most.
+    std::uint32_t maxAttempts = 2;        ///< Upstreams that one request is sent to, at most.
 };
 
 /// What bounds the requests of callers, whatever route they take.
--- a/include/stairspur/core/Level.h
+++ b/include/stairspur/core/Level.h
@@ -41,4 +41,48 @@
                                             + hash % HashesPerClass)};
 }
 
+/// Names a way through the call graph: calls of one path go on to the same deeper services.
+using PathKey = std::uint32_t;
+
+/// Calls whose path is not told apart from others of their class.
+inline constexpr PathKey NoPath = 0;
+
+/// Which floor holds for a call: that of its class, and that of its path where one is known.
+struct FloorKey
+{
+    // Implicit, since a class alone names a floor wherever paths are not told apart.
+    constexpr FloorKey(ClassRank ofRank,
+                       PathKey ofPath = NoPath) // NOLINT(google-explicit-constructor)
+        : rank(ofRank)
+        , path(ofPath)
+    {}
+
+    ClassRank rank;
+    PathKey path;
+
+    auto operator==(const FloorKey &) const -> bool = default;
+};
+
+/// The floor that the calls of one path meet below a gate.
+struct PathFloor
+{
+    PathKey path = NoPath;
+    Level floor;
+
+    auto operator==(const PathFloor &) const -> bool = default;
+};
+
+/// The floor of `path` in a list; the lowest one when the list does not name it.
+template <typename List>
+constexpr auto floorOfPath(const List &floors, PathKey path) -> Level
+{
+    if (path != NoPath) {
+        for (const auto &it : floors) {
+            if (it.path == path)
+                return it.floor;
+        }
+    }
+    return LowestLevel;
+}
+
 } // namespace stairspur
--- a/include/stairspur/membership/Announcement.h
+++ b/include/stairspur/membership/Announcement.h
@@ -24,7 +24,7 @@
     std::uint16_t port = 0;  ///< Of its HTTP server, on the same host.
     std::uint32_t slots = 0; ///< Calls that it can run at once.
     ServingState state = ServingState::Starting;
-    std::uint32_t inFlight = 0; ///< Calls that it runs now.
+    std::uint32_t inFlight = 0;        ///< Calls that it runs now.
     std::string address = "127.0.0.1"; ///< Of its HTTP server.
     std::string instance; ///< Names one start of the backend server; empty where it has no name.
     std::uint64_t sequence = 0; ///< Grows with each announcement of one instance; 0: not told.
--- a/include/stairspur/membership/BackendAnnouncements.h
+++ b/include/stairspur/membership/BackendAnnouncements.h
@@ -51,7 +51,8 @@
     bool m_isDraining = false;
     TimePoint m_lastHeard;
     std::optional<Announcement> m_current;
-    std::deque<std::string> m_retired; ///< Instances that were replaced or have left, the last ones.
+    std::deque<std::string>
+            m_retired; ///< Instances that were replaced or have left, the last ones.
 };
 
 } // namespace stairspur::membership
--- a/include/stairspur/node/CallProtocol.h
+++ b/include/stairspur/node/CallProtocol.h
@@ -17,7 +17,8 @@
 {
     std::string attemptId;       ///< The caller's name for this attempt; each attempt has its own.
     std::string parentAttemptId; ///< Of the running call that makes this one; empty: from outside.
-    std::string rootAttemptId;   ///< Of the outside request that this call is made for; may be attemptId.
+    std::string
+            rootAttemptId; ///< Of the outside request that this call is made for; may be attemptId.
     std::optional<Duration> remaining; ///< How long the caller still waits.
     std::string host;                  ///< Without a port.
     std::string path;                  ///< Of the target, without its query.
@@ -54,8 +55,7 @@
             writeBackendRequest;
     std::function<ResponseKind(const transport::HttpResponse &)> readBackendResponse;
     /// Whether a response on a backend server's connection belongs to the request.
-    std::function<bool(const transport::HttpRequest &, const transport::HttpResponse &)>
-            isAnswerTo;
+    std::function<bool(const transport::HttpRequest &, const transport::HttpResponse &)> isAnswerTo;
 };
 
 } // namespace stairspur::node
--- a/include/stairspur/node/NodeSettings.h
+++ b/include/stairspur/node/NodeSettings.h
@@ -22,7 +22,8 @@
     std::uint16_t entryPort = 7101;        ///< HTTP, for callers and the host's backend server.
     std::uint16_t adminPort = 7102;        ///< HTTP, for operators and announcements.
     std::string adminAddress = "127.0.0.1";
-    std::string service; ///< Of this host's backend server, when it is known before it announces itself.
+    std::string
+            service; ///< Of this host's backend server, when it is known before it announces itself.
     std::vector<NodeId> seeds;  ///< Peers to join through; may be empty when a store is given.
     std::string store;          ///< "http://address:port" of the platform's store; empty: none.
     std::string peerSecret;     ///< Shared by all nodes; empty: links are not authenticated.
@@ -34,8 +35,12 @@
     Duration drainTimeout{30'000'000}; ///< Running calls get this long to end whole.
     /// A node that stops still takes new requests for so long, until its callers have seen that it is not ready.
     Duration stopNotice{0};
-    Duration peerPingInterval{1'000'000}; ///< On links on which calls wait; three silent ones break a link.
+    Duration peerPingInterval{
+            1'000'000}; ///< On links on which calls wait; three silent ones break a link.
     Duration storeTimeout{2'000'000};
+    /// A node that sees a free rendezvous slot waits up to so long before it claims it. Where a whole failure domain may
+    /// start at once, the time bounds the calls to the store; the start waits for it.
+    Duration rendezvousSpread{30'000'000};
     std::uint32_t storeCallsPerSecond = 5; ///< At most, for this node.
     std::uint32_t subsetSize = 16;         ///< Upstreams per service that this node keeps links to.
 
--- a/include/stairspur/routing/UpstreamPool.h
+++ b/include/stairspur/routing/UpstreamPool.h
@@ -48,6 +48,7 @@
     TimePoint deadline;
     std::span<const NodeId> excluded; ///< Upstreams that refused or failed this very call.
     bool mayProbe = true; ///< Whether a call below the floor may be sent to learn whether it fell.
+    PathKey path = NoPath;
 };
 
 enum class RouteReason {
@@ -78,6 +79,7 @@
     std::optional<admission::LoadReport> report;
     /// Of the call: what the gate did with it outranks the floors it reports.
     std::optional<Level> level;
+    PathKey path = NoPath;
 };
 
 /// One service's upstreams, as one entry sees them.
@@ -105,8 +107,8 @@
     /// A report that came by itself, without an attempt of ours.
     auto didReport(const NodeId &node, const admission::LoadReport &report, TimePoint now) -> void;
 
-    /// The lowest level that some reachable upstream admits, for a class: what deeper services tell upwards.
-    [[nodiscard]] auto floorFor(ClassRank rank, TimePoint now) const -> Level;
+    /// The lowest level that some reachable upstream admits, for a class and path: what deeper services tell upwards.
+    [[nodiscard]] auto floorFor(FloorKey key, TimePoint now) const -> Level;
 
     /// How long a call takes that is answered, smoothed over the answers. Zero before the first one.
     [[nodiscard]] auto expectedLatency() const -> Duration;
--- a/include/stairspur/store/AnyStore.h
+++ b/include/stairspur/store/AnyStore.h
@@ -58,12 +58,10 @@
         virtual auto range(RangeRequest request) -> transport::Task<StoreResult<RangeAnswer>> = 0;
         virtual auto put(std::string key, std::string value, LeaseId lease)
                 -> transport::Task<StoreResult<WriteAnswer>> = 0;
-        virtual auto txn(Transaction transaction)
-                -> transport::Task<StoreResult<WriteAnswer>> = 0;
+        virtual auto txn(Transaction transaction) -> transport::Task<StoreResult<WriteAnswer>> = 0;
         virtual auto grantLease(Duration timeToLive)
                 -> transport::Task<StoreResult<LeaseAnswer>> = 0;
-        virtual auto keepLeaseAlive(LeaseId lease)
-                -> transport::Task<StoreResult<LeaseAnswer>> = 0;
+        virtual auto keepLeaseAlive(LeaseId lease) -> transport::Task<StoreResult<LeaseAnswer>> = 0;
         virtual auto revokeLease(LeaseId lease) -> transport::Task<StoreResult<LeaseAnswer>> = 0;
         virtual auto watch(WatchRequest request, WatchHandler handler,
                            transport::CancellationPtr cancellation)
--- a/source/admission/AdmissionController.cpp
+++ b/source/admission/AdmissionController.cpp
@@ -51,9 +51,10 @@
     m_state->didReplaceBackend();
 }
 
-auto AdmissionController::setDeeperFloors(std::vector<Level> floors) -> void
+auto AdmissionController::setDeeperFloors(std::vector<Level> floors,
+                                          std::vector<PathFloor> pathFloors) -> void
 {
-    m_state->setDeeperFloors(std::move(floors));
+    m_state->setDeeperFloors(std::move(floors), std::move(pathFloors));
 }
 
 auto AdmissionController::refuseWaiting(Reason reason, TimePoint now, Random &random) -> Progress
--- a/source/admission/DeeperFloors.cpp
+++ b/source/admission/DeeperFloors.cpp
@@ -11,8 +11,11 @@
 
 } // namespace
 
-auto DeeperFloors::set(std::vector<Level> floors) -> void
+auto DeeperFloors::set(std::vector<Level> floors, std::vector<PathFloor> pathFloors) -> void
 {
+    for (auto &it : pathFloors)
+        it.floor = std::min(it.floor, ClosedLevel);
+    m_pathFloors = std::move(pathFloors);
     floors.resize(std::min<std::size_t>(floors.size(), MaxClassRank + 1U));
     for (auto &it : floors)
         it = std::min(it, ClosedLevel);
@@ -22,12 +25,14 @@
 
 auto DeeperFloors::didPassTime(TimePoint now) -> void
 {
-    if (m_floors.empty())
+    if (m_floors.empty() && m_pathFloors.empty())
         return;
     if (!m_firstSeen)
         m_firstSeen = now;
-    if (now - *m_firstSeen > Lifetime)
-        m_floors.clear();
+    if (now - *m_firstSeen <= Lifetime)
+        return;
+    m_floors.clear();
+    m_pathFloors.clear();
 }
 
 auto DeeperFloors::floorFor(ClassRank rank) const -> Level
@@ -37,12 +42,19 @@
     return rank < m_floors.size() ? m_floors[rank] : m_floors.back();
 }
 
-auto DeeperFloors::enforcedFloorFor(ClassRank rank) const -> Level
+auto DeeperFloors::pathsAbove(Level floor) const -> std::vector<PathFloor>
+{
+    auto paths = m_pathFloors;
+    std::erase_if(paths, [floor](const PathFloor &it) { return it.floor <= floor; });
+    return paths;
+}
+
+auto DeeperFloors::enforcedFloorFor(FloorKey key) const -> Level
 {
-    auto floor = floorFor(rank);
-    for (auto it = std::size_t{rank} + 1; it < m_floors.size(); ++it)
+    auto floor = floorFor(key.rank);
+    for (auto it = std::size_t{key.rank} + 1; it < m_floors.size(); ++it)
         floor = std::min(floor, m_floors[it]);
-    return floor;
+    return std::max(floor, floorOfPath(m_pathFloors, key.path));
 }
 
 } // namespace stairspur::admission
--- a/source/admission/State.cpp
+++ b/source/admission/State.cpp
@@ -33,9 +33,8 @@
 
 static auto newLimit(const AdmissionSettings &settings) -> AdaptiveLimit
 {
-    return settings.trustsReportedSlots
-                   ? AdaptiveLimit::fixedAt(settings.reportedSlots)
-                   : AdaptiveLimit(settings.coldLimit, settings.reportedSlots);
+    return settings.trustsReportedSlots ? AdaptiveLimit::fixedAt(settings.reportedSlots)
+                                        : AdaptiveLimit(settings.coldLimit, settings.reportedSlots);
 }
 
 AdmissionController::State::State(const AdmissionSettings &settings)
@@ -143,6 +142,7 @@
         const auto deeper = m_deeper.floorFor(static_cast<ClassRank>(rank));
         report.floors.push_back(std::max(m_floor.floor(), deeper));
     }
+    report.pathFloors = m_deeper.pathsAbove(m_floor.floor());
     return report;
 }
 
@@ -157,7 +157,7 @@
         return Reason::Draining;
     if (offer.deadline <= now)
         return Reason::DeadlineExceeded;
-    if (isBelowDeeperFloor(offer.level))
+    if (isBelowDeeperFloor(offer))
         return Reason::BelowFloor;
     // Whoever is greater than a call that waits comes before it, whatever the floor.
     const auto comesBefore = !m_queue.isEmpty() && offer.level > m_queue.last().level;
@@ -185,15 +185,15 @@
 {
     // Those who waited when the floor rose must not be served while greater levels are refused.
     const auto isBelow = [&](const CallOffer &call, std::uint32_t) {
-        return isBelowDeeperFloor(call.level);
+        return isBelowDeeperFloor(call);
     };
     for (const auto &it : m_queue.removeIf(isBelow))
         refuse(it.id, Reason::BelowFloor, random, progress);
 }
 
-auto AdmissionController::State::isBelowDeeperFloor(Level level) const -> bool
+auto AdmissionController::State::isBelowDeeperFloor(const CallOffer &call) const -> bool
 {
-    return level < m_deeper.enforcedFloorFor(level.rank());
+    return call.level < m_deeper.enforcedFloorFor({call.level.rank(), call.path});
 }
 
 auto AdmissionController::State::dispatchFree(TimePoint now, Random &random, Progress &progress)
--- a/source/admission/State.h
+++ b/source/admission/State.h
@@ -38,7 +38,10 @@
         m_settings.reportedSlots = slots;
         m_limit.setSlots(slots);
     }
-    auto setDeeperFloors(std::vector<Level> floors) -> void { m_deeper.set(std::move(floors)); }
+    auto setDeeperFloors(std::vector<Level> floors, std::vector<PathFloor> pathFloors) -> void
+    {
+        m_deeper.set(std::move(floors), std::move(pathFloors));
+    }
 
     [[nodiscard]] auto inFlight() const -> std::uint32_t;
     [[nodiscard]] auto queued() const -> std::uint32_t { return m_queue.size(); }
@@ -61,7 +64,7 @@
     /// Time until a waiting call is dispatched that has `ahead` calls before it, while no place is free.
     [[nodiscard]] auto waitBehind(std::uint32_t ahead) const -> Duration;
     [[nodiscard]] auto waitAtFloor() const -> Duration;
-    [[nodiscard]] auto isBelowDeeperFloor(Level level) const -> bool;
+    [[nodiscard]] auto isBelowDeeperFloor(const CallOffer &call) const -> bool;
     [[nodiscard]] auto queueBound() const -> std::uint32_t;
 
     /// Lets everything that follows time know of it. Call before any change.
--- a/source/distribution/StoreReading.cpp
+++ b/source/distribution/StoreReading.cpp
@@ -42,9 +42,8 @@
         requests.push_back({.key = sectionKey(it)});
     const auto prefix = std::string(SectionPrefix);
     if (hashes.empty())
-        requests.push_back({.key = prefix,
-                            .rangeEnd = store::endOfPrefix(prefix),
-                            .limit = SectionsPerPage});
+        requests.push_back(
+                {.key = prefix, .rangeEnd = store::endOfPrefix(prefix), .limit = SectionsPerPage});
     return requests;
 }
 
--- a/source/membership/BackendAnnouncements.cpp
+++ b/source/membership/BackendAnnouncements.cpp
@@ -63,8 +63,8 @@
                 "stop that one or announce it as left first; a host has one backend server");
     auto next = announcement;
     next.state = stateThatCounts(announcement.state);
-    const auto isChange =
-            isNewInstance || !isSame || m_current->state != next.state || m_current->slots != next.slots;
+    const auto isChange = isNewInstance || !isSame || m_current->state != next.state
+                          || m_current->slots != next.slots;
     m_lastHeard = now;
     m_current = std::move(next);
     return isChange;
--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -99,12 +99,11 @@
     if (adapter.makeStore)
         m_store.emplace(adapter.makeStore(io, seed + 1));
     else if (!settings.store.empty())
-        m_store.emplace(
-                std::make_unique<store::EtcdStore>(io, storeSettings(settings), seed + 1));
+        m_store.emplace(std::make_unique<store::EtcdStore>(io, storeSettings(settings), seed + 1));
     if (m_store) {
         auto didRead = [this](const std::vector<NodeId> &hints) { m_membership.addHints(hints); };
         m_rendezvous.emplace(io, *m_store, settings.nodeId(), settings.failureDomain,
-                             std::move(didRead), seed + 2);
+                             settings.rendezvousSpread, std::move(didRead), seed + 2);
     }
     makeDistribution(io, seed + 3);
     makeListeners(io);
@@ -115,7 +114,9 @@
 auto ControlPlane::makeDistribution(asio::io_context &io, std::uint64_t seed) -> void
 {
     auto parts = distribution::DistributionParts{
-            m_peers, m_datagrams, m_store ? &*m_store : nullptr,
+            m_peers,
+            m_datagrams,
+            m_store ? &*m_store : nullptr,
             [this] { return m_membership.view(); },
             [this](config::ConfigurationPtr it) { didPublish(std::move(it)); },
             m_adapter.configuration};
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -97,7 +97,9 @@
         co_return co_await routeShare(std::move(call), share, cancellation);
     }
     const auto parent = *call.parent;
-    m_observedCalls.didCall(call.request.level.rank(), call.request.service, monotonicNow());
+    if (m_protocol)
+        m_observedCalls.didCall({call.request.level.rank(), call.parentPath},
+                                {call.request.service, call.request.path}, monotonicNow());
     const auto childId = CallId{m_random()};
     auto cancelHere = [this, cancellation] {
         transport::asio::post(m_io, [cancellation] { cancellation->cancel(); });
@@ -188,8 +190,11 @@
         if (now >= call.deadline)
             co_return finalRefusal(attempts, Reason::DeadlineExceeded, Duration::zero());
         refreshMembers(call.request.service, routes);
-        const auto decision = routes.pool.choose(
-                {call.request.level, call.deadline, attempts.excluded}, now, m_random);
+        const auto decision = routes.pool.choose({.level = call.request.level,
+                                                  .deadline = call.deadline,
+                                                  .excluded = attempts.excluded,
+                                                  .path = call.request.path},
+                                                 now, m_random);
         logDecision(call, decision, attempts);
         if (m_protocol && !decision.node && wasShed(attempts) && !attempts.excluded.empty()) {
             // All have refused it once; what one of them refused for a moment it may take now.
@@ -247,9 +252,9 @@
     routes.pool.didSend(node, start);
     auto answer = co_await m_peers.call(node, std::move(request), cancellation);
     const auto now = monotonicNow();
-    routes.pool.didEnd(
-            {node, answer.outcome, answer.reason, now - start, answer.report, call.request.level},
-            now, m_random);
+    routes.pool.didEnd({node, answer.outcome, answer.reason, now - start, answer.report,
+                        call.request.level, call.request.path},
+                       now, m_random);
     if (answer.outcome != Outcome::Unknown)
         attempts.budget.didAnswer(answer.unspentBudget);
     attempts.mayHaveRun =
@@ -416,7 +421,8 @@
 auto Entry::ensureFloorTimer() -> void
 {
     const auto isUp = [](Level it) { return it > LowestLevel; };
-    if (m_hasFloorTimer || std::ranges::none_of(m_toldFloors, isUp))
+    const auto isRankUp = std::ranges::any_of(m_toldFloors.byRank, isUp);
+    if (m_hasFloorTimer || (!isRankUp && m_toldFloors.byPath.empty()))
         return;
     m_hasFloorTimer = true;
     m_floorTimer.expires_after(FloorInterval);
@@ -427,31 +433,35 @@
     });
 }
 
-/// The greatest floor that a call of class `rank` meets at one of these services.
-auto Entry::floorOver(const std::vector<std::string> &services, ClassRank rank, TimePoint now) const
-        -> Level
+/// The floor that a call of class `rank` meets at a deeper service.
+auto Entry::floorAt(const DeeperCall &call, ClassRank rank, TimePoint now) const -> Level
 {
-    auto floor = LowestLevel;
-    for (const auto &it : services) {
-        const auto found = m_routes.find(it);
-        if (found != m_routes.end())
-            floor = std::max(floor, found->second->pool.floorFor(rank, now));
-    }
-    return floor;
+    const auto found = m_routes.find(call.service);
+    return found == m_routes.end() ? LowestLevel
+                                   : found->second->pool.floorFor({rank, call.path}, now);
 }
 
-/// Publishes the floors that calls of each class meet below this host's service, so that the gate can advertise them.
+/// Publishes the floors that calls of each class and path meet below this host's service, so that the gate can advertise
+/// them.
 auto Entry::tellDeeperFloors(TimePoint now) -> void
 {
     const auto configuration = *m_board.configuration.read();
     const auto service = m_board.backend.read()->service;
     if (!configuration || service.empty())
         return;
-    auto floors = std::vector<Level>();
+    auto floors = DeeperFloorsHeard();
     for (const auto &it : configuration->whole().classes) {
-        auto deeper = configuration->deeperServices(service, it.rank);
-        std::ranges::move(m_observedCalls.servicesFor(it.rank, now), std::back_inserter(deeper));
-        floors.push_back(floorOver(deeper, it.rank, now));
+        auto floor = LowestLevel;
+        for (const auto &deeper : configuration->deeperServices(service, it.rank))
+            floor = std::max(floor, floorAt({deeper, NoPath}, it.rank, now));
+        floors.byRank.push_back(floor);
+    }
+    for (const auto &it : m_observedCalls.paths(now)) {
+        auto floor = LowestLevel;
+        for (const auto &call : it.calls)
+            floor = std::max(floor, floorAt(call, m_observedCalls.leastRank(), now));
+        if (floor > LowestLevel)
+            floors.byPath.push_back({it.path, floor});
     }
     if (floors == m_toldFloors && now - m_toldAt < FloorConfirmInterval)
         return;
--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -114,8 +114,8 @@
     auto refreshFloors(TimePoint now) -> void;
     auto ensureFloorTimer() -> void;
     auto tellDeeperFloors(TimePoint now) -> void;
-    [[nodiscard]] auto floorOver(const std::vector<std::string> &services, ClassRank rank,
-                                 TimePoint now) const -> Level;
+    [[nodiscard]] auto floorAt(const DeeperCall &call, ClassRank rank, TimePoint now) const
+            -> Level;
 
     transport::asio::io_context &m_io;
     const NodeSettings &m_settings;
@@ -129,11 +129,11 @@
     Random m_random;
     std::unordered_map<std::string, std::unique_ptr<ServiceRoutes>> m_routes;
     transport::asio::steady_timer m_floorTimer;
-    std::vector<Level> m_toldFloors;
+    DeeperFloorsHeard m_toldFloors;
     TimePoint m_toldAt;
     ObservedCalls m_observedCalls;
     std::size_t m_fleetSize = LeastFleetSize; ///< The most hosts that were known at once.
-    const CallProtocol *m_protocol; ///< Null: the product's own.
+    const CallProtocol *m_protocol;           ///< Null: the product's own.
     TimePoint m_floorsAt;
     bool m_hasFloorTimer = false;
 };
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -48,7 +48,8 @@
     if (m_board.deeperFloors.generation() == m_floorsGeneration)
         return;
     m_floorsGeneration = m_board.deeperFloors.generation();
-    m_admission->setDeeperFloors(*m_board.deeperFloors.read());
+    const auto floors = m_board.deeperFloors.read();
+    m_admission->setDeeperFloors(floors->byRank, floors->byPath);
 }
 
 /// Takes over what the backend server announced. A new one, at another port, starts cold; calls that still run keep the
@@ -154,7 +155,7 @@
                 .add("level", request.level.value)
                 .add("root", request.root.toString())
                 .add("id", request.attemptId)
-                .add("floor", answer.report->floorFor(request.level.rank()).value)
+                .add("floor", answer.report->floorFor({request.level.rank(), request.path}).value)
                 .add("retry_after_us", retryAfter);
     }
     return answer;
@@ -170,7 +171,8 @@
     const auto id = newCallId(request);
     ++m_calls;
     const auto deadline = now + request.remaining;
-    const auto decision = co_await waitForPlace(id, {id, request.level, deadline}, cancellation);
+    const auto decision =
+            co_await waitForPlace(id, {id, request.level, deadline, request.path}, cancellation);
     auto answer = CallAnswer();
     if (decision.reason != Reason::None)
         answer = refusal(request, decision.reason, decision.retryAfter);
@@ -222,7 +224,9 @@
     const auto start = monotonicNow();
     const auto arrival = deadline - request.remaining;
     const auto className = request.className;
-    m_running.open(id, {request.className, request.level, request.root, deadline, request.caller},
+    m_running.open(id,
+                   {request.className, request.level, request.root, deadline, request.caller,
+                    request.path},
                    request.retryBudget, request.isRepeat);
     const auto client = m_client; // A newer backend server must not end this call's connections.
     auto answer = CallAnswer();
--- a/source/node/NodeBoard.h
+++ b/source/node/NodeBoard.h
@@ -24,6 +24,15 @@
     std::string instance; ///< Names this start of it; empty where it has no name.
 };
 
+/// The floors of the services below this host's, as its entry sees them.
+struct DeeperFloorsHeard
+{
+    std::vector<Level> byRank;
+    std::vector<PathFloor> byPath;
+
+    auto operator==(const DeeperFloorsHeard &) const -> bool = default;
+};
+
 /// How far the node's graceful shutdown has come.
 enum class LifeStage {
     Running,
@@ -40,12 +49,12 @@
     blackboard::Entry<ConfigurationIndexPtr>
             configuration; ///< Written by the distribution controller.
     blackboard::Entry<membership::MembershipView>
-            members;                                    ///< Written by the membership controller.
-    blackboard::Entry<LocalBackend> backend;            ///< Written by the announcement controller.
-    blackboard::Entry<LifeStage> stage;                 ///< Written by the drain controller.
-    blackboard::Entry<std::vector<Level>> deeperFloors; ///< By class rank. Written by the entry.
-    blackboard::Entry<EntryState> entryState;           ///< Written by the entry's thread.
-    blackboard::Entry<GateState> gateState;             ///< Written by the gate's thread.
+            members;                                   ///< Written by the membership controller.
+    blackboard::Entry<LocalBackend> backend;           ///< Written by the announcement controller.
+    blackboard::Entry<LifeStage> stage;                ///< Written by the drain controller.
+    blackboard::Entry<DeeperFloorsHeard> deeperFloors; ///< Written by the entry.
+    blackboard::Entry<EntryState> entryState;          ///< Written by the entry's thread.
+    blackboard::Entry<GateState> gateState;            ///< Written by the gate's thread.
 };
 
 } // namespace stairspur::node
--- a/source/node/ObservedCalls.cpp
+++ b/source/node/ObservedCalls.cpp
@@ -4,20 +4,26 @@
 
 namespace stairspur::node {
 
-auto ObservedCalls::didCall(ClassRank rank, const std::string &service, TimePoint now) -> void
+auto ObservedCalls::didCall(FloorKey of, const DeeperCall &call, TimePoint now) -> void
 {
-    auto &calls = m_lastCalls[std::min(rank, MaxClassRank)];
-    calls[service] = now;
+    m_leastRank = std::max(m_leastRank, of.rank);
+    m_lastCalls[of.path][call] = now;
 }
 
-auto ObservedCalls::servicesFor(ClassRank rank, TimePoint now) const -> std::vector<std::string>
+auto ObservedCalls::paths(TimePoint now) const -> std::vector<Path>
 {
-    auto services = std::vector<std::string>();
-    for (const auto &[service, lastCall] : m_lastCalls[std::min(rank, MaxClassRank)]) {
-        if (now - lastCall < Memory)
-            services.push_back(service);
+    auto result = std::vector<Path>();
+    for (const auto &[path, calls] : m_lastCalls) {
+        auto recent = Path{path, {}};
+        for (const auto &[call, lastCall] : calls) {
+            if (now - lastCall < Memory)
+                recent.calls.push_back(call);
+        }
+        if (!recent.calls.empty())
+            result.push_back(std::move(recent));
     }
-    return services;
+    std::ranges::sort(result, {}, &Path::path);
+    return result;
 }
 
 } // namespace stairspur::node
--- a/source/node/ObservedCalls.h
+++ b/source/node/ObservedCalls.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <array>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <stairspur/core/Level.h>
@@ -10,24 +10,43 @@
 
 namespace stairspur::node {
 
-/// Which services this host's backend server calls for requests of each class, as far as its calls have shown. It stands
+/// A call that a backend server makes for requests of some path.
+struct DeeperCall
+{
+    std::string service;
+    PathKey path = NoPath; ///< Of the call itself, at the service that it goes to.
+
+    auto operator<=>(const DeeperCall &) const = default;
+};
+
+/// Which services this host's backend server calls for requests of each path, as far as its calls have shown. It stands
 /// in for call paths where the configuration has none.
 class ObservedCalls
 {
 public:
-    /// The backend server made a call of class `rank` to `service`.
-    auto didCall(ClassRank rank, const std::string &service, TimePoint now) -> void;
+    /// While it ran a request of class `rank` and `path`, the backend server made `call`.
+    auto didCall(FloorKey of, const DeeperCall &call, TimePoint now) -> void;
+
+    /// What was called for one path, and for which classes.
+    struct Path
+    {
+        PathKey path = NoPath;
+        std::vector<DeeperCall> calls;
+    };
+
+    /// The paths that have made calls lately, with these calls.
+    [[nodiscard]] auto paths(TimePoint now) const -> std::vector<Path>;
 
-    /// The services that calls of class `rank` have gone to lately.
-    [[nodiscard]] auto servicesFor(ClassRank rank, TimePoint now) const
-            -> std::vector<std::string>;
+    /// The least important class that has made calls lately: its floors hold for all that are observed.
+    [[nodiscard]] auto leastRank() const -> ClassRank { return m_leastRank; }
 
 private:
-    /// Long enough for a class that is refused for a while to be remembered, short enough for a new version of the
+    /// Long enough for a path that is refused for a while to be remembered, short enough for a new version of the
     /// backend server to be learnt.
     static constexpr auto Memory = Duration{60'000'000};
 
-    std::array<std::map<std::string, TimePoint>, std::size_t{MaxClassRank} + 1> m_lastCalls;
+    std::unordered_map<PathKey, std::map<DeeperCall, TimePoint>> m_lastCalls;
+    ClassRank m_leastRank = 0;
 };
 
 } // namespace stairspur::node
--- a/source/node/RendezvousKeeper.cpp
+++ b/source/node/RendezvousKeeper.cpp
@@ -18,15 +18,24 @@
 
 static constexpr auto AllDomainsPrefix = std::string_view("/stairspur/rendezvous/");
 static constexpr auto MaxLookDelay = Duration{600'000'000};
-static constexpr auto StepInterval = std::chrono::milliseconds(500);
+static constexpr auto StepInterval = std::chrono::milliseconds(200);
+
+static auto withSpread(Duration claimSpread) -> membership::RendezvousSettings
+{
+    auto settings = membership::RendezvousSettings();
+    settings.claimSpread = claimSpread;
+    return settings;
+}
 
 RendezvousKeeper::RendezvousKeeper(asio::io_context &io, store::AnyStore &store, NodeId ownNode,
-                                   std::string domain, HintsCallback didRead, std::uint64_t seed)
+                                   std::string domain, Duration claimSpread, HintsCallback didRead,
+                                   std::uint64_t seed)
     : m_io(io)
     , m_store(store)
     , m_ownNode(std::move(ownNode))
     , m_prefix(std::string(AllDomainsPrefix) + std::move(domain) + "/")
     , m_didRead(std::move(didRead))
+    , m_settings(withSpread(claimSpread))
     , m_slots(m_settings, seed, monotonicNow())
     , m_timer(io)
 {}
--- a/source/node/RendezvousKeeper.h
+++ b/source/node/RendezvousKeeper.h
@@ -26,7 +26,8 @@
 
     /// The store must outlive the keeper's io_context.
     RendezvousKeeper(transport::asio::io_context &io, store::AnyStore &store, NodeId ownNode,
-                     std::string domain, HintsCallback didRead, std::uint64_t seed);
+                     std::string domain, Duration claimSpread, HintsCallback didRead,
+                     std::uint64_t seed);
 
     auto start() -> void;
 
@@ -55,7 +56,7 @@
     std::vector<std::optional<NodeId>> m_holders; ///< Of the own domain's slots, as last read.
     bool m_knowsOtherDomains = false;
     TimePoint m_nextLook;
-    Duration m_lookDelay{5'000'000}; ///< Doubles with each look that finds none.
+    Duration m_lookDelay{250'000}; ///< Doubles with each look that finds none.
 
     transport::asio::steady_timer m_timer;
 };
--- a/source/node/RoutedIntake.cpp
+++ b/source/node/RoutedIntake.cpp
@@ -6,6 +6,10 @@
 
 namespace stairspur::node {
 
+/// Levels, of the 128 of a class, by which calls of a running request stand above its own: a quarter of the class, chosen
+/// without a comparison of other widths.
+static constexpr auto BegunWorkLevels = std::uint64_t{32};
+
 auto callIdOf(const std::string &attemptId) -> CallId
 {
     return hash64(attemptId);
@@ -17,8 +21,14 @@
     return {hash64(rootAttemptId), hash64(rootAttemptId + "/root") | 1U};
 }
 
-static auto findRoute(const RoutedRequest &request,
-                      const config::ConfigurationIndex &configuration) -> const config::Route &
+/// The same on every host, whatever version of the configuration it has.
+static auto pathKeyOf(const std::string &routeName) -> PathKey
+{
+    return std::max(static_cast<PathKey>(hash64(routeName)), NoPath + 1);
+}
+
+static auto findRoute(const RoutedRequest &request, const config::ConfigurationIndex &configuration)
+        -> const config::Route &
 {
     const auto *route = configuration.findRoute(request.host, request.path);
     if (!route)
@@ -51,13 +61,23 @@
     return found ? *found : configuration.whole().classes.back();
 }
 
+/// Work that has begun goes before work that has not: a floor that sways a little turns new requests away, and not those
+/// that run already and need several calls more.
+static auto levelBelow(const RunningCall &parent) -> Level
+{
+    const auto rank = parent.level.rank();
+    const auto hash = parent.root.hash() % HashesPerClass + BegunWorkLevels;
+    return makeLevel(rank, std::min<std::uint64_t>(hash, HashesPerClass - 1));
+}
+
 static auto takeStanding(const RoutedRequest &request, const config::PriorityClass &ownClass,
                          const std::optional<RunningCall> &parent, IncomingCall &call) -> void
 {
     if (parent) {
         call.parent = callIdOf(request.parentAttemptId);
+        call.parentPath = parent->path;
         call.request.className = parent->className;
-        call.request.level = parent->level;
+        call.request.level = levelBelow(*parent);
         call.request.root = parent->root;
         call.deadline = std::min(call.deadline, parent->deadline);
         return;
@@ -87,6 +107,7 @@
     call.isIdempotent = route.isIdempotent;
     call.maxAttempts = std::max(route.maxAttempts, 1U);
     call.request.service = drawTarget(route, random);
+    call.request.path = pathKeyOf(route.name);
     call.request.retryBudget = call.maxAttempts - 1;
     call.request.attemptId = std::move(request.attemptId);
     call.request.originService = ownService;
--- a/source/node/RunningCalls.h
+++ b/source/node/RunningCalls.h
@@ -24,6 +24,7 @@
     RootId root;
     TimePoint deadline;
     std::string caller;
+    PathKey path = NoPath;
 };
 
 /// What a deeper call gets of its parent's retry budget.
--- a/source/node/TrafficState.h
+++ b/source/node/TrafficState.h
@@ -21,7 +21,7 @@
 {
     admission::LoadReport load;
     transport::PeerTraffic traffic;
-    transport::PeerTraffic keyedTraffic;        ///< Of the links for calls that run at most once.
+    transport::PeerTraffic keyedTraffic;     ///< Of the links for calls that run at most once.
     store::StoreCounters keyedStoreCounters; ///< Of the store's client for these.
 };
 
--- a/source/routing/CandidateTiers.cpp
+++ b/source/routing/CandidateTiers.cpp
@@ -25,8 +25,8 @@
     }
     if (view.isEjected(m_now))
         return;
-    const auto floor =
-            view.floors().floorFor(m_request.level.rank(), m_now, m_settings.reportHalfLife);
+    const auto floor = view.floors().floorFor({m_request.level.rank(), m_request.path}, m_now,
+                                              m_settings.reportHalfLife);
     if (floor > m_request.level)
         m_lowestFloor = std::min(m_lowestFloor.value_or(floor), floor);
     if (isExcluded(view.upstream().node))
@@ -45,7 +45,7 @@
 {
     if (floor <= m_request.level)
         return admittedTierOf(view);
-    if (view.floors().age(m_request.level.rank(), m_now)
+    if (view.floors().age({m_request.level.rank(), m_request.path}, m_now)
         <= maxFloorAge(m_request.level.rank(), m_settings.reportHalfLife))
         return Tier::BelowFloor;
     return Tier::OldFloor;
--- a/source/routing/FloorView.cpp
+++ b/source/routing/FloorView.cpp
@@ -12,24 +12,26 @@
 
 static constexpr auto MaxRanks = std::size_t{MaxClassRank} + 1;
 
-auto FloorView::reportedFloor(ClassRank rank) const -> Level
+auto FloorView::reportedFloor(FloorKey key) const -> Level
 {
+    const auto ofPath = floorOfPath(m_pathFloors, key.path);
     if (m_floors.empty())
-        return LowestLevel;
-    return rank < m_floors.size() ? m_floors[rank] : m_floors.back();
+        return ofPath;
+    return std::max(ofPath, key.rank < m_floors.size() ? m_floors[key.rank] : m_floors.back());
 }
 
-auto FloorView::heldFloor(ClassRank rank) const -> HeldFloor
+auto FloorView::heldFloor(FloorKey key) const -> HeldFloor
 {
-    auto held = HeldFloor{reportedFloor(rank), m_reportedAt};
+    auto held = HeldFloor{reportedFloor(key), m_reportedAt};
     for (const auto &it : m_refusals) {
-        if (it.rank == rank && it.held.floor >= held.floor)
+        if (it.key == key && it.held.floor >= held.floor)
             held = it.held;
     }
     return held;
 }
 
-auto FloorView::take(std::span<const Level> floors, TimePoint now) -> void
+auto FloorView::take(std::span<const Level> floors, std::vector<PathFloor> pathFloors,
+                     TimePoint now) -> void
 {
     auto bounded =
             std::vector<Level>(floors.begin(), floors.begin() + std::min(floors.size(), MaxRanks));
@@ -41,40 +43,46 @@
         if (reported > heldFloor(static_cast<ClassRank>(rank)).floor)
             m_risenAt = now;
     }
+    for (auto &it : pathFloors) {
+        it.floor = std::min(it.floor, ClosedLevel);
+        if (it.floor > floorOfPath(m_pathFloors, it.path))
+            m_risenAt = now;
+    }
     m_floors = std::move(bounded);
+    m_pathFloors = std::move(pathFloors);
     m_reportedAt = now;
     m_refusals.clear();
 }
 
-auto FloorView::didRefuse(Level level, TimePoint now) -> void
+auto FloorView::didRefuse(Level level, TimePoint now, PathKey path) -> void
 {
     if (level >= ClosedLevel)
         return;
     if (level >= m_admitted)
         m_admitted = ClosedLevel;
-    const auto rank = level.rank();
-    auto held = heldFloor(rank);
+    const auto key = FloorKey(level.rank(), path);
+    auto held = heldFloor(key);
     if (held.floor <= level) {
         held.floor = Level{static_cast<std::uint16_t>(level.value + 1)};
         m_risenAt = now;
     }
     held.at = now;
-    std::erase_if(m_refusals, [&](const auto &it) { return it.rank == rank; });
-    m_refusals.push_back({rank, held});
+    std::erase_if(m_refusals, [&](const auto &it) { return it.key == key; });
+    m_refusals.push_back({key, held});
 }
 
-auto FloorView::didAdmit(Level level, TimePoint sentAt, TimePoint now) -> void
+auto FloorView::didAdmit(Level level, TimePoint sentAt, TimePoint now, PathKey path) -> void
 {
-    if (heldFloor(level.rank()).floor <= level || sentAt < m_risenAt)
+    if (heldFloor({level.rank(), path}).floor <= level || sentAt < m_risenAt)
         return;
     m_admitted = std::min(m_admitted, level);
     m_admittedAt = now;
 }
 
-auto FloorView::floorFor(ClassRank rank, TimePoint now, Duration halfLife) const -> Level
+auto FloorView::floorFor(FloorKey key, TimePoint now, Duration halfLife) const -> Level
 {
-    auto floor = heldFloor(rank).floor;
-    const auto floorAge = age(rank, now);
+    auto floor = heldFloor(key).floor;
+    const auto floorAge = age(key, now);
     if (floorAge > halfLife * LifetimeHalfLives)
         return LowestLevel;
     if (floorAge > halfLife) {
@@ -85,9 +93,9 @@
     return isProofFresh ? std::min(floor, m_admitted) : floor;
 }
 
-auto FloorView::age(ClassRank rank, TimePoint now) const -> Duration
+auto FloorView::age(FloorKey key, TimePoint now) const -> Duration
 {
-    return std::max(Duration::zero(), now - heldFloor(rank).at);
+    return std::max(Duration::zero(), now - heldFloor(key).at);
 }
 
 } // namespace stairspur::routing
--- a/source/routing/FloorView.h
+++ b/source/routing/FloorView.h
@@ -14,20 +14,22 @@
 {
 public:
     /// Takes the floors of a report.
-    auto take(std::span<const Level> floors, TimePoint now) -> void;
+    auto take(std::span<const Level> floors, TimePoint now) -> void { take(floors, {}, now); }
+    auto take(std::span<const Level> floors, std::vector<PathFloor> pathFloors, TimePoint now)
+            -> void;
 
     /// The upstream refused a call of `level`: its floor is above it.
-    auto didRefuse(Level level, TimePoint now) -> void;
+    auto didRefuse(Level level, TimePoint now, PathKey path = NoPath) -> void;
 
     /// The upstream answered a call of `level` that was sent at `sentAt`. When the floor was believed to be above the
     /// call even then, the reports mislead or are old: the level is taken as admitted for a while.
-    auto didAdmit(Level level, TimePoint sentAt, TimePoint now) -> void;
+    auto didAdmit(Level level, TimePoint sentAt, TimePoint now, PathKey path = NoPath) -> void;
 
-    /// The floor that a call of class `rank` is believed to meet now.
-    [[nodiscard]] auto floorFor(ClassRank rank, TimePoint now, Duration halfLife) const -> Level;
+    /// The floor that a call of this class and path is believed to meet now.
+    [[nodiscard]] auto floorFor(FloorKey key, TimePoint now, Duration halfLife) const -> Level;
 
     /// How long ago a report, or a refusal of a call of this class, told of the floor.
-    [[nodiscard]] auto age(ClassRank rank, TimePoint now) const -> Duration;
+    [[nodiscard]] auto age(FloorKey key, TimePoint now) const -> Duration;
 
 private:
     struct HeldFloor
@@ -36,18 +38,19 @@
         TimePoint at{};
     };
 
-    /// A refusal tells of its own class alone: the other classes' floors stay as old as they are.
+    /// A refusal tells of its own class and path alone: the other floors stay as old as they are.
     struct Refusal
     {
-        ClassRank rank = 0;
+        FloorKey key;
         HeldFloor held;
     };
 
-    [[nodiscard]] auto reportedFloor(ClassRank rank) const -> Level;
-    [[nodiscard]] auto heldFloor(ClassRank rank) const -> HeldFloor;
+    [[nodiscard]] auto reportedFloor(FloorKey key) const -> Level;
+    [[nodiscard]] auto heldFloor(FloorKey key) const -> HeldFloor;
 
-    std::vector<Level> m_floors;     ///< As reported.
-    std::vector<Refusal> m_refusals; ///< Since that report, one for each class at most.
+    std::vector<Level> m_floors; ///< As reported.
+    std::vector<PathFloor> m_pathFloors;
+    std::vector<Refusal> m_refusals; ///< Since that report, one for each class and path at most.
     TimePoint m_reportedAt{};
     TimePoint m_risenAt{}; ///< When a floor last rose.
     TimePoint m_admittedAt{};
--- a/source/routing/PoolState.cpp
+++ b/source/routing/PoolState.cpp
@@ -238,14 +238,14 @@
         view->didReport(report, now, m_settings.reportHalfLife);
 }
 
-auto UpstreamPool::State::floorFor(ClassRank rank, TimePoint now) const -> Level
+auto UpstreamPool::State::floorFor(FloorKey key, TimePoint now) const -> Level
 {
     auto lowest = ClosedLevel;
     for (const auto &it : m_views) {
         const auto isKnown = it.isInSubset() || it.reports().limit() > 0;
         if (!isKnown || it.isEjected(now) || it.isDraining(now, m_settings.reportHalfLife))
             continue;
-        lowest = std::min(lowest, it.floors().floorFor(rank, now, m_settings.reportHalfLife));
+        lowest = std::min(lowest, it.floors().floorFor(key, now, m_settings.reportHalfLife));
     }
     return lowest;
 }
--- a/source/routing/UpstreamPool.cpp
+++ b/source/routing/UpstreamPool.cpp
@@ -39,9 +39,9 @@
     m_state->didReport(node, report, now);
 }
 
-auto UpstreamPool::floorFor(ClassRank rank, TimePoint now) const -> Level
+auto UpstreamPool::floorFor(FloorKey key, TimePoint now) const -> Level
 {
-    return m_state->floorFor(rank, now);
+    return m_state->floorFor(key, now);
 }
 
 auto UpstreamPool::expectedLatency() const -> Duration
--- a/source/routing/UpstreamView.cpp
+++ b/source/routing/UpstreamView.cpp
@@ -53,7 +53,7 @@
         return;
     m_outcomes.didSucceed(result.latency, now);
     if (result.level)
-        m_floors.didAdmit(*result.level, now - result.latency, now);
+        m_floors.didAdmit(*result.level, now - result.latency, now, result.path);
 }
 
 auto UpstreamView::didRefuse(const AttemptResult &result, TimePoint now) -> void
@@ -63,7 +63,7 @@
     if (result.reason == Reason::Cold)
         m_newSince = now;
     if (result.reason == Reason::BelowFloor && result.level)
-        m_floors.didRefuse(*result.level, now);
+        m_floors.didRefuse(*result.level, now, result.path);
 }
 
 auto UpstreamView::didReport(const admission::LoadReport &report, TimePoint now, Duration halfLife)
@@ -72,7 +72,7 @@
     if (!m_reports.isNewer(report, now, halfLife))
         return;
     m_reports.take(report, m_upstream.slots, m_inFlight, now);
-    m_floors.take(report.floors, now);
+    m_floors.take(report.floors, report.pathFloors, now);
 }
 
 auto UpstreamView::eject(TimePoint now, Duration base) -> void
--- a/source/transport/CallCodec.cpp
+++ b/source/transport/CallCodec.cpp
@@ -8,9 +8,9 @@
 
 namespace stairspur::transport {
 
-static constexpr auto CallItems = std::uint64_t{15};
+static constexpr auto CallItems = std::uint64_t{16};
 static constexpr auto AnswerItems = std::uint64_t{8};
-static constexpr auto ReportItems = std::uint64_t{7};
+static constexpr auto ReportItems = std::uint64_t{8};
 static constexpr auto SizeGuess = std::size_t{512};
 static constexpr auto MaxNumber = std::uint64_t{std::numeric_limits<std::uint32_t>::max()};
 /// A day in microseconds; no call lasts longer, and sums of such spans never overflow.
@@ -99,7 +99,10 @@
             .addBytes(request.method)
             .addBytes(request.target);
     addHeaders(writer, request.headers);
-    writer.addBoolean(request.isRepeat).addBytes(request.attemptId).addBytes(request.originService);
+    writer.addBoolean(request.isRepeat)
+            .addBytes(request.attemptId)
+            .addBytes(request.originService)
+            .addUnsigned(request.path);
     return bytes;
 }
 
@@ -123,6 +126,7 @@
     request.isRepeat = reader.readBoolean();
     request.attemptId = reader.readBytes();
     request.originService = reader.readBytes();
+    request.path = readNumber(reader);
     fieldReader.finish();
     return request;
 }
@@ -143,6 +147,9 @@
     writer.addBoolean(report->isDraining).addArray(report->floors.size());
     for (const auto it : report->floors)
         writer.addUnsigned(it.value);
+    writer.addArray(2 * report->pathFloors.size());
+    for (const auto &it : report->pathFloors)
+        writer.addUnsigned(it.path).addUnsigned(it.floor.value);
 }
 
 static auto readReport(CborReader &reader) -> std::optional<admission::LoadReport>
@@ -160,6 +167,11 @@
     report.floors.resize(reader.readArray());
     for (auto &it : report.floors)
         it = readLevel(reader);
+    report.pathFloors.resize(reader.readArray() / 2);
+    for (auto &it : report.pathFloors) {
+        it.path = readNumber(reader);
+        it.floor = readLevel(reader);
+    }
     reader.skip(n > ReportItems ? n - ReportItems : 0);
     return report;
 }
--- a/source/transport/HttpClient.cpp
+++ b/source/transport/HttpClient.cpp
@@ -103,8 +103,8 @@
     auto exchange(const ConnectionPtr &connection, const std::string &head,
                   const HttpRequest &request, TimePoint deadline) -> Task<HttpResponse>
     {
-        auto response = co_await connection->exchange(head, request, deadline - monotonicNow(),
-                                                      m_settings);
+        auto response =
+                co_await connection->exchange(head, request, deadline - monotonicNow(), m_settings);
         if (connection->mayBeKept() && m_idle.size() < m_settings.maxIdleConnections)
             m_idle.push_back(connection);
         co_return response;
--- a/source/transport/HttpClientConnection.h
+++ b/source/transport/HttpClientConnection.h
@@ -118,8 +118,7 @@
             return;
         auto seconds = 0U;
         const auto digits = text.substr(at + Parameter.size());
-        const auto ec =
-                std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec;
+        const auto ec = std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec;
         if (ec == std::errc())
             m_idleLimit = std::chrono::seconds(seconds) - IdleMargin;
     }
--- a/source/transport/PeerClient.cpp
+++ b/source/transport/PeerClient.cpp
@@ -165,8 +165,8 @@
 
     auto scheduleReconnect(const NodeId &node, Entry &entry) -> void
     {
-        entry.reconnect = std::make_shared<asio::steady_timer>(m_context->io,
-                                                               backoff(entry.failures));
+        entry.reconnect =
+                std::make_shared<asio::steady_timer>(m_context->io, backoff(entry.failures));
         entry.reconnect->async_wait([weak = weak_from_this(), node](auto ec) {
             const auto self = weak.lock();
             if (self && !ec)
