Platform: Send less back between zones; quicker views, shorter leaving, logs on standard output

After a restart of all hosts new members waited up to a second for the next view; a stopping node lived 1.5 s longer than its last request to repeat its word.

--- a/Meta/example/processes.py
+++ b/Meta/example/processes.py
@@ -44,8 +44,10 @@
         self.may_end = False  # Its end is expected, or has been looked at.
         # Settings of the build (STAIRSPUR_JOBS and its like) are none of a node's.
         environment = {k: v for k, v in os.environ.items() if not k.startswith("STAIRSPUR_")}
+        is_node = len(command) > 1 and command[1] == "node"  # Nodes write their log to standard output.
         with open(self.out_path, "wb") as out, open(self.log_path, "wb") as log:
-            self.process = subprocess.Popen([str(it) for it in command], stdin=subprocess.DEVNULL, stdout=out,
+            self.process = subprocess.Popen([str(it) for it in command], stdin=subprocess.DEVNULL,
+                                            stdout=log if is_node else out,
                                             stderr=log, env=environment, start_new_session=True)
 
     @property
--- a/include/stairspur/log/Log.h
+++ b/include/stairspur/log/Log.h
@@ -34,7 +34,7 @@
     std::uint32_t decisionSample = 1; ///< One decision line in this many is written; 1 writes all.
 };
 
-/// Starts the writer, which writes to standard error. Call once, before the first line.
+/// Starts the writer, which writes to standard output. Call once, before the first line.
 auto start(const LogSettings &settings) -> void;
 
 /// Writes what is waiting and stops the writer.
--- a/include/stairspur/node/CallProtocol.h
+++ b/include/stairspur/node/CallProtocol.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <stairspur/core/Error.h>
 #include <stairspur/core/Outcome.h>
@@ -43,8 +44,12 @@
     /// A backend server runs exactly as many calls at once as it announces slots.
     bool areSlotsExact = false;
     std::function<RoutedRequest(transport::HttpRequest)> readRequest;
-    /// The response to a caller; never withheld.
-    std::function<transport::HttpResponse(transport::CallAnswer)> writeAnswer;
+    /// Whether a field of a backend server's response goes back to the caller. One that does not, or that the entry knows
+    /// itself, is not sent between failure domains either.
+    std::function<bool(std::string_view field)> isAnswerField;
+    /// The response to the caller's attempt `attemptId`; never withheld.
+    std::function<transport::HttpResponse(transport::CallAnswer, const std::string &attemptId)>
+            writeAnswer;
     /// The response to a request that is no call, or that this node cannot serve now.
     std::function<transport::HttpResponse(Reason reason, const std::string &detail,
                                           Duration retryAfter)>
--- a/include/stairspur/node/NodeSettings.h
+++ b/include/stairspur/node/NodeSettings.h
@@ -31,6 +31,8 @@
     std::string tlsKey;
 
     Duration protocolPeriod{1'000'000}; ///< Of the membership protocol.
+    /// Between two views of the members while they keep changing. Each view costs all pools a pass over it.
+    Duration viewPause{1'000'000};
     Duration announcementTimeout{5'000'000};
     Duration drainTimeout{30'000'000}; ///< Running calls get this long to end whole.
     /// A node that stops still takes new requests for so long, until its callers have seen that it is not ready.
--- a/source/log/Log.cpp
+++ b/source/log/Log.cpp
@@ -93,12 +93,11 @@
         configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
         configuration.setGlobally(el::ConfigurationType::Enabled, "true");
         el::Loggers::reconfigureAllLoggers(configuration);
-        el::Helpers::installLogDispatchCallback<StandardErrorDispatch>("standard-error");
+        el::Helpers::installLogDispatchCallback<BatchDispatch>("batch");
     }
 
-    /// Writes to standard error, which the operators' process manager collects; easylogging++ itself knows only
-    /// standard output and files, and hosts have no disk.
-    class StandardErrorDispatch : public el::LogDispatchCallback
+    /// Gathers lines, so that a batch of them costs one write; easylogging++ itself writes line by line.
+    class BatchDispatch : public el::LogDispatchCallback
     {
     protected:
         auto handle(const el::LogDispatchData *data) -> void override
@@ -133,7 +132,8 @@
             if (dropped > 0)
                 writeLine({Severity::Warning,
                            "event=log-dropped lines=" + std::to_string(dropped) + m_suffix});
-            std::fwrite(batch().data(), 1, batch().size(), stderr);
+            std::fwrite(batch().data(), 1, batch().size(), stdout);
+            std::fflush(stdout);
             batch().clear();
             lock.lock();
         }
--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -16,8 +16,9 @@
 
 /// How often silence of the backend server is looked for.
 static constexpr auto TickInterval = std::chrono::milliseconds(250);
-/// A node that goes repeats its word for so many protocol periods.
-static constexpr auto LeavePeriods = 3;
+/// A node that goes repeats its word for so many protocol periods. It is passed on at once by whoever hears it, and the
+/// gate's own refusals say the same, so that one period is enough.
+static constexpr auto LeavePeriods = 1;
 
 auto peerSettings(const NodeSettings &settings) -> transport::PeerSettings
 {
@@ -57,6 +58,7 @@
     membership.seeds = settings.seeds;
     membership.period = settings.protocolPeriod;
     membership.probeTimeout = settings.protocolPeriod / 4;
+    membership.viewPause = settings.viewPause;
     return membership;
 }
 
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -66,10 +66,11 @@
         co_return refuse(error.reason(), error.what(), Duration::zero());
     }
     const auto className = call.request.className;
+    const auto attemptId = call.request.attemptId;
     auto answer = co_await route(std::move(call), std::move(cancellation));
     refreshFloors(monotonicNow());
     m_metrics.didAnswerAtEntry(className, answer.outcome, monotonicNow() - start);
-    co_return m_protocol ? m_protocol->writeAnswer(std::move(answer))
+    co_return m_protocol ? m_protocol->writeAnswer(std::move(answer), attemptId)
                          : responseFor(std::move(answer));
 }
 
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <stairspur/log/Log.h>
+#include <stairspur/transport/EndToEnd.h>
 
 #include "RoutedIntake.h"
 
@@ -116,6 +117,19 @@
     return m_protocol->writeBackendRequest(std::move(request), remaining, m_backend.instance);
 }
 
+/// What the entry would drop is not worth its way there: bytes between failure domains cost.
+auto Gate::answerHeaders(transport::HeaderList headers) const -> transport::HeaderList
+{
+    if (!m_protocol)
+        return headers;
+    auto kept = transport::HeaderList();
+    for (auto &it : transport::endToEndFields(headers)) {
+        if (m_protocol->isAnswerField(it.name))
+            kept.add(std::move(it.name), std::move(it.value));
+    }
+    return kept;
+}
+
 auto Gate::judge(const transport::HttpResponse &response) const -> BackendVerdict
 {
     if (!m_protocol)
@@ -238,7 +252,7 @@
         verdict = judge(response);
         if (verdict.outcome == Outcome::Answered || verdict.outcome == Outcome::Failed) {
             answer.status = response.status;
-            answer.headers = std::move(response.headers);
+            answer.headers = answerHeaders(std::move(response.headers));
             answer.body = std::move(response.body);
         }
     } catch (const transport::HttpClientError &error) {
--- a/tests/log/CapturedLog.h
+++ b/tests/log/CapturedLog.h
@@ -10,17 +10,17 @@
 
 namespace stairspur::log {
 
-/// The log of this process while it lives, in place of standard error. The pipe holds the few lines of a test; Criterion
+/// The log of this process while it lives, in place of standard output. The pipe holds the few lines of a test; Criterion
 /// gives each test a process of its own, so that no other one is disturbed.
 class CapturedLog
 {
 public:
     explicit CapturedLog(const LogSettings &settings)
-        : m_standardError(::dup(STDERR_FILENO))
+        : m_standardOutput(::dup(STDOUT_FILENO))
     {
         [[maybe_unused]] const auto made = ::pipe(m_ends.data());
         assert(made == 0);
-        ::dup2(m_ends[1], STDERR_FILENO);
+        ::dup2(m_ends[1], STDOUT_FILENO);
         start(settings);
     }
 
@@ -32,15 +32,15 @@
     ~CapturedLog()
     {
         ::close(m_ends[0]);
-        ::close(m_standardError);
+        ::close(m_standardOutput);
     }
 
     /// Stops the writer and returns all that it wrote.
     auto finish() -> std::string
     {
         stop();
-        std::fflush(stderr);
-        ::dup2(m_standardError, STDERR_FILENO);
+        std::fflush(stdout);
+        ::dup2(m_standardOutput, STDOUT_FILENO);
         ::close(m_ends[1]);
         auto text = std::string();
         auto buf = std::array<char, 4096>{};
@@ -51,7 +51,7 @@
     }
 
 private:
-    int m_standardError;
+    int m_standardOutput;
     std::array<int, 2> m_ends{};
 };
 
--- a/tests/platform/TestCallHeaders.cpp
+++ b/tests/platform/TestCallHeaders.cpp
@@ -109,7 +109,7 @@
         answer.outcome = it.outcome;
         answer.reason = it.reason;
         answer.retryAfter = 250ms;
-        const auto response = platformCalls().writeAnswer(answer);
+        const auto response = platformCalls().writeAnswer(answer, "root");
         cr_expect_eq(response.status, it.status, "%s %s: %u", nameOf(it.outcome).data(),
                      nameOf(it.reason).data(), response.status);
         const auto isPromise = response.status == 503;
@@ -127,13 +127,23 @@
     answer.headers.add("X-Server-Seal", "seal");
     answer.headers.add("Keep-Alive", "timeout=9");
     answer.body = "body";
-    const auto response = platformCalls().writeAnswer(answer);
+    const auto response = platformCalls().writeAnswer(answer, "root");
     cr_assert_eq(response.status, 500);
     cr_assert(response.headers.find("X-Server-Seal") == "seal");
     cr_assert(!response.headers.contains("Keep-Alive"));
+    cr_assert(response.headers.find("X-Attempt-Id") == "root");
     cr_assert_eq(response.body, "body");
 }
 
+Test(CallHeaders, whatTheEntryKnowsIsNotSentBackToIt)
+{
+    const auto calls = platformCalls();
+    cr_assert(!calls.isAnswerField("x-attempt-id"));
+    cr_assert(!calls.isAnswerField("X-Server-Load"));
+    cr_assert(calls.isAnswerField("X-Server-Seal"));
+    cr_assert(calls.isAnswerField("Content-Type"));
+}
+
 Test(CallHeaders, onlyTheBackendServersWordSaysThatItDidNotRun)
 {
     struct
