Transport: Never keep a connection whose request was not sent whole; lint

Cause: found in reading: after an early answer to a body whose sending failed, the connection could be kept, and the rest of the body would have been read as the next request. Change: such a connection is closed after its answer; reading past foreign answers is a function of its own; names and initialisers that the linter asks for.

--- a/source/node/NodeBoard.h
+++ b/source/node/NodeBoard.h
@@ -21,7 +21,7 @@
     std::uint32_t slots = 0;
     membership::ServingState state = membership::ServingState::Starting;
     std::string address = "127.0.0.1";
-    std::string instance; ///< Names this start of it; empty where it has no name.
+    std::string instance{}; ///< Names this start of it; empty where it has no name.
 };
 
 /// The floors of the services below this host's, as its entry sees them.
--- a/source/transport/HttpClientConnection.h
+++ b/source/transport/HttpClientConnection.h
@@ -66,14 +66,10 @@
             fail(HttpFailure::NotConnected, ec.message());
         // A server that refuses a large body answers before it has read it all, so an answer is looked for even after a
         // write that failed (RFC 9112, section 9.6).
-        auto response = co_await readAnswer(request.method, settings.maxAnswerBytes);
-        for (auto n = 0; settings.isAnswerTo && !settings.isAnswerTo(request, response); ++n) {
-            // A late second answer to an earlier request: ours is still to come.
-            if (n >= MaxForeignAnswers || !m_isKeptAlive)
-                fail(HttpFailure::Broken, "the answer belongs to another request");
-            response = co_await readAnswer(request.method, settings.maxAnswerBytes);
-        }
+        auto response = co_await readOwnAnswer(request, settings);
         disarm();
+        // The rest of a body that was not sent whole would be taken for the next request.
+        m_mayBeKept = m_mayBeKept && !ec;
         m_lastUsed = monotonicNow();
         noteIdleLimit(response);
         co_return response;
@@ -123,6 +119,20 @@
             m_idleLimit = std::chrono::seconds(seconds) - IdleMargin;
     }
 
+    /// Passes over late second answers to earlier requests: the one to `request` follows them.
+    auto readOwnAnswer(const HttpRequest &request, const HttpClientSettings &settings)
+            -> Task<HttpResponse>
+    {
+        auto response = co_await readAnswer(request.method, settings.maxAnswerBytes);
+        for (auto skipped = 0; settings.isAnswerTo && !settings.isAnswerTo(request, response);
+             ++skipped) {
+            if (skipped >= MaxForeignAnswers || !m_isKeptAlive)
+                fail(HttpFailure::Broken, "the answer belongs to another request");
+            response = co_await readAnswer(request.method, settings.maxAnswerBytes);
+        }
+        co_return response;
+    }
+
     auto readAnswer(const std::string &method, std::uint64_t maxAnswerBytes) -> Task<HttpResponse>
     {
         while (true) {
--- a/tests/platform/TestBootSettings.cpp
+++ b/tests/platform/TestBootSettings.cpp
@@ -9,7 +9,7 @@
 using namespace stairspur::platform;
 using namespace std::chrono_literals;
 
-static const auto Whole = std::string(R"(node: "sidecar-north-1"
+static constexpr auto Whole = std::string_view(R"(node: "sidecar-north-1"
 ip: "10.1.0.8"
 zone: "north"
 region: "lagos"
@@ -30,7 +30,7 @@
 
 static auto replaced(const std::string &from, const std::string &to) -> std::string
 {
-    auto text = Whole;
+    auto text = std::string(Whole);
     const auto at = text.find(from);
     cr_assert(at != std::string::npos, "%s", from.c_str());
     return text.replace(at, from.size(), to);
@@ -38,7 +38,7 @@
 
 Test(BootSettings, everyFieldIsRead)
 {
-    const auto boot = parseBootSettings(Whole);
+    const auto boot = parseBootSettings(std::string(Whole));
     cr_assert_eq(boot.hostName, "sidecar-north-1");
     cr_assert_eq(boot.failureDomain, "north");
     cr_assert_eq(boot.region, "lagos");
@@ -58,7 +58,7 @@
 
 Test(BootSettings, nodeSettingsHoldWhatTheFileSays)
 {
-    const auto settings = nodeSettingsOf(parseBootSettings(Whole));
+    const auto settings = nodeSettingsOf(parseBootSettings(std::string(Whole)));
     cr_assert_eq(settings.nodeId(), "10.1.0.8:7620");
     cr_assert_eq(settings.store, "http://10.200.1.7:8309");
     cr_assert_eq(settings.entryPort, 8304);
--- a/tests/platform/TestControlApi.cpp
+++ b/tests/platform/TestControlApi.cpp
@@ -10,7 +10,7 @@
 using membership::ServingState;
 using namespace std::chrono_literals;
 
-static const auto Heartbeat = std::string(
+static constexpr auto Heartbeat = std::string_view(
         R"({"service":"maps","address":"10.1.0.9:8080","zone":"north","version":"v1","slots":168,)"
         R"("state":"ready","cold_remaining_s":0.5,"seq":4})");
 
@@ -37,8 +37,8 @@
 Test(ControlApi, aHeartbeatIsTakenBeforeItIsAcknowledged)
 {
     auto told = Told();
-    const auto answer =
-            handleAnnouncement(request("PUT", "/v1/instances/i-1", Heartbeat), told.hooks());
+    const auto answer = handleAnnouncement(
+            request("PUT", "/v1/instances/i-1", std::string(Heartbeat)), told.hooks());
     cr_assert_eq(answer.status, 200);
     cr_assert_eq(told.announcements.size(), 1);
     const auto &it = told.announcements[0];
@@ -63,7 +63,7 @@
 Test(ControlApi, whatIsNoHeartbeatIsRefused)
 {
     const auto replaced = [](const std::string &from, const std::string &to) {
-        auto text = Heartbeat;
+        auto text = std::string(Heartbeat);
         return text.replace(text.find(from), from.size(), to);
     };
     struct
@@ -71,8 +71,8 @@
         transport::HttpRequest request;
         std::uint32_t status;
     } const cases[] = {
-            {request("PUT", "/v1/instances/", Heartbeat), 404},
-            {request("PUT", "/v1/other/i-1", Heartbeat), 404},
+            {request("PUT", "/v1/instances/", std::string(Heartbeat)), 404},
+            {request("PUT", "/v1/other/i-1", std::string(Heartbeat)), 404},
             {request("GET", "/v1/instances/i-1"), 405},
             {request("PUT", "/v1/instances/i-1", ""), 400},
             {request("PUT", "/v1/instances/i-1", "[]"), 400},
--- a/tests/platform/TestOperatorItem.cpp
+++ b/tests/platform/TestOperatorItem.cpp
@@ -12,7 +12,7 @@
 using namespace stairspur::platform;
 using namespace std::chrono_literals;
 
-static const auto Item = std::string(R"({"version": 7, "routes": {
+static constexpr auto Item = std::string_view(R"({"version": 7, "routes": {
 "views": {"host": "a.example", "prefix": "/v/", "kind": "safe", "timeout_s": 5, "target_latency_s": 1.2, "priority": 2,
   "traffic_split": [{"service": "menu", "weight": 90}, {"service": "beta", "weight": 10}], "max_attempts": 2},
 "deep": {"host": "a.example", "prefix": "/v/x/", "kind": "download", "timeout_s": 1, "target_latency_s": 0.3,
@@ -34,7 +34,7 @@
 
 Test(OperatorItem, routesServicesAndLimitsAreRead)
 {
-    const auto index = indexOf(Item);
+    const auto index = indexOf(std::string(Item));
     const auto *views = index.findRoute("a.example", "/v/1");
     cr_assert(views);
     cr_assert_eq(views->targets.size(), 2);
@@ -53,7 +53,7 @@
 
 Test(OperatorItem, theLongestPrefixOfTheHostDecides)
 {
-    const auto index = indexOf(Item);
+    const auto index = indexOf(std::string(Item));
     cr_assert_eq(index.findRoute("a.example", "/v/x/9")->name, "deep");
     cr_assert_eq(index.findRoute("a.example", "/v/xy")->name, "views");
     cr_assert_null(index.findRoute("a.example", "/v"));
@@ -63,7 +63,7 @@
 
 Test(OperatorItem, eachPriorityIsAClassTheGreatestFirst)
 {
-    const auto index = indexOf(Item);
+    const auto index = indexOf(std::string(Item));
     cr_assert_eq(index.findClass(index.findRoute("b.example", "/o/1")->className)->rank, 0);
     cr_assert_eq(index.findClass(index.findRoute("a.example", "/v/1")->className)->rank, 1);
     cr_assert_eq(index.findClass(index.findRoute("a.example", "/v/x/")->className)->rank, 2);
@@ -71,7 +71,7 @@
 
 Test(OperatorItem, retriesStayBelowWhatThePlatformAllows)
 {
-    const auto retry = readOperatorItem(Item, {0.2, 49}).configuration.retry;
+    const auto retry = readOperatorItem(std::string(Item), {0.2, 49}).configuration.retry;
     cr_assert_lt(retry.requestShare, 0.2);
     cr_assert_gt(retry.requestShare, 0.1);
     cr_assert_lt(retry.fleetBucketSize, 49);
