Node: Split the entry's floors off; Transport: let other limits hold for the next request of an open connection

Cause: found by a new test (HttpServer::otherLimitsHoldForOpenConnectionsToo, failed first): a connection's parser was made before it waited, so that a request after a change was held to the limits before it. Change: the parser is made when the first byte is there.

--- a/include/stairspur/store/StoreCaller.h
+++ b/include/stairspur/store/StoreCaller.h
@@ -23,6 +23,7 @@
     StoreStatus status = StoreStatus::Unknown;
     nlohmann::json answer{};
     std::string detail{};
+    std::uint32_t httpStatus = 0; ///< Of the response; 0 without one.
 };
 
 /// Calls to a store over HTTP, whatever its protocol: the rate limit, further attempts where they do no harm, counters
--- a/source/distribution/DistributionService.cpp
+++ b/source/distribution/DistributionService.cpp
@@ -14,7 +14,6 @@
 #include <stairspur/log/Log.h>
 
 #include "StoreReading.h"
-#include "WholeItemSplitter.h"
 
 namespace stairspur::distribution {
 
@@ -38,6 +37,7 @@
         , m_ticker(control)
         , m_watchPause(control)
         , m_random(seed + 1)
+        , m_headReader(m_parts.source)
     {}
 
     auto start() -> void
@@ -169,7 +169,7 @@
             if (const auto self = weak.lock())
                 self->didHearWatch(message);
         };
-        auto request = store::WatchRequest{.key = headKey(), .startRevision = revision};
+        auto request = store::WatchRequest{.key = m_headReader.key(), .startRevision = revision};
         auto end = co_await m_parts.store->watch(std::move(request), std::move(handler), m_watch);
         m_watch.reset();
         log::Line(log::Severity::Info, "configuration-watch-ended")
@@ -185,40 +185,13 @@
         for (const auto &it : message.events) {
             if (it.isDelete)
                 continue;
-            const auto reading = readHeadOf(it.pair.value);
+            const auto reading = m_headReader.readValue(it.pair.value);
             if (reading.isOk)
                 m_state.didWatchHead(*reading.head, monotonicNow());
         }
         carryOut();
     }
 
-    [[nodiscard]] auto headKey() const -> std::string
-    {
-        return m_parts.source ? m_parts.source->key : std::string(HeadKey);
-    }
-
-    auto readHeadIn(const store::StoreResult<store::RangeAnswer> &answer) -> HeadReading
-    {
-        if (!m_parts.source || !answer.isOk() || answer.value.pairs.empty())
-            return headIn(answer);
-        return readHeadOf(answer.value.pairs.front().value);
-    }
-
-    auto readHeadOf(const std::string &value) -> HeadReading
-    {
-        if (!m_parts.source)
-            return readHeadValue(value);
-        try {
-            m_wholeItem = splitWholeItem(m_parts.source->read(value));
-            return {true, m_wholeItem->head};
-        } catch (const InputError &error) {
-            log::Line(log::Severity::Error, "configuration-item-unreadable")
-                    .add("key", m_parts.source->key)
-                    .add("error", error.what());
-        }
-        return {};
-    }
-
     auto pause(Duration time) -> Task<void>
     {
         auto ec = boost::system::error_code();
@@ -270,8 +243,8 @@
 
     auto loadHead() -> Task<void>
     {
-        const auto answer = co_await m_parts.store->range({.key = headKey()});
-        const auto reading = readHeadIn(answer);
+        const auto answer = co_await m_parts.store->range({.key = m_headReader.key()});
+        const auto reading = m_headReader.readAnswer(answer);
         if (reading.isOk)
             m_state.didReadHead(reading.head, monotonicNow());
         else
@@ -283,9 +256,9 @@
 
     auto loadSections(ReadSections action) -> Task<void>
     {
-        if (m_wholeItem) {
+        if (const auto &whole = m_headReader.wholeItem()) {
             // The item that gave the head has brought all sections with it.
-            m_state.didReadSections(m_wholeItem->blobs, monotonicNow());
+            m_state.didReadSections(whole->blobs, monotonicNow());
             carryOut();
             co_return;
         }
@@ -340,7 +313,7 @@
     Random m_random;
     std::shared_ptr<const membership::MembershipView> m_view;
     transport::CancellationPtr m_watch;
-    std::optional<SplitItem> m_wholeItem; ///< The last one read; none with a head and sections.
+    HeadReader m_headReader;
     std::uint64_t m_malformedDigests = 0;
     bool m_isStopped = false;
 };
--- a/source/distribution/StoreReading.cpp
+++ b/source/distribution/StoreReading.cpp
@@ -29,6 +29,33 @@
     return readHeadValue(answer.value.pairs[0].value);
 }
 
+auto HeadReader::key() const -> std::string
+{
+    return m_source ? m_source->key : std::string(HeadKey);
+}
+
+auto HeadReader::readValue(const std::string &value) -> HeadReading
+{
+    if (!m_source)
+        return readHeadValue(value);
+    try {
+        m_wholeItem = splitWholeItem(m_source->read(value));
+        return {true, m_wholeItem->head};
+    } catch (const InputError &error) {
+        log::Line(log::Severity::Error, "configuration-item-unreadable")
+                .add("key", m_source->key)
+                .add("error", error.what());
+    }
+    return {};
+}
+
+auto HeadReader::readAnswer(const store::StoreResult<store::RangeAnswer> &answer) -> HeadReading
+{
+    if (!m_source || !answer.isOk() || answer.value.pairs.empty())
+        return headIn(answer);
+    return readValue(answer.value.pairs.front().value);
+}
+
 static auto addBlobs(Blobs &blobs, const std::vector<store::KeyValue> &pairs) -> void
 {
     for (const auto &it : pairs)
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -21,10 +21,6 @@
 using transport::HttpResponse;
 using transport::Task;
 
-/// How often the gate is told what the deeper services refuse: while calls flow, and while anything is refused.
-static constexpr auto FloorInterval = Duration{20'000};
-/// How often unchanged floors are told again: those that nobody confirms lapse after a second.
-static constexpr auto FloorConfirmInterval = Duration{250'000};
 /// When to come back to a node that has no configuration yet.
 static constexpr auto NoConfigurationRetryAfter = Duration{1'000'000};
 
@@ -39,7 +35,9 @@
     , m_peers(peers)
     , m_keyedRouter(io, {{settings.nodeId(), start}, {}}, peers, seed + 1)
     , m_random(seed)
-    , m_floorTimer(io)
+    , m_floorTeller(
+              io, board,
+              [this](const auto &call, auto rank, auto now) { return floorAt(call, rank, now); })
     , m_protocol(protocol)
 {}
 
@@ -68,7 +66,7 @@
     const auto className = call.request.className;
     const auto attemptId = call.request.attemptId;
     auto answer = co_await route(std::move(call), std::move(cancellation));
-    refreshFloors(monotonicNow());
+    m_floorTeller.refresh(monotonicNow());
     m_metrics.didAnswerAtEntry(className, answer.outcome, monotonicNow() - start);
     co_return m_protocol ? m_protocol->writeAnswer(std::move(answer), attemptId)
                          : responseFor(std::move(answer));
@@ -99,8 +97,8 @@
     }
     const auto parent = *call.parent;
     if (m_protocol)
-        m_observedCalls.didCall({call.request.level.rank(), call.parentPath},
-                                {call.request.service, call.request.path}, monotonicNow());
+        m_floorTeller.didCall({call.request.level.rank(), call.parentPath},
+                              {call.request.service, call.request.path}, monotonicNow());
     const auto childId = CallId{m_random()};
     auto cancelHere = [this, cancellation] {
         transport::asio::post(m_io, [cancellation] { cancellation->cancel(); });
@@ -407,33 +405,6 @@
             .add("budget", attempts.budget.left());
 }
 
-/// Calls bring what floors are made of, so that their ends are the time to look: a timer would wake an idle node fifty
-/// times a second for nothing.
-auto Entry::refreshFloors(TimePoint now) -> void
-{
-    if (now - m_floorsAt < FloorInterval)
-        return;
-    m_floorsAt = now;
-    tellDeeperFloors(now);
-    ensureFloorTimer();
-}
-
-/// Floors that are up may have to fall while no call comes.
-auto Entry::ensureFloorTimer() -> void
-{
-    const auto isUp = [](Level it) { return it > LowestLevel; };
-    const auto isRankUp = std::ranges::any_of(m_toldFloors.byRank, isUp);
-    if (m_hasFloorTimer || (!isRankUp && m_toldFloors.byPath.empty()))
-        return;
-    m_hasFloorTimer = true;
-    m_floorTimer.expires_after(FloorInterval);
-    m_floorTimer.async_wait([this](const boost::system::error_code &ec) {
-        m_hasFloorTimer = false;
-        if (!ec)
-            refreshFloors(monotonicNow());
-    });
-}
-
 /// The floor that a call of class `rank` meets at a deeper service.
 auto Entry::floorAt(const DeeperCall &call, ClassRank rank, TimePoint now) const -> Level
 {
@@ -442,33 +413,4 @@
                                    : found->second->pool.floorFor({rank, call.path}, now);
 }
 
-/// Publishes the floors that calls of each class and path meet below this host's service, so that the gate can advertise
-/// them.
-auto Entry::tellDeeperFloors(TimePoint now) -> void
-{
-    const auto configuration = *m_board.configuration.read();
-    const auto service = m_board.backend.read()->service;
-    if (!configuration || service.empty())
-        return;
-    auto floors = DeeperFloorsHeard();
-    for (const auto &it : configuration->whole().classes) {
-        auto floor = LowestLevel;
-        for (const auto &deeper : configuration->deeperServices(service, it.rank))
-            floor = std::max(floor, floorAt({deeper, NoPath}, it.rank, now));
-        floors.byRank.push_back(floor);
-    }
-    for (const auto &it : m_observedCalls.paths(now)) {
-        auto floor = LowestLevel;
-        for (const auto &call : it.calls)
-            floor = std::max(floor, floorAt(call, m_observedCalls.leastRank(), now));
-        if (floor > LowestLevel)
-            floors.byPath.push_back({it.path, floor});
-    }
-    if (floors == m_toldFloors && now - m_toldAt < FloorConfirmInterval)
-        return;
-    m_toldAt = now;
-    m_toldFloors = floors;
-    m_board.deeperFloors.publish(std::move(floors));
-}
-
 } // namespace stairspur::node
--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -7,7 +7,6 @@
 #include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <stairspur/core/Random.h>
 #include <stairspur/keyed/KeyedRouter.h>
@@ -23,9 +22,9 @@
 #include <stairspur/transport/Task.h>
 
 #include "CallIntake.h"
+#include "FloorTeller.h"
 #include "NodeBoard.h"
 #include "NodeMetrics.h"
-#include "ObservedCalls.h"
 #include "RunningCalls.h"
 
 namespace stairspur::node {
@@ -111,9 +110,6 @@
                      const Attempts &attempts) -> void;
     auto noteRetryDecision(const IncomingCall &call, retry::RetryDecision decision,
                            const Attempts &attempts) -> void;
-    auto refreshFloors(TimePoint now) -> void;
-    auto ensureFloorTimer() -> void;
-    auto tellDeeperFloors(TimePoint now) -> void;
     [[nodiscard]] auto floorAt(const DeeperCall &call, ClassRank rank, TimePoint now) const
             -> Level;
 
@@ -128,14 +124,9 @@
     std::uint64_t m_keyedConfigurationGeneration = 0;
     Random m_random;
     std::unordered_map<std::string, std::unique_ptr<ServiceRoutes>> m_routes;
-    transport::asio::steady_timer m_floorTimer;
-    DeeperFloorsHeard m_toldFloors;
-    TimePoint m_toldAt;
-    ObservedCalls m_observedCalls;
+    FloorTeller m_floorTeller;
     std::size_t m_fleetSize = LeastFleetSize; ///< The most hosts that were known at once.
     const CallProtocol *m_protocol;           ///< Null: the product's own.
-    TimePoint m_floorsAt;
-    bool m_hasFloorTimer = false;
 };
 
 } // namespace stairspur::node
--- /dev/null
+++ b/source/node/FloorTeller.cpp
@@ -0,0 +1,92 @@
+#include "FloorTeller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stairspur::node {
+
+/// How often the gate is told what the deeper services refuse: while calls flow, and while anything is refused.
+static constexpr auto FloorInterval = Duration{20'000};
+/// How often unchanged floors are told again: those that nobody confirms lapse after a second.
+static constexpr auto FloorConfirmInterval = Duration{250'000};
+
+FloorTeller::FloorTeller(boost::asio::io_context &io, NodeBoard &board, FloorAt floorAt)
+    : m_board(board)
+    , m_floorAt(std::move(floorAt))
+    , m_timer(io)
+{}
+
+auto FloorTeller::didCall(FloorKey of, const DeeperCall &call, TimePoint now) -> void
+{
+    m_observedCalls.didCall(of, call, now);
+}
+
+auto FloorTeller::refresh(TimePoint now) -> void
+{
+    if (now - m_refreshedAt < FloorInterval)
+        return;
+    m_refreshedAt = now;
+    tell(now);
+    ensureTimer();
+}
+
+/// Floors that are up may have to fall while no call comes.
+auto FloorTeller::ensureTimer() -> void
+{
+    const auto isUp = [](Level it) { return it > LowestLevel; };
+    const auto isRankUp = std::ranges::any_of(m_told.byRank, isUp);
+    if (m_hasTimer || (!isRankUp && m_told.byPath.empty()))
+        return;
+    m_hasTimer = true;
+    m_timer.expires_after(FloorInterval);
+    m_timer.async_wait([this](const boost::system::error_code &ec) {
+        m_hasTimer = false;
+        if (!ec)
+            refresh(monotonicNow());
+    });
+}
+
+auto FloorTeller::tell(TimePoint now) -> void
+{
+    const auto configuration = *m_board.configuration.read();
+    const auto service = m_board.backend.read()->service;
+    if (!configuration || service.empty())
+        return;
+    auto floors = DeeperFloorsHeard{floorsByRank(*configuration, service, now), floorsByPath(now)};
+    if (floors == m_told && now - m_toldAt < FloorConfirmInterval)
+        return;
+    m_toldAt = now;
+    m_told = floors;
+    m_board.deeperFloors.publish(std::move(floors));
+}
+
+/// By the call paths that the configuration names.
+auto FloorTeller::floorsByRank(const config::ConfigurationIndex &configuration,
+                               const std::string &service, TimePoint now) const
+        -> std::vector<Level>
+{
+    auto floors = std::vector<Level>();
+    for (const auto &it : configuration.whole().classes) {
+        auto floor = LowestLevel;
+        for (const auto &deeper : configuration.deeperServices(service, it.rank))
+            floor = std::max(floor, m_floorAt({deeper, NoPath}, it.rank, now));
+        floors.push_back(floor);
+    }
+    return floors;
+}
+
+/// By the calls that were seen. Paths without a floor are left out.
+auto FloorTeller::floorsByPath(TimePoint now) const -> std::vector<PathFloor>
+{
+    auto floors = std::vector<PathFloor>();
+    for (const auto &it : m_observedCalls.paths(now)) {
+        auto floor = LowestLevel;
+        for (const auto &call : it.calls)
+            floor = std::max(floor, m_floorAt(call, m_observedCalls.leastRank(), now));
+        if (floor > LowestLevel)
+            floors.push_back({it.path, floor});
+    }
+    return floors;
+}
+
+} // namespace stairspur::node
--- a/source/store/StoreCaller.cpp
+++ b/source/store/StoreCaller.cpp
@@ -74,7 +74,9 @@
     try {
         const auto response =
                 co_await m_client.send(std::move(request), timeout, std::move(cancellation));
-        co_return m_read(response);
+        auto attempt = m_read(response);
+        attempt.httpStatus = response.status;
+        co_return attempt;
     } catch (const HttpClientError &error) {
         const auto isUnsent = error.failure() == HttpFailure::NotConnected;
         co_return StoreAttempt{
--- a/source/transport/HttpConnection.h
+++ b/source/transport/HttpConnection.h
@@ -161,13 +161,14 @@
     /// Reads one whole request into the parser. False when there is none: with a refusal to send, or without.
     auto readRequest(std::optional<HttpRefusal> &refusal) -> Task<bool>
     {
+        if (!co_await waitForFirstByte())
+            co_return false;
+        // Only now, since the limits may have changed while the connection was idle.
         m_parser.emplace();
         m_parser->header_limit(m_context->settings.maxHeaderBytes);
         m_parser->body_limit(m_context->settings.maxBodyBytes);
         m_parser->eager(true);
         m_isContinueSent = false;
-        if (!co_await waitForFirstByte())
-            co_return false;
         const auto begin = std::chrono::steady_clock::now();
         while (true) {
             refusal = parseBuffer();
@@ -314,15 +315,7 @@
 
     auto takeRequest() -> HttpRequest
     {
-        auto message = m_parser->release();
-        auto request = HttpRequest{.method = std::string(message.method_string()),
-                                   .target = std::string(message.target()),
-                                   .headers = {},
-                                   .body = std::move(message.body()),
-                                   .remoteAddress = m_remoteAddress};
-        for (const auto &it : message)
-            request.headers.add(std::string(it.name_string()), std::string(it.value()));
-        return request;
+        return toHttpRequest(m_parser->release(), m_remoteAddress);
     }
 
     auto runHandler(HttpRequest request) -> Task<HttpResponse>
--- a/source/transport/HttpWire.cpp
+++ b/source/transport/HttpWire.cpp
@@ -75,6 +75,19 @@
     return head.append("\r\n");
 }
 
+auto toHttpRequest(boost::beast::http::request<boost::beast::http::string_body> message,
+                   std::string remoteAddress) -> HttpRequest
+{
+    auto request = HttpRequest{.method = std::string(message.method_string()),
+                               .target = std::string(message.target()),
+                               .headers = {},
+                               .body = std::move(message.body()),
+                               .remoteAddress = std::move(remoteAddress)};
+    for (const auto &it : message)
+        request.headers.add(std::string(it.name_string()), std::string(it.value()));
+    return request;
+}
+
 auto mayHaveBody(std::string_view method, std::uint32_t status) -> bool
 {
     return method != "HEAD" && status >= FirstStatusWithBody && status != NoContent
--- a/source/transport/HttpWire.h
+++ b/source/transport/HttpWire.h
@@ -3,12 +3,19 @@
 #include <string>
 #include <string_view>
 
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
 #include <stairspur/core/Outcome.h>
 #include <stairspur/transport/HttpMessages.h>
 
 /// HTTP/1.1 message heads as they go onto the wire (RFC 9112), and the answers to input that cannot be served.
 namespace stairspur::transport {
 
+/// What a parser has read, in the form that handlers take.
+auto toHttpRequest(boost::beast::http::request<boost::beast::http::string_body> message,
+                   std::string remoteAddress) -> HttpRequest;
+
 /// Whether a field says how a message is framed on one connection. Those are never passed on; each end writes its own.
 auto isConnectionField(std::string_view name) -> bool;
 
--- /dev/null
+++ b/tests/admission/TestPathFloors.cpp
@@ -0,0 +1,62 @@
+#include <criterion/criterion.h>
+
+#include <stairspur/admission/AdmissionController.h>
+
+using namespace stairspur;
+using namespace stairspur::admission;
+using namespace std::chrono_literals;
+
+static constexpr auto Now = TimePoint{1h};
+static constexpr auto ToMaps = PathKey{11};
+static constexpr auto Elsewhere = PathKey{22};
+
+static auto isRefused(AdmissionController &controller, CallId id, PathKey path) -> bool
+{
+    auto random = Random(id);
+    const auto offer = CallOffer{id, makeLevel(2, 50), Now + 5s, path};
+    return !controller.offer(offer, Now, random).refuse.empty();
+}
+
+Test(PathFloors, aFloorBelowShutsOutThePathThatNeedsIt)
+{
+    auto controller = AdmissionController({});
+    controller.setDeeperFloors({}, {{ToMaps, makeLevel(2, 100)}});
+    cr_assert(isRefused(controller, 1, ToMaps));
+    cr_assert(!isRefused(controller, 2, Elsewhere));
+    cr_assert(!isRefused(controller, 3, NoPath));
+}
+
+Test(PathFloors, reportsTellThemBesideTheClassFloors)
+{
+    auto controller = AdmissionController({});
+    controller.setDeeperFloors({}, {{ToMaps, makeLevel(2, 100)}});
+    const auto report = controller.report(Now);
+    cr_assert(report.floorFor({2, ToMaps}) == makeLevel(2, 100));
+    cr_assert(report.floorFor({2, Elsewhere}) == LowestLevel);
+    cr_assert(report.floorFor(2) == LowestLevel);
+}
+
+Test(PathFloors, nobodyWhoTellsThemAnyMoreMakesThemLapse)
+{
+    auto controller = AdmissionController({});
+    controller.setDeeperFloors({}, {{ToMaps, makeLevel(2, 100)}});
+    controller.report(Now);
+    cr_assert(controller.report(Now + 1500ms).floorFor({2, ToMaps}) == LowestLevel);
+}
+
+Test(FixedLimit, slotsThatAreExactHoldFromTheFirstCallOn)
+{
+    auto settings = AdmissionSettings();
+    settings.reportedSlots = 9;
+    settings.trustsReportedSlots = true;
+    auto controller = AdmissionController(settings);
+    cr_assert_eq(controller.report(Now).limit, 9);
+    auto random = Random(1);
+    controller.offer({1, makeLevel(0, 1), Now + 5s}, Now, random);
+    controller.didComplete(1, Completion::Shed, 10ms, Now, random);
+    cr_assert_eq(controller.report(Now).limit, 9, "nothing is learnt from what was shed");
+    controller.setReportedSlots(12);
+    cr_assert_eq(controller.report(Now).limit, 12);
+    controller.didReplaceBackend();
+    cr_assert_eq(controller.report(Now).limit, 12);
+}
--- a/tests/node/TestCallPath.cpp
+++ b/tests/node/TestCallPath.cpp
@@ -223,3 +223,29 @@
     cr_assert_eq(floors.byRank.size(), 2);
     cr_assert_eq(floors.byRank[1].value, makeLevel(0, 0).value);
 }
+
+Test(CallPath, retryLimitsFollowTheConfigurationInForce)
+{
+    auto path = CallPathHarness();
+    auto runs = 0;
+    for (auto n = 0; n < 2; ++n) {
+        path.addHost("menu", [&](auto, auto) -> transport::Task<transport::HttpResponse> {
+            ++runs;
+            co_return backendAnswer(500, "");
+        });
+    }
+    path.start(path.request("menu", "x"));
+    cr_assert(path.finish());
+    cr_assert_eq(runs, 2, "a failed call is tried at the other host");
+    const auto before = *path.board.configuration.read();
+    auto next = config::VersionedConfiguration(*before->configuration());
+    next.version += 1;
+    next.configuration.retry.bucketSize = 0;
+    auto shared = std::make_shared<const config::VersionedConfiguration>(std::move(next));
+    path.board.configuration.publish(
+            std::make_shared<const config::ConfigurationIndex>(std::move(shared)));
+    path.entry.didChangeConfiguration();
+    path.start(path.request("menu", "y"));
+    cr_assert(path.finish());
+    cr_assert_eq(runs, 3, "without tokens it is not");
+}
--- a/tests/transport/TestHttpServer.cpp
+++ b/tests/transport/TestHttpServer.cpp
@@ -1,5 +1,7 @@
 #include <criterion/criterion.h>
 
+#include <boost/asio/detached.hpp>
+
 #include <stairspur/core/Error.h>
 #include <stairspur/transport/HttpServer.h>
 
@@ -296,3 +298,57 @@
     auto second = HttpServer(io, same, echo);
     cr_assert_throw(second.start(), SettingError);
 }
+
+Test(HttpServer, aClosingServerEndsEachConnectionWithItsNextAnswer)
+{
+    auto io = asio::io_context();
+    auto server = HttpServer(io, settings(), echo);
+    server.start();
+    server.startClosing();
+    auto answer = std::string();
+    asio::co_spawn(
+            io,
+            [&]() -> Task<void> {
+                auto socket = asio::ip::tcp::socket(io);
+                const auto loopback = asio::ip::address_v4::loopback();
+                co_await socket.async_connect({loopback, server.port()}, asio::use_awaitable);
+                co_await asio::async_write(socket, asio::buffer(GoodRequest), asio::use_awaitable);
+                auto ec = boost::system::error_code();
+                co_await asio::async_read(socket, asio::dynamic_buffer(answer),
+                                          asio::redirect_error(asio::use_awaitable, ec));
+            },
+            asio::detached);
+    runUntil(io, [&] { return answer.find("Connection: close") != std::string::npos; });
+    cr_assert(answer.starts_with("HTTP/1.1 200"), "a new connection is still served");
+}
+
+Test(HttpServer, otherLimitsHoldForOpenConnectionsToo)
+{
+    auto io = asio::io_context();
+    auto server = HttpServer(io, settings(), echo);
+    server.start();
+    auto answers = std::string();
+    auto isFirstAnswered = false;
+    asio::co_spawn(
+            io,
+            [&]() -> Task<void> {
+                auto socket = asio::ip::tcp::socket(io);
+                const auto loopback = asio::ip::address_v4::loopback();
+                co_await socket.async_connect({loopback, server.port()}, asio::use_awaitable);
+                co_await asio::async_write(socket, asio::buffer(GoodRequest), asio::use_awaitable);
+                co_await asio::async_read_until(socket, asio::dynamic_buffer(answers), "GET /a ",
+                                                asio::use_awaitable);
+                auto limits = settings();
+                limits.maxBodyBytes = 3;
+                server.setLimits(limits);
+                isFirstAnswered = true;
+                const auto large =
+                        std::string("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nfour");
+                co_await asio::async_write(socket, asio::buffer(large), asio::use_awaitable);
+                co_await asio::async_read_until(socket, asio::dynamic_buffer(answers),
+                                                "HTTP/1.1 413", asio::use_awaitable);
+            },
+            asio::detached);
+    runUntil(io, [&] { return answers.find("HTTP/1.1 413") != std::string::npos; });
+    cr_assert(isFirstAnswered);
+}
