--- a/tests/platform/TestKvStore.cpp
+++ b/tests/platform/TestKvStore.cpp
@@ -8,6 +8,7 @@
 #include <stairspur/store/AnyStore.h>
 
 #include "standins/platform/KvStandIn.h"
+#include "store/WaitFor.h"
 
 // After Boost, whose headers its macros break.
 #include <criterion/criterion.h>
@@ -46,14 +47,7 @@
     template <typename Value>
     auto wait(Task<Value> task) -> Value
     {
-        auto result = std::optional<Value>();
-        boost::asio::co_spawn(io, std::move(task), [&](std::exception_ptr error, Value value) {
-            cr_assert(!error, "the coroutine threw");
-            result = std::move(value);
-        });
-        while (!result)
-            io.run_one();
-        return std::move(*result);
+        return waitFor(io, std::move(task));
     }
 
     auto runUntil(const std::function<bool()> &isDone) -> void
--- a/tests/store/TestStoreContract.cpp
+++ b/tests/store/TestStoreContract.cpp
@@ -8,6 +8,7 @@
 #include <stairspur/core/Error.h>
 #include <stairspur/store/EtcdStore.h>
 
+#include "WaitFor.h"
 #include "standins/store/StoreServer.h"
 
 // After Boost, whose headers its macros break.
@@ -49,18 +50,10 @@
         return it;
     }
 
-    /// Runs a coroutine to its end and returns its value.
     template <typename Value>
     auto wait(Task<Value> task) -> Value
     {
-        auto result = std::optional<Value>();
-        boost::asio::co_spawn(io, std::move(task), [&](std::exception_ptr error, Value value) {
-            cr_assert(!error, "the coroutine threw");
-            result = std::move(value);
-        });
-        while (!result)
-            io.run_one();
-        return std::move(*result);
+        return waitFor(io, std::move(task));
     }
 
     auto put(const std::string &key, const std::string &value) -> StoreStatus
