--- a/include/stairspur/admission/LoadReport.h
+++ b/include/stairspur/admission/LoadReport.h
@@ -27,7 +27,7 @@
     std::vector<Level> floors;
 
     /// Greater floors of single paths, because of the deeper services that their calls need.
-    std::vector<PathFloor> pathFloors;
+    std::vector<PathFloor> pathFloors{};
 
     /// The floor that a call of this class and path meets.
     [[nodiscard]] auto floorFor(FloorKey key) const -> Level
--- a/include/stairspur/membership/Announcement.h
+++ b/include/stairspur/membership/Announcement.h
@@ -26,7 +26,7 @@
     ServingState state = ServingState::Starting;
     std::uint32_t inFlight = 0;        ///< Calls that it runs now.
     std::string address = "127.0.0.1"; ///< Of its HTTP server.
-    std::string instance; ///< Names one start of the backend server; empty where it has no name.
+    std::string instance{}; ///< Names one start of the backend server; empty where it has no name.
     std::uint64_t sequence = 0; ///< Grows with each announcement of one instance; 0: not told.
     Duration coldFor{0};        ///< How much longer it will be slow after its start.
 
--- a/include/stairspur/transport/CallMessages.h
+++ b/include/stairspur/transport/CallMessages.h
@@ -25,9 +25,9 @@
     bool isRepeat = false;         ///< An earlier attempt, here or at a call above, may have run.
     std::string idempotencyKey;    ///< Empty: the call may run more than once.
     std::string caller;            ///< Name of the caller, as the configuration knows it.
-    std::string attemptId;         ///< Of the caller's own attempt; empty where callers send none.
+    std::string attemptId{};       ///< Of the caller's own attempt; empty where callers send none.
     PathKey path = NoPath;         ///< By which the floors of deeper services are told apart.
-    std::string originService;     ///< Of the backend server on the host where the request began.
+    std::string originService{};   ///< Of the backend server on the host where the request began.
     std::string method;
     std::string target;
     HeaderList headers; ///< End-to-end headers only.
--- a/include/stairspur/transport/HttpClient.h
+++ b/include/stairspur/transport/HttpClient.h
@@ -46,7 +46,7 @@
     Duration connectTimeout{1'000'000};
     /// Whether an answer belongs to the request. One that does not is dropped, and the next one on the connection is
     /// read in its place. Empty: each answer does.
-    std::function<bool(const HttpRequest &, const HttpResponse &)> isAnswerTo;
+    std::function<bool(const HttpRequest &, const HttpResponse &)> isAnswerTo{};
 };
 
 /// HTTP/1.1 to one server over kept connections, one request at a time on each.
