Retry: Bound retries over the platform's window, so that trouble may spend what calm times allowed

Cause: the allowance is counted over ten seconds, against the requests of that span or of the ones before it. The bucket held only a host's share of the slack (3 tokens) and filled with the requests as they came. Ruled out: spending all at once, which gives the tokens to whoever asks first and leaves nothing for the class that pays most. Change: RetryWindow counts requests and retries in slots of half a second; the bucket gets a quarter of what the window still allows each second. The bound is checked for every span that a retry will be in.

--- a/include/stairspur/config/Configuration.h
+++ b/include/stairspur/config/Configuration.h
@@ -72,6 +72,8 @@
     double requestShare = 0;         ///< Tokens that each request adds, whatever becomes of it.
     /// Tokens that the buckets of all hosts hold together at most; 0: `bucketSize` alone holds.
     double fleetBucketSize = 0;
+    /// Over which retries are bounded to `requestShare` of the requests; 0: the bucket alone bounds them.
+    Duration window{0};
 };
 
 /// A service that a share of a route's requests goes to.
--- a/include/stairspur/retry/RetryTokenBucket.h
+++ b/include/stairspur/retry/RetryTokenBucket.h
@@ -1,6 +1,10 @@
 #pragma once
 
+#include <optional>
+
 #include <stairspur/core/Level.h>
+#include <stairspur/core/Time.h>
+#include <stairspur/retry/RetryWindow.h>
 
 namespace stairspur::retry {
 
@@ -10,11 +14,18 @@
     double successShare = 0; ///< Tokens that come with each success.
     double requestShare = 0; ///< Tokens that come with each request, whatever becomes of it.
     double size = 0;         ///< Tokens that the bucket holds at most.
+    /// Over which retries are bounded to `requestShare` of the requests and `size` more; 0: only by what flows in and out.
+    Duration window{0};
+
+    auto operator==(const BucketLimits &) const -> bool = default;
 };
 
 /// Bounds retries to a share of the successes or requests of a service, so that a failing service is not flooded by
 /// retries.
 ///
+/// With a window, tokens come from what the window still allows: at an even pace, so that trouble of some seconds does not
+/// find the bucket empty after the first.
+///
 /// When tokens are short, a floor rises under those who may have them. All calls of one root have one level, so that the
 /// tokens go to few roots that are served whole, and not to many of which each fails with some other call.
 class RetryTokenBucket
@@ -28,6 +39,10 @@
     /// Other limits from a newer configuration or another size of the fleet; tokens above the new size are lost.
     auto setLimits(const BucketLimits &limits) -> void;
 
+    /// Tells the time of everything that follows, and adds the tokens that have come with it. Without a window time does
+    /// not matter.
+    auto didPassTime(TimePoint now) -> void;
+
     auto didRequest() -> void;
     auto didSucceed() -> void;
 
@@ -50,8 +65,15 @@
 
 private:
     auto add(double tokens) -> void;
+    auto refill(TimePoint now) -> void;
+    /// What the bucket holds at most now.
+    [[nodiscard]] auto capacity() const -> double;
 
     BucketLimits m_limits;
+    std::optional<RetryWindow> m_window;
+    TimePoint m_now{};
+    TimePoint m_refilledAt{};
+    double m_allowance = 0; ///< Of the window, when it was last asked.
     double m_tokens;
     Level m_floor = LowestLevel;
 };
--- a/source/config/SectionCodec.cpp
+++ b/source/config/SectionCodec.cpp
@@ -92,6 +92,8 @@
         json["requestShare"] = retry.requestShare;
     if (retry.fleetBucketSize > 0)
         json["fleetBucketSize"] = retry.fleetBucketSize;
+    if (retry.window > Duration::zero())
+        json["window"] = retry.window.count();
 }
 
 auto from_json(const nlohmann::json &json, RetryLimits &retry) -> void
@@ -101,6 +103,7 @@
     json.at("bucketSize").get_to(retry.bucketSize);
     retry.requestShare = json.value("requestShare", 0.0);
     retry.fleetBucketSize = json.value("fleetBucketSize", 0.0);
+    retry.window = Duration(json.value("window", Duration::rep{0}));
 }
 
 auto to_json(nlohmann::json &json, const RouteTarget &target) -> void
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -182,6 +182,7 @@
 auto Entry::attemptUntilFinal(const IncomingCall &call, ServiceRoutes &routes, Attempts &attempts,
                               const CancellationPtr &cancellation) -> Task<CallAnswer>
 {
+    routes.bucket.didPassTime(monotonicNow());
     routes.bucket.didRequest();
     while (true) {
         const auto now = monotonicNow();
@@ -262,6 +263,7 @@
     attempts.hasArrived = attempts.hasArrived || answer.outcome != Outcome::NotRun
                           || answer.reason == Reason::BackendShed;
     m_metrics.didEndAttempt(answer.outcome, answer.reason);
+    routes.bucket.didPassTime(now);
     if (answer.outcome == Outcome::Answered)
         routes.bucket.didSucceed();
     attempts.last = std::move(answer);
@@ -335,7 +337,7 @@
     auto size = limits.bucketSize;
     if (limits.fleetBucketSize > 0)
         size = limits.fleetBucketSize / static_cast<double>(m_fleetSize);
-    return {limits.successShare, limits.requestShare, size};
+    return {limits.successShare, limits.requestShare, size, limits.window};
 }
 
 auto Entry::noteFleetSize(const membership::MembershipView &view) -> void
--- a/tests/platform/TestBootSettings.cpp
+++ b/tests/platform/TestBootSettings.cpp
@@ -22,7 +22,7 @@
 internal_ports: [7620, 7635]
 limits: {memory_mb: 260, max_fds: 4100}
 heartbeat_s: 1.5
-bounds: ["grace_s=6", "retry_ratio=0.2", "retry_slack=49", "kept=true", "odd"]
+bounds: ["grace_s=6", "retry_ratio=0.2", "retry_slack=49", "retry_window_s=10", "kept=true", "odd"]
 app_addr: "10.1.0.8:8301"
 service: "maps"
 platform: {address: "10.200.1.7:8309", form: "kv"}
@@ -54,6 +54,7 @@
     cr_assert(boot.heartbeatInterval == 1500ms);
     cr_assert(boot.stopTimeout == 6s);
     cr_assert_eq(boot.retryAllowance, 49);
+    cr_assert_eq(boot.retryWindow, Duration{10'000'000});
 }
 
 Test(BootSettings, nodeSettingsHoldWhatTheFileSays)
--- a/tests/platform/TestOperatorItem.cpp
+++ b/tests/platform/TestOperatorItem.cpp
@@ -71,11 +71,12 @@
 
 Test(OperatorItem, retriesStayBelowWhatThePlatformAllows)
 {
-    const auto retry = readOperatorItem(std::string(Item), {0.2, 49}).configuration.retry;
+    const auto retry = readOperatorItem(std::string(Item), {0.2, 49, Duration{10}}).configuration.retry;
     cr_assert_lt(retry.requestShare, 0.2);
     cr_assert_gt(retry.requestShare, 0.1);
     cr_assert_lt(retry.fleetBucketSize, 49);
     cr_assert_eq(retry.successShare, 0);
+    cr_assert_eq(retry.window, Duration{10});
 }
 
 Test(OperatorItem, whatCannotBeReadIsRefusedWithARemedy)
--- /dev/null
+++ b/tests/retry/TestRetryWindow.cpp
@@ -0,0 +1,140 @@
+#include <algorithm>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include <stairspur/core/Random.h>
+#include <stairspur/retry/RetryTokenBucket.h>
+#include <stairspur/retry/RetryWindow.h>
+
+using namespace stairspur;
+using namespace stairspur::retry;
+
+static constexpr auto Second = Duration{1'000'000};
+static constexpr auto Window = 10 * Second;
+static constexpr auto Share = 0.2;
+static constexpr auto Slack = 3.0;
+static constexpr auto Start = TimePoint{Duration{1'000'000'000}};
+
+/// When requests and retries were, to count them anew in any span.
+struct History
+{
+    std::vector<TimePoint> requests;
+    std::vector<TimePoint> retries;
+
+    static auto countIn(const std::vector<TimePoint> &times, TimePoint from, TimePoint to) -> double
+    {
+        const auto first = std::lower_bound(times.begin(), times.end(), from);
+        return static_cast<double>(std::lower_bound(first, times.end(), to) - first);
+    }
+
+    /// Retries above what is allowed, in the worst span that ends at one of the retries.
+    [[nodiscard]] auto worstExcess() const -> double
+    {
+        auto worst = 0.0;
+        for (const auto &it : retries) {
+            const auto to = it + Duration{1};
+            const auto from = to - Window;
+            const auto most = std::max({countIn(requests, from, to),
+                                        countIn(requests, from - Window, from),
+                                        countIn(requests, from - Window / 2, to - Window / 2)});
+            worst = std::max(worst, countIn(retries, from, to) - Share * most - Slack);
+        }
+        return worst;
+    }
+};
+
+Test(RetryWindow, allowsAShareOfTheRequestsOfTheSpanOrOfTheOneBefore)
+{
+    auto window = RetryWindow(Window);
+    cr_assert_float_eq(window.allowance(Share, Slack, Start), Slack, 1e-9);
+    for (auto n = 0; n < 100; ++n)
+        window.didRequest(Start);
+    cr_assert_float_eq(window.allowance(Share, Slack, Start), 20 + Slack, 1e-9);
+    cr_assert_float_eq(window.allowance(Share, Slack, Start + Second * 5), 20 + Slack, 1e-9);
+    cr_assert_float_eq(window.allowance(Share, Slack, Start + Second * 30), Slack, 1e-9,
+                       "requests of long ago count no more");
+    for (auto n = 0; n < 5; ++n)
+        window.didRetry(Start + Second * 30);
+    cr_assert_lt(window.allowance(Share, Slack, Start + Second * 30), 0);
+    cr_assert_float_eq(window.allowance(Share, Slack, Start + Second * 42), Slack, 1e-9);
+}
+
+Test(RetryWindow, noSpanHoldsMoreThanItsShareWhateverTheTraffic)
+{
+    for (auto seed = std::uint64_t{1}; seed <= 30; ++seed) {
+        auto random = Random(seed);
+        auto window = RetryWindow(Window);
+        auto history = History();
+        auto now = Start;
+        auto rate = std::uint64_t{1};
+        for (auto step = 0; step < 4000; ++step) {
+            now += Duration{static_cast<Duration::rep>(randomBelow(random, 20'000))};
+            if (step % 500 == 0)
+                rate = 1 + randomBelow(random, 12);
+            for (auto n = std::uint64_t{0}; n < randomBelow(random, rate); ++n) {
+                window.didRequest(now);
+                history.requests.push_back(now);
+            }
+            while (window.allowance(Share, Slack, now) >= 1 && randomBelow(random, 3) > 0) {
+                window.didRetry(now);
+                history.retries.push_back(now);
+            }
+        }
+        // Slots shift a span of requests by half a second at most, a twentieth of it.
+        const auto slotOfRequests = Share * 12 * 50;
+        cr_assert_leq(history.worstExcess(), slotOfRequests, "seed %lu", seed);
+        cr_assert_gt(history.retries.size(), 100, "seed %lu: it allows some", seed);
+    }
+}
+
+/// A service gets a request each 2 ms for ten seconds. In the eight that follow it fails so often that only one comes
+/// each 10 ms, and all retries that may be had are wanted.
+static auto retriesInTrouble(const BucketLimits &limits) -> History
+{
+    static constexpr auto Step = Duration{2'000};
+    auto bucket = RetryTokenBucket(limits);
+    auto history = History();
+    for (auto now = Start; now < Start + Second * 18; now += Step) {
+        const auto isTrouble = now >= Start + Window;
+        bucket.didPassTime(now);
+        if (!isTrouble || now.time_since_epoch() % (5 * Step) == Duration::zero()) {
+            bucket.didRequest();
+            history.requests.push_back(now);
+        }
+        if (isTrouble && bucket.tryTake())
+            history.retries.push_back(now);
+    }
+    return history;
+}
+
+Test(RetryTokenBucket, withAWindowTroubleMaySpendWhatCalmTimesAllowed)
+{
+    const auto plain = retriesInTrouble({0, Share, Slack});
+    const auto windowed = retriesInTrouble({0, Share, Slack, Window});
+    // 5,000 requests in ten seconds allow 1,000 retries. A bucket that fills as requests come gets a fifth of 800.
+    cr_assert_lt(plain.retries.size(), 170);
+    cr_assert_gt(windowed.retries.size(), 700);
+    cr_assert_leq(windowed.worstExcess(), 0.0);
+    const auto inFirstSecond = History::countIn(windowed.retries, Start + Window,
+                                                Start + Window + Second);
+    cr_assert_gt(inFirstSecond, 200);
+    cr_assert_lt(inFirstSecond, 500, "they are not all spent at once");
+    const auto inLastSecond = History::countIn(windowed.retries, Start + Second * 17,
+                                               Start + Second * 18);
+    cr_assert_gt(inLastSecond, 20, "some are left to the end");
+}
+
+Test(RetryTokenBucket, repeatsOfTheCallAboveCountInTheWindowToo)
+{
+    auto bucket = RetryTokenBucket({0, Share, Slack, Window});
+    bucket.didPassTime(Start);
+    for (auto n = 0; n < 100; ++n)
+        bucket.didRequest();
+    for (auto n = 0; n < 23; ++n)
+        bucket.didRepeat();
+    for (auto now = Start; now < Start + Second * 9; now += Second / 10) {
+        bucket.didPassTime(now);
+        cr_assert(!bucket.tryTake(), "the repeats have taken all");
+    }
+}
