--- a/include/stairspur/retry/RetryWindow.h
+++ b/include/stairspur/retry/RetryWindow.h
@@ -41,8 +41,8 @@
     /// Empties the slots that have come up since the last call.
     auto moveTo(TimePoint now) -> void;
     [[nodiscard]] auto at(std::int64_t slot) -> Slot &;
-    [[nodiscard]] auto sumOf(std::uint32_t Slot::*count, std::int64_t first, std::int64_t last) const
-            -> double;
+    [[nodiscard]] auto sumOf(std::uint32_t Slot::*count, std::int64_t first,
+                             std::int64_t last) const -> double;
     /// Sums over the slots after `first` up to and including `last`, as far as they are kept.
     [[nodiscard]] auto requestsIn(std::int64_t first, std::int64_t last) const -> double;
     [[nodiscard]] auto retriesIn(std::int64_t first, std::int64_t last) const -> double;
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -169,7 +169,8 @@
                 .add("level", request.level.value)
                 .add("root", request.root.toString())
                 .add("id", request.attemptId)
-                .add("floor", answer.report->floorFor({request.level.rank(), request.floorPath()}).value)
+                .add("floor",
+                     answer.report->floorFor({request.level.rank(), request.floorPath()}).value)
                 .add("retry_after_us", retryAfter);
     }
     return answer;
@@ -185,8 +186,8 @@
     const auto id = newCallId(request);
     ++m_calls;
     const auto deadline = now + request.remaining;
-    const auto decision =
-            co_await waitForPlace(id, {id, request.level, deadline, request.floorPath()}, cancellation);
+    const auto decision = co_await waitForPlace(
+            id, {id, request.level, deadline, request.floorPath()}, cancellation);
     auto answer = CallAnswer();
     if (decision.reason != Reason::None)
         answer = refusal(request, decision.reason, decision.retryAfter);
--- a/source/retry/RetryTokenBucket.cpp
+++ b/source/retry/RetryTokenBucket.cpp
@@ -64,8 +64,8 @@
 {
     if (!m_window)
         return m_limits.size;
-    static constexpr auto KeptShare = static_cast<double>(KeptTime.count())
-                                      / static_cast<double>(PaceTime.count());
+    static constexpr auto KeptShare =
+            static_cast<double>(KeptTime.count()) / static_cast<double>(PaceTime.count());
     return std::max(m_limits.size, m_allowance * KeptShare);
 }
 
--- a/source/retry/RetryWindow.cpp
+++ b/source/retry/RetryWindow.cpp
@@ -65,8 +65,7 @@
         const auto begin = end - SlotsPerWindow;
         const auto same = requestsIn(begin, end);
         const auto before = requestsIn(begin - SlotsPerWindow, begin);
-        const auto halfBefore =
-                requestsIn(begin - SlotsPerWindow / 2, end - SlotsPerWindow / 2);
+        const auto halfBefore = requestsIn(begin - SlotsPerWindow / 2, end - SlotsPerWindow / 2);
         const auto allowed = share * std::max({same, before, halfBefore}) + slack;
         least = std::min(least, allowed - retriesIn(begin - 1, end));
     }
--- a/source/routing/FloorView.h
+++ b/source/routing/FloorView.h
@@ -55,7 +55,7 @@
     TimePoint m_risenAt{}; ///< When a floor last rose.
     TimePoint m_admittedAt{};
     PathKey m_admittedPath = NoPath; ///< On other paths the answer proves nothing.
-    Level m_admitted = ClosedLevel; ///< Proven by an answer at m_admittedAt.
+    Level m_admitted = ClosedLevel;  ///< Proven by an answer at m_admittedAt.
 };
 
 } // namespace stairspur::routing
--- a/tests/admission/TestPathFloors.cpp
+++ b/tests/admission/TestPathFloors.cpp
@@ -68,8 +68,8 @@
         std::uint32_t slots;
         std::uint32_t limit;
     };
-    for (const auto &it : {Case{0, 1}, Case{1, 1}, Case{2, 2}, Case{9, 9}, Case{10, 9}, Case{20, 19},
-                           Case{21, 19}, Case{63, 59}, Case{394, 374}}) {
+    for (const auto &it : {Case{0, 1}, Case{1, 1}, Case{2, 2}, Case{9, 9}, Case{10, 9},
+                           Case{20, 19}, Case{21, 19}, Case{63, 59}, Case{394, 374}}) {
         auto settings = AdmissionSettings();
         settings.trustsReportedSlots = true;
         settings.reportedSlots = it.slots;
--- a/tests/retry/TestRetryWindow.cpp
+++ b/tests/retry/TestRetryWindow.cpp
@@ -35,9 +35,9 @@
         for (const auto &it : retries) {
             const auto to = it + Duration{1};
             const auto from = to - Window;
-            const auto most = std::max({countIn(requests, from, to),
-                                        countIn(requests, from - Window, from),
-                                        countIn(requests, from - Window / 2, to - Window / 2)});
+            const auto most =
+                    std::max({countIn(requests, from, to), countIn(requests, from - Window, from),
+                              countIn(requests, from - Window / 2, to - Window / 2)});
             worst = std::max(worst, countIn(retries, from, to) - Share * most - Slack);
         }
         return worst;
@@ -116,12 +116,12 @@
     cr_assert_lt(plain.retries.size(), 170);
     cr_assert_gt(windowed.retries.size(), 700);
     cr_assert_leq(windowed.worstExcess(), 0.0);
-    const auto inFirstSecond = History::countIn(windowed.retries, Start + Window,
-                                                Start + Window + Second);
+    const auto inFirstSecond =
+            History::countIn(windowed.retries, Start + Window, Start + Window + Second);
     cr_assert_gt(inFirstSecond, 200);
     cr_assert_lt(inFirstSecond, 500, "they are not all spent at once");
-    const auto inLastSecond = History::countIn(windowed.retries, Start + Second * 17,
-                                               Start + Second * 18);
+    const auto inLastSecond =
+            History::countIn(windowed.retries, Start + Second * 17, Start + Second * 18);
     cr_assert_gt(inLastSecond, 20, "some are left to the end");
 }
 
--- a/tests/transport/TestFrames.cpp
+++ b/tests/transport/TestFrames.cpp
@@ -141,7 +141,8 @@
 {
     static constexpr auto Menu = PathKey{7};
     for (const auto isDeeperCall : {false, true}) {
-        const auto request = CallRequest{.service = "order", .path = Menu, .isDeeperCall = isDeeperCall};
+        const auto request =
+                CallRequest{.service = "order", .path = Menu, .isDeeperCall = isDeeperCall};
         const auto read = readCall(writeCall(request));
         cr_assert_eq(read.isDeeperCall, isDeeperCall);
         cr_assert_eq(read.path, Menu);
