Entry: Keep routes by service in a table of its own

Cause: Entry.cpp had grown to 418 lines; what it kept of each service, the fleet's size and the limits of the buckets are no part of deciding a call. route and retry lines added the same keys twice, and a call's attempts stood in two fields. Behaviour else unchanged.

--- a/source/node/CallIntake.h
+++ b/source/node/CallIntake.h
@@ -22,8 +22,6 @@
     transport::CallRequest request;
     TimePoint deadline;
     bool isIdempotent = true;
-    std::uint32_t maxAttempts =
-            0;                   ///< Upstreams that it is sent to at most; 0: as the policy has it.
     bool hasDeeperCalls = false; ///< Its service calls others, as far as the call paths tell.
     PathKey parentPath = NoPath;
     std::optional<CallId> parent; ///< The running call of this host's backend server that makes it.
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -35,9 +35,11 @@
     , m_peers(peers)
     , m_keyedRouter(io, {{settings.nodeId(), start}, {}}, peers, seed + 1)
     , m_random(seed)
-    , m_floorTeller(
-              io, board,
-              [this](const auto &call, auto rank, auto now) { return floorAt(call, rank, now); })
+    , m_routes(settings, board)
+    , m_floorTeller(io, board,
+                    [this](const auto &call, auto rank, auto now) {
+                        return m_routes.floorAt(call, rank, now);
+                    })
     , m_protocol(protocol)
 {}
 
@@ -129,7 +131,7 @@
     else if (isRefused)
         answer = finalRefusal(attempts, share.refusal, Duration::zero());
     else
-        answer = co_await attemptUntilFinal(call, routesFor(call.request.service), attempts,
+        answer = co_await attemptUntilFinal(call, m_routes.of(call.request.service), attempts,
                                             cancellation);
     answer.unspentBudget = attempts.budget.left();
     co_return answer;
@@ -173,7 +175,7 @@
         call.hasDeeperCalls = !index->deeperServices(request.service, request.level.rank()).empty();
     auto attempts = Attempts{.budget = retry::CallBudget(request.retryBudget, request.isRepeat)};
     call.request = std::move(request);
-    auto &routes = routesFor(call.request.service);
+    auto &routes = m_routes.of(call.request.service);
     auto answer = co_await attemptUntilFinal(call, routes, attempts, cancellation);
     answer.unspentBudget = attempts.budget.left();
     co_return answer;
@@ -190,7 +192,7 @@
             co_return finalRefusal(attempts, Reason::Cancelled, Duration::zero());
         if (now >= call.deadline)
             co_return finalRefusal(attempts, Reason::DeadlineExceeded, Duration::zero());
-        refreshMembers(call.request.service, routes);
+        m_routes.refreshMembers(routes);
         const auto decision = routes.pool.choose({.level = call.request.level,
                                                   .deadline = call.deadline,
                                                   .excluded = attempts.excluded,
@@ -309,65 +311,14 @@
     return answer;
 }
 
-auto Entry::routesFor(const std::string &service) -> ServiceRoutes &
+/// The keys by which the decisions of one call are found.
+static auto addCall(log::Line &line, const CallRequest &request) -> void
 {
-    const auto it = m_routes.find(service);
-    if (it != m_routes.end())
-        return *it->second;
-    auto settings = routing::RoutingSettings();
-    settings.ownNode = m_settings.nodeId();
-    settings.ownDomain = m_settings.failureDomain;
-    settings.subsetSize = m_settings.subsetSize;
-    auto routes = std::make_unique<ServiceRoutes>(ServiceRoutes{
-            routing::UpstreamPool(service, settings), retry::RetryTokenBucket(bucketLimits())});
-    return *m_routes.emplace(service, std::move(routes)).first->second;
-}
-
-auto Entry::didChangeConfiguration() -> void
-{
-    const auto limits = bucketLimits();
-    for (auto &[service, routes] : m_routes)
-        routes->bucket.setLimits(limits);
-}
-
-auto Entry::bucketLimits() const -> retry::BucketLimits
-{
-    const auto configuration = *m_board.configuration.read();
-    const auto limits = configuration ? configuration->whole().retry : config::RetryLimits();
-    auto size = limits.bucketSize;
-    if (limits.fleetBucketSize > 0)
-        size = limits.fleetBucketSize / static_cast<double>(m_fleetSize);
-    return {limits.successShare, limits.requestShare, size, limits.window};
-}
-
-auto Entry::noteFleetSize(const membership::MembershipView &view) -> void
-{
-    const auto isThere = [](const auto &it) { return it.liveness != membership::Liveness::Dead; };
-    const auto n = static_cast<std::size_t>(std::ranges::count_if(view.members, isThere));
-    if (n <= m_fleetSize)
-        return;
-    m_fleetSize = n;
-    didChangeConfiguration();
-}
-
-auto Entry::refreshMembers(const std::string &service, ServiceRoutes &routes) -> void
-{
-    const auto generation = m_board.members.generation();
-    if (generation == routes.membersGeneration)
-        return;
-    routes.membersGeneration = generation;
-    const auto view = m_board.members.read();
-    noteFleetSize(*view);
-    auto upstreams = std::vector<routing::Upstream>();
-    for (const auto &it : view->members) {
-        const auto mayServe = it.state == membership::ServingState::Serving
-                              || it.state == membership::ServingState::Draining;
-        if (it.service != service || it.liveness == membership::Liveness::Dead || !mayServe)
-            continue;
-        const auto isDraining = it.state == membership::ServingState::Draining;
-        upstreams.push_back({it.node, it.domain, it.start, it.slots, isDraining});
-    }
-    routes.pool.setUpstreams(upstreams, monotonicNow());
+    line.add("service", request.service)
+            .add("class", request.className)
+            .add("level", request.level.value)
+            .add("root", request.root.toString())
+            .add("id", request.attemptId);
 }
 
 auto Entry::logDecision(const IncomingCall &call, const routing::RouteDecision &decision,
@@ -376,14 +327,10 @@
     m_metrics.didRoute(decision.choice);
     if (!log::isDecisionSampled())
         return;
-    log::Line(log::Severity::Info, "route")
-            .add("choice", decision.choice)
-            .add("service", call.request.service)
-            .add("class", call.request.className)
-            .add("level", call.request.level.value)
-            .add("root", call.request.root.toString())
-            .add("id", call.request.attemptId)
-            .add("upstream", decision.node ? *decision.node : std::string("-"))
+    auto line = log::Line(log::Severity::Info, "route");
+    line.add("choice", decision.choice);
+    addCall(line, call.request);
+    line.add("upstream", decision.node ? *decision.node : std::string("-"))
             .add("reason", decision.refusal)
             .add("candidates", decision.candidates)
             .add("attempt", attempts.sent + 1)
@@ -396,24 +343,12 @@
     m_metrics.didDecideRetry(decision);
     if (!log::isDecisionSampled())
         return;
-    log::Line(log::Severity::Info, "retry")
-            .add("decision", decision)
+    auto line = log::Line(log::Severity::Info, "retry");
+    line.add("decision", decision)
             .add("outcome", attempts.last.outcome)
-            .add("reason", attempts.last.reason)
-            .add("service", call.request.service)
-            .add("class", call.request.className)
-            .add("root", call.request.root.toString())
-            .add("id", call.request.attemptId)
-            .add("attempt", attempts.sent)
-            .add("budget", attempts.budget.left());
-}
-
-/// The floor that a call of class `rank` meets at a deeper service.
-auto Entry::floorAt(const DeeperCall &call, ClassRank rank, TimePoint now) const -> Level
-{
-    const auto found = m_routes.find(call.service);
-    return found == m_routes.end() ? LowestLevel
-                                   : found->second->pool.floorFor({rank, call.path}, now);
+            .add("reason", attempts.last.reason);
+    addCall(line, call.request);
+    line.add("attempt", attempts.sent).add("budget", attempts.budget.left());
 }
 
 } // namespace stairspur::node
--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -1,10 +1,8 @@
 #pragma once
 
 #include <cstdint>
-#include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
 
@@ -14,8 +12,6 @@
 #include <stairspur/node/NodeSettings.h>
 #include <stairspur/retry/CallBudget.h>
 #include <stairspur/retry/RetryPolicy.h>
-#include <stairspur/retry/RetryTokenBucket.h>
-#include <stairspur/routing/UpstreamPool.h>
 #include <stairspur/transport/Cancellation.h>
 #include <stairspur/transport/HttpMessages.h>
 #include <stairspur/transport/PeerClient.h>
@@ -26,6 +22,7 @@
 #include "NodeBoard.h"
 #include "NodeMetrics.h"
 #include "RunningCalls.h"
+#include "ServiceRouteTable.h"
 
 namespace stairspur::node {
 
@@ -43,7 +40,7 @@
             -> transport::Task<transport::HttpResponse>;
 
     /// Takes over limits that a newer configuration has changed.
-    auto didChangeConfiguration() -> void;
+    auto didChangeConfiguration() -> void { m_routes.didChangeConfiguration(); }
 
     /// Sends one call to upstreams until it has a final answer.
     auto route(IncomingCall call, transport::CancellationPtr cancellation)
@@ -55,14 +52,6 @@
             -> transport::Task<transport::CallAnswer>;
 
 private:
-    /// What this entry keeps for one service.
-    struct ServiceRoutes
-    {
-        routing::UpstreamPool pool;
-        retry::RetryTokenBucket bucket;
-        std::uint64_t membersGeneration = 0;
-    };
-
     /// One call on its way: what is left of its budget, and what is known of its attempts.
     struct Attempts
     {
@@ -74,9 +63,6 @@
         transport::CallAnswer last{}; ///< Of the latest attempt.
     };
 
-    /// A node that knows no others yet must not take the retries of the whole fleet for its own.
-    static constexpr auto LeastFleetSize = std::size_t{16};
-
     auto readIncoming(transport::HttpRequest request,
                       const config::ConfigurationIndex &configuration, TimePoint start)
             -> IncomingCall;
@@ -89,12 +75,8 @@
                     const transport::CancellationPtr &cancellation, bool isQuery)
             -> transport::Task<transport::CallAnswer>;
     auto refreshKeyedRouter() -> void;
-    auto routesFor(const std::string &service) -> ServiceRoutes &;
-    [[nodiscard]] auto bucketLimits() const -> retry::BucketLimits;
-    auto noteFleetSize(const membership::MembershipView &view) -> void;
     [[nodiscard]] static auto wasShed(const Attempts &attempts) -> bool;
     auto payForRetry(ServiceRoutes &routes, Attempts &attempts) -> void;
-    auto refreshMembers(const std::string &service, ServiceRoutes &routes) -> void;
     auto attemptUntilFinal(const IncomingCall &call, ServiceRoutes &routes, Attempts &attempts,
                            const transport::CancellationPtr &cancellation)
             -> transport::Task<transport::CallAnswer>;
@@ -110,8 +92,6 @@
                      const Attempts &attempts) -> void;
     auto noteRetryDecision(const IncomingCall &call, retry::RetryDecision decision,
                            const Attempts &attempts) -> void;
-    [[nodiscard]] auto floorAt(const DeeperCall &call, ClassRank rank, TimePoint now) const
-            -> Level;
 
     transport::asio::io_context &m_io;
     const NodeSettings &m_settings;
@@ -123,10 +103,9 @@
     std::uint64_t m_keyedMembersGeneration = 0;
     std::uint64_t m_keyedConfigurationGeneration = 0;
     Random m_random;
-    std::unordered_map<std::string, std::unique_ptr<ServiceRoutes>> m_routes;
+    ServiceRouteTable m_routes;
     FloorTeller m_floorTeller;
-    std::size_t m_fleetSize = LeastFleetSize; ///< The most hosts that were known at once.
-    const CallProtocol *m_protocol;           ///< Null: the product's own.
+    const CallProtocol *m_protocol; ///< Null: the product's own.
 };
 
 } // namespace stairspur::node
--- a/source/node/RoutedIntake.cpp
+++ b/source/node/RoutedIntake.cpp
@@ -92,10 +92,9 @@
         parent = running.find(callIdOf(request.parentAttemptId));
     takeStanding(request, classOf(route, configuration), parent, call);
     call.isIdempotent = route.isIdempotent;
-    call.maxAttempts = std::max(route.maxAttempts, 1U);
     call.request.service = drawTarget(route, random);
     call.request.path = pathKeyOf(route.name);
-    call.request.retryBudget = call.maxAttempts - 1;
+    call.request.retryBudget = std::max(route.maxAttempts, 1U) - 1;
     call.request.attemptId = std::move(request.attemptId);
     call.request.originService = ownService;
     call.request.headers = std::move(request.headers);
