Admission: Order a class by what its requests cost, keep the places of running ones

Cause: status refuses calls under overload by the hash of their root alone. A map tile takes four calls of 30 ms there, a status read 480 ms, at the same pay: shedding both alike serves a quarter of what the places could. Floors counted calls of 30 and 480 ms alike. Change: (1) floors weigh calls by the time for which their kind holds a place; (2) inside a class up to 0.7 of the levels of a kind that costs twice the cheapest or more yield to all others, the rest stays; what a request costs is learnt: mean time by class and path at the gate, times the calls that its root makes, which entries count and tell; (3) no floor refuses calls of running requests, neither at entries nor at the gate: the queue decides; (4) one that loses its place there raises the floor for new ones.

--- a/include/stairspur/admission/AdmissionController.h
+++ b/include/stairspur/admission/AdmissionController.h
@@ -34,6 +34,19 @@
     Level level;
     TimePoint deadline;
     PathKey path = NoPath;
+    /// It belongs to a request that already runs: floors do not refuse it, only its place in the queue does.
+    bool hasBegun = false;
+    /// Calls of this class and path that its root request makes altogether.
+    std::uint32_t callsPerRoot = 1;
+
+    [[nodiscard]] auto kind() const -> FloorKey { return {level.rank(), path}; }
+
+    /// The floors that bind it. Those of deeper services bind a request only until it runs: after that they would
+    /// waste what it has cost.
+    [[nodiscard]] auto floorKey() const -> FloorKey
+    {
+        return {level.rank(), hasBegun ? NoPath : path};
+    }
 };
 
 /// A call that the controller has given up on. It gets its final answer at once.
--- a/include/stairspur/core/Level.h
+++ b/include/stairspur/core/Level.h
@@ -85,4 +85,17 @@
     return LowestLevel;
 }
 
+/// Raises the floor of a path in a list, which names each path once.
+template <typename List>
+constexpr auto raiseFloorOfPath(List &floors, PathFloor raised) -> void
+{
+    for (auto &it : floors) {
+        if (it.path != raised.path)
+            continue;
+        it.floor = it.floor < raised.floor ? raised.floor : it.floor;
+        return;
+    }
+    floors.push_back(raised);
+}
+
 } // namespace stairspur
--- a/include/stairspur/routing/UpstreamPool.h
+++ b/include/stairspur/routing/UpstreamPool.h
@@ -49,6 +49,8 @@
     std::span<const NodeId> excluded; ///< Upstreams that refused or failed this very call.
     bool mayProbe = true; ///< Whether a call below the floor may be sent to learn whether it fell.
     PathKey path = NoPath;
+    /// The call belongs to a request that already runs: no floor known here refuses it, its gate's queue decides.
+    bool hasBegun = false;
 };
 
 enum class RouteReason {
@@ -57,6 +59,7 @@
     Spilled, ///< To another failure domain: the own one refuses or waits too long.
     Probe,   ///< Below the floor, to learn whether it fell.
     ImportantBypass, ///< Every known floor is above the call, but lower levels may still be admitted somewhere.
+    BegunWork, ///< Every known floor is above the call, but it belongs to a request that already runs.
     Refused,
 };
 
@@ -125,5 +128,5 @@
 
 template <>
 inline constexpr auto stairspur::enumNames<stairspur::routing::RouteReason> =
-        std::array<std::string_view, 6>{"less-loaded", "only-candidate",   "spilled",
-                                        "probe",       "important-bypass", "refused"};
+        std::array<std::string_view, 7>{"less-loaded",      "only-candidate", "spilled", "probe",
+                                        "important-bypass", "begun-work",     "refused"};
--- a/include/stairspur/transport/CallMessages.h
+++ b/include/stairspur/transport/CallMessages.h
@@ -14,6 +14,9 @@
 /// What an entry and a gate tell each other about one call.
 namespace stairspur::transport {
 
+/// Calls of one kind that a root request makes at most, as far as anyone tells; what says more is an error.
+inline constexpr auto MostCallsPerRoot = std::uint32_t{1'000'000};
+
 struct CallRequest
 {
     std::string service;
@@ -28,7 +31,9 @@
     std::string attemptId{};       ///< Of the caller's own attempt; empty where callers send none.
     PathKey path = NoPath;         ///< By which the floors of deeper services are told apart.
     bool isDeeperCall = false;     ///< A running call makes it.
-    std::string originService{};   ///< Of the backend server on the host where the request began.
+    /// Calls of this service and path that its root request makes altogether, as far as earlier ones have shown.
+    std::uint32_t callsPerRoot = 1;
+    std::string originService{}; ///< Of the backend server on the host where the request began.
     std::string method;
     std::string target;
     HeaderList headers; ///< End-to-end headers only.
--- a/source/admission/FloorEstimator.cpp
+++ b/source/admission/FloorEstimator.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace stairspur::admission {
 
@@ -10,10 +9,10 @@
 
 constexpr auto WindowLength = Duration(20'000);
 
-/// Time over which the rates by level are smoothed.
+/// Time over which what comes by level is smoothed.
 constexpr auto RateMemory = Duration(400'000);
 
-/// Time over which the demand of classes that are shut out altogether is forgotten.
+/// Time over which the demand of bands that are shut out altogether is forgotten.
 constexpr auto HiddenMemory = Duration(500'000);
 
 /// Time in which a queue that is too long or too short shall come back to its target.
@@ -23,7 +22,7 @@
 constexpr auto LeastFittingShare = 0.5;
 constexpr auto MostFittingShare = 1.25;
 
-/// Visible levels of a class that are enough to tell the demand of the others.
+/// Visible levels of a band that are enough to tell the demand of the others.
 constexpr auto LevelsToExtrapolate = std::size_t{8};
 
 /// Share of the idle places that one step of a falling floor may fill, going by the demand above it: the levels below
@@ -33,8 +32,8 @@
 /// The step of a floor that falls while no place is idle.
 constexpr auto BusyLowering = 2.0;
 
-/// Keeps a step finite where nobody calls, in calls per second and level.
-constexpr auto LeastRate = 1e-3;
+/// Keeps a step finite where nobody calls, in places by level.
+constexpr auto LeastDensity = 1e-5;
 
 auto weightOf(Duration length, Duration memory) -> double
 {
@@ -44,11 +43,16 @@
 
 } // namespace
 
-auto FloorEstimator::didArrive(Level level) -> void
+auto FloorEstimator::didArrive(ServingOrder order, Duration work) -> void
 {
-    auto &count = m_arrivals[std::min<std::size_t>(level.value, LevelCount - 1)];
-    if (count < std::numeric_limits<std::uint16_t>::max())
-        ++count;
+    m_arrivals[std::min<std::size_t>(order.value, LevelCount - 1)] +=
+            static_cast<float>(work.count());
+}
+
+auto FloorEstimator::raiseAbove(ServingOrder order) -> void
+{
+    const auto above = std::min<std::size_t>(order.value + std::size_t{1}, LevelCount);
+    m_floor = std::max(m_floor, ServingOrder{static_cast<std::uint16_t>(above)});
 }
 
 auto FloorEstimator::didObserve(const Load &load, TimePoint now) -> void
@@ -78,80 +82,83 @@
     learnRates(visible, length);
     extrapolate(visible, length);
     m_arrivals.fill(0);
-    if (load.capacity > 0) {
+    if (load.isWorkKnown) {
         auto window = load;
         const auto microseconds = static_cast<double>(length.count());
         window.wait = Duration(std::llround(m_waitSum / microseconds));
         const auto used = m_busyMicroseconds / microseconds;
-        const auto target = std::min(lowestLevelFor(fittingRate(window, used)),
+        const auto target = std::min(lowestLevelFor(fittingPlaces(window, used)),
                                      highestFloorBeside(load.lowestWaiting));
-        moveFloor(target, (1.0 - used) * load.capacity);
+        moveFloor(target, (1.0 - used) * load.limit);
     }
-    m_rateAboveFloor = sumFrom(m_floor.value);
+    m_placesAboveFloor = sumFrom(m_floor.value);
     m_floors[m_nextFloor] = m_floor;
     m_nextFloor = (m_nextFloor + 1) % FloorsUnderWay;
 }
 
 auto FloorEstimator::learnRates(std::size_t visible, Duration length) -> void
 {
-    const auto seconds = static_cast<double>(length.count()) / 1e6;
+    const auto microseconds = static_cast<float>(length.count());
     const auto weight = weightOf(length, RateMemory);
     std::fill_n(m_windowsSeen.begin(), visible, std::uint8_t{0});
     for (auto level = visible; level < LevelCount; ++level) {
         auto &seen = m_windowsSeen[level];
         seen = static_cast<std::uint8_t>(std::min(seen + 1, 255));
-        const auto rate = static_cast<float>(m_arrivals[level] / seconds);
+        const auto places = m_arrivals[level] / microseconds;
         const auto ownWeight = static_cast<float>(std::max(weight, 1.0 / (seen + 1)));
-        m_rates[level] += (rate - m_rates[level]) * ownWeight;
+        m_places[level] += (places - m_places[level]) * ownWeight;
     }
 }
 
 auto FloorEstimator::extrapolate(std::size_t visible, Duration length) -> void
 {
-    const auto classStart = visible / HashesPerClass * HashesPerClass;
-    const auto classEnd = std::min(classStart + HashesPerClass, LevelCount);
-    if (classEnd >= visible + LevelsToExtrapolate) {
-        const auto sum = sumFrom(visible) - sumFrom(classEnd);
-        const auto mean = sum / static_cast<double>(classEnd - visible);
-        std::fill(m_rates.begin() + static_cast<std::ptrdiff_t>(classStart),
-                  m_rates.begin() + static_cast<std::ptrdiff_t>(visible), static_cast<float>(mean));
+    const auto bandStart = visible / OrdersPerBand * OrdersPerBand;
+    const auto bandEnd = std::min(bandStart + OrdersPerBand, LevelCount);
+    if (bandEnd >= visible + LevelsToExtrapolate) {
+        const auto sum = sumFrom(visible) - sumFrom(bandEnd);
+        const auto mean = sum / static_cast<double>(bandEnd - visible);
+        std::fill(m_places.begin() + static_cast<std::ptrdiff_t>(bandStart),
+                  m_places.begin() + static_cast<std::ptrdiff_t>(visible),
+                  static_cast<float>(mean));
     }
     const auto kept = static_cast<float>(1.0 - weightOf(length, HiddenMemory));
-    for (std::size_t level = 0; level < classStart; ++level)
-        m_rates[level] *= kept;
+    for (std::size_t level = 0; level < bandStart; ++level)
+        m_places[level] *= kept;
 }
 
-auto FloorEstimator::fittingRate(const Load &load, double used) const -> double
+auto FloorEstimator::fittingPlaces(const Load &load, double used) const -> double
 {
     const auto excess = static_cast<double>((load.wait - load.targetWait).count());
     const auto share = std::clamp(1.0 - excess / static_cast<double>(CorrectionTime.count()),
                                   LeastFittingShare, MostFittingShare);
     // Idle places are proof that more fits, whatever the capacity is believed to be.
-    const auto proven = sumFrom(m_floor.value) + (1.0 - used) * load.capacity;
-    return load.wait == Duration(0) ? std::max(share * load.capacity, proven)
-                                    : share * load.capacity;
+    const auto proven = sumFrom(m_floor.value) + (1.0 - used) * load.limit;
+    const auto fitting = share * load.limit;
+    return load.wait == Duration(0) ? std::max(fitting, proven) : fitting;
 }
 
-auto FloorEstimator::highestFloorBeside(std::optional<Level> lowestWaiting) -> std::size_t
+auto FloorEstimator::highestFloorBeside(std::optional<ServingOrder> lowestWaiting) -> std::size_t
 {
     // Entries must not refuse a class while this gate has calls of a lower one to serve.
     if (!lowestWaiting)
         return LevelCount;
-    return (lowestWaiting->value / HashesPerClass + 1U) * HashesPerClass;
+    return (lowestWaiting->value / OrdersPerBand + 1U) * OrdersPerBand;
 }
 
 auto FloorEstimator::moveFloor(std::size_t target, double idle) -> void
 {
     if (target >= m_floor.value) {
-        m_floor = Level{static_cast<std::uint16_t>(target)};
+        m_floor = ServingOrder{static_cast<std::uint16_t>(target)};
         return;
     }
-    const auto above = std::min<std::size_t>(m_floor.value + HashesPerClass, LevelCount);
-    const auto levels = static_cast<double>(above - m_floor.value);
+    // Over a whole class, since one of its bands may be empty: what is below may be as dense as what is above.
+    const auto above = std::min<std::size_t>(m_floor.value + OrdersPerClass, LevelCount);
+    const auto levels = static_cast<double>(above - m_floor.value) / BandsPerClass;
     const auto density = (sumFrom(m_floor.value) - sumFrom(above)) / std::max(levels, 1.0);
-    const auto careful = BusyLowering + LoweringGain * idle / std::max(density, LeastRate);
+    const auto careful = BusyLowering + LoweringGain * idle / std::max(density, LeastDensity);
     const auto step = std::min(static_cast<double>(m_floor.value - target), careful);
-    m_floor = Level{static_cast<std::uint16_t>(m_floor.value - static_cast<std::size_t>(step))};
+    m_floor = ServingOrder{
+            static_cast<std::uint16_t>(m_floor.value - static_cast<std::size_t>(step))};
 }
 
 auto FloorEstimator::visibleFrom() const -> std::size_t
@@ -163,16 +170,16 @@
 {
     auto sum = 0.0;
     for (; level < LevelCount; ++level)
-        sum += static_cast<double>(m_rates[level]);
+        sum += static_cast<double>(m_places[level]);
     return sum;
 }
 
-auto FloorEstimator::lowestLevelFor(double rate) const -> std::size_t
+auto FloorEstimator::lowestLevelFor(double places) const -> std::size_t
 {
     auto level = LevelCount;
     auto sum = 0.0;
-    while (level > 0 && sum < rate)
-        sum += static_cast<double>(m_rates[--level]);
+    while (level > 0 && sum < places)
+        sum += static_cast<double>(m_places[--level]);
     return level;
 }
 
--- a/source/admission/State.cpp
+++ b/source/admission/State.cpp
@@ -49,12 +49,14 @@
     observe(now);
     auto progress = Progress();
     m_retryAfter.didOffer();
-    m_floor.didArrive(offer.level);
+    m_costs.didOffer(offer.kind(), offer.callsPerRoot, now);
+    const auto order = orderOf(offer);
+    m_floor.didArrive(order, serviceTimeOf(offer.kind()));
     // Those who have become hopeless leave first: the newcomer is judged by the queue that it really meets.
     settle(std::nullopt, now, random, progress);
-    const auto refusal = refusalOf(offer, now);
+    const auto refusal = refusalOf({offer, order}, now);
     if (refusal == Reason::None)
-        m_queue.push(offer);
+        m_queue.push({offer, order});
     else
         refuse(offer.id, refusal, random, progress);
     settle(offer.id, now, random, progress);
@@ -67,14 +69,17 @@
     observe(now);
     auto progress = Progress();
     const auto inFlightBefore = inFlight();
-    if (m_running.erase(id) == 0) {
+    const auto ended = m_running.extract(id);
+    if (!ended) {
         assert(false && "only a dispatched call can complete, and only once");
         return progress;
     }
     didDropLoad();
     m_limit.didComplete({completion, latency, m_serviceTime.mean(), inFlightBefore}, now);
-    if (completion == Completion::Succeeded)
+    if (completion == Completion::Succeeded) {
         m_serviceTime.didMeasure(latency);
+        m_costs.didMeasure(ended.mapped(), latency);
+    }
     if (completion == Completion::TimedOut)
         m_serviceTime.didExceed(latency);
     settle(std::nullopt, now, random, progress);
@@ -111,7 +116,7 @@
 {
     observe(now);
     auto progress = Progress();
-    const auto all = m_queue.removeIf([](const CallOffer &, std::uint32_t) { return true; });
+    const auto all = m_queue.removeIf([](const QueuedCall &, std::uint32_t) { return true; });
     for (const auto &it : all)
         refuse(it.id, reason, random, progress);
     return progress;
@@ -121,6 +126,7 @@
 {
     m_limit = newLimit(m_settings);
     m_serviceTime = ServiceTime();
+    m_costs.clear();
 }
 
 auto AdmissionController::State::report(TimePoint now) -> LoadReport
@@ -138,12 +144,33 @@
         report.floors.assign(1, ClosedLevel);
         return report;
     }
+    addOwnFloors(report);
+    return report;
+}
+
+auto AdmissionController::State::addOwnFloors(LoadReport &report) const -> void
+{
+    const auto floor = m_floor.floor();
+    const auto ofClass = lowestLevelAt(floor, 0);
     for (std::size_t rank = 0; rank < std::max<std::size_t>(m_deeper.size(), 1); ++rank) {
         const auto deeper = m_deeper.floorFor(static_cast<ClassRank>(rank));
-        report.floors.push_back(std::max(m_floor.floor(), deeper));
+        report.floors.push_back(std::max(ofClass, deeper));
+    }
+    report.pathFloors = m_deeper.pathsAbove(ofClass);
+    for (const auto path : m_costs.yieldingPathsOf(ofClass.rank())) {
+        const auto yielding = m_costs.yieldingLevelsOf({ofClass.rank(), path});
+        raiseFloorOfPath(report.pathFloors, {path, lowestLevelAt(floor, yielding)});
     }
-    report.pathFloors = m_deeper.pathsAbove(m_floor.floor());
-    return report;
+}
+
+auto AdmissionController::State::serviceTimeOf(FloorKey kind) const -> Duration
+{
+    return m_costs.serviceTimeOf(kind, m_serviceTime.mean());
+}
+
+auto AdmissionController::State::orderOf(const CallOffer &offer) const -> ServingOrder
+{
+    return servingOrderOf(offer.level, m_costs.yieldingLevelsOf(offer.kind()));
 }
 
 auto AdmissionController::State::inFlight() const -> std::uint32_t
@@ -151,8 +178,9 @@
     return static_cast<std::uint32_t>(m_running.size());
 }
 
-auto AdmissionController::State::refusalOf(const CallOffer &offer, TimePoint now) const -> Reason
+auto AdmissionController::State::refusalOf(const QueuedCall &call, TimePoint now) const -> Reason
 {
+    const auto &offer = call.offer;
     if (m_isDraining)
         return Reason::Draining;
     if (offer.deadline <= now)
@@ -160,9 +188,9 @@
     if (isBelowDeeperFloor(offer))
         return Reason::BelowFloor;
     // Whoever is greater than a call that waits comes before it, whatever the floor.
-    const auto comesBefore = !m_queue.isEmpty() && offer.level > m_queue.last().level;
+    const auto comesBefore = !m_queue.isEmpty() && call.order > m_queue.last().order;
     const auto isFree = inFlight() < m_limit.limit();
-    if (!comesBefore && !isFree && offer.level < m_enforcedFloor)
+    if (!offer.hasBegun && !comesBefore && !isFree && call.order < m_enforcedFloor)
         return Reason::BelowFloor;
     return Reason::None;
 }
@@ -184,8 +212,8 @@
 auto AdmissionController::State::refuseBelowDeeperFloors(Random &random, Progress &progress) -> void
 {
     // Those who waited when the floor rose must not be served while greater levels are refused.
-    const auto isBelow = [&](const CallOffer &call, std::uint32_t) {
-        return isBelowDeeperFloor(call);
+    const auto isBelow = [&](const QueuedCall &call, std::uint32_t) {
+        return isBelowDeeperFloor(call.offer);
     };
     for (const auto &it : m_queue.removeIf(isBelow))
         refuse(it.id, Reason::BelowFloor, random, progress);
@@ -193,7 +221,7 @@
 
 auto AdmissionController::State::isBelowDeeperFloor(const CallOffer &call) const -> bool
 {
-    return call.level < m_deeper.enforcedFloorFor({call.level.rank(), call.path});
+    return call.level < m_deeper.enforcedFloorFor(call.floorKey());
 }
 
 auto AdmissionController::State::dispatchFree(TimePoint now, Random &random, Progress &progress)
@@ -211,7 +239,7 @@
             refuse(call.id, Reason::WaitExceedsDeadline, random, progress);
             continue;
         }
-        m_running.insert(call.id);
+        m_running.emplace(call.id, call.kind());
         progress.dispatch.push_back(call.id);
     }
 }
@@ -219,8 +247,9 @@
 auto AdmissionController::State::refuseHopeless(TimePoint now, Random &random, Progress &progress)
         -> void
 {
-    const auto isHopeless = [&](const CallOffer &call, std::uint32_t position) {
-        return now + waitBehind(position) + m_serviceTime.mean() > call.deadline;
+    const auto isHopeless = [&](const QueuedCall &call, std::uint32_t position) {
+        const auto &offer = call.offer;
+        return now + waitBehind(position) + m_serviceTime.mean() > offer.deadline;
     };
     for (const auto &it : m_queue.removeIf(isHopeless)) {
         const auto isLate = it.deadline <= now;
@@ -231,17 +260,19 @@
 
 auto AdmissionController::State::refuseOvertaken(Random &random, Progress &progress) -> void
 {
-    const auto level = m_queue.greatestOvertaken(queueBound());
-    if (!level)
+    const auto order = m_queue.greatestOvertaken(queueBound());
+    if (!order)
         return;
     // Greater calls keep coming in its place here, but another upstream may have room while there is time. Those behind
     // it have even less to hope for, and must not be served in its stead.
-    const auto isOvertaken = [&](const CallOffer &call, std::uint32_t) {
-        return call.level <= *level;
+    const auto isOvertaken = [&](const QueuedCall &call, std::uint32_t) {
+        return call.order <= *order;
     };
-    for (const auto &it : m_queue.removeIf(isOvertaken))
+    for (const auto &it : m_queue.removeIf(isOvertaken)) {
+        noteLostPlace(it);
         refuse(it.id, Reason::Evicted, random, progress);
-    m_enforcedFloor = std::max(m_enforcedFloor, *level);
+    }
+    m_enforcedFloor = std::max(m_enforcedFloor, *order);
 }
 
 auto AdmissionController::State::boundQueue(std::optional<CallId> newcomer, Random &random,
@@ -250,11 +281,19 @@
     const auto bound = queueBound();
     while (m_queue.size() > bound) {
         const auto call = m_queue.popLast();
+        noteLostPlace(call);
         const auto reason = call.id == newcomer ? Reason::QueueFull : Reason::Evicted;
         refuse(call.id, reason, random, progress);
     }
 }
 
+auto AdmissionController::State::noteLostPlace(const CallOffer &offer) -> void
+{
+    // Where running requests are refused no others of their standing may begin: they would end the same way.
+    if (offer.hasBegun)
+        m_floor.raiseAbove(orderOf(offer));
+}
+
 auto AdmissionController::State::refuse(CallId id, Reason reason, Random &random,
                                         Progress &progress) -> void
 {
@@ -269,8 +308,7 @@
 auto AdmissionController::State::waitAtFloor() const -> Duration
 {
     // A call at the floor lets all pass that come while it waits.
-    const auto serviceTime = static_cast<double>(m_serviceTime.mean().count());
-    const auto overtaking = m_floor.rateAboveFloor() * serviceTime / 1e6 / m_limit.limit();
+    const auto overtaking = m_floor.placesAboveFloor() / m_limit.limit();
     const auto left = std::max(1.0 - overtaking, LeastLeftShare);
     const auto wait = static_cast<double>(waitBehind(queued()).count()) / left;
     return Duration(static_cast<Duration::rep>(wait));
@@ -290,17 +328,17 @@
 auto AdmissionController::State::observe(TimePoint now) -> void
 {
     m_deeper.didPassTime(now);
+    m_costs.didPassTime(now);
     const auto serviceTime = m_serviceTime.mean();
     const auto limit = m_limit.limit();
     auto load = FloorEstimator::Load();
     load.wait = m_queue.isEmpty() ? Duration(0) : waitBehind(queued() - 1);
     load.targetWait = targetWait(serviceTime);
     if (!m_queue.isEmpty())
-        load.lowestWaiting = m_queue.last().level;
+        load.lowestWaiting = m_queue.last().order;
     load.inFlight = inFlight();
     load.limit = limit;
-    if (serviceTime > Duration(0))
-        load.capacity = 1e6 * limit / static_cast<double>(serviceTime.count());
+    load.isWorkKnown = serviceTime > Duration(0);
     m_floor.didObserve(load, now);
     m_enforcedFloor = std::max(m_enforcedFloor, m_floor.oldestFloor());
 }
--- a/source/admission/State.h
+++ b/source/admission/State.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <optional>
-#include <unordered_set>
+#include <unordered_map>
 #include <vector>
 
 #include <stairspur/admission/AdmissionController.h>
@@ -9,6 +9,7 @@
 #include "AdaptiveLimit.h"
 #include "DeeperFloors.h"
 #include "FloorEstimator.h"
+#include "RequestCosts.h"
 #include "RetryAfter.h"
 #include "ServiceTime.h"
 #include "WaitingQueue.h"
@@ -48,7 +49,7 @@
 
 private:
     /// Why a call is refused before it asks for a place; Reason::None when it is not.
-    [[nodiscard]] auto refusalOf(const CallOffer &offer, TimePoint now) const -> Reason;
+    [[nodiscard]] auto refusalOf(const QueuedCall &call, TimePoint now) const -> Reason;
 
     /// Brings the queue into order after any change: dispatches, refuses what is hopeless, bounds the length. `newcomer`
     /// is the call that was just offered.
@@ -59,11 +60,18 @@
     auto refuseHopeless(TimePoint now, Random &random, Progress &progress) -> void;
     auto refuseOvertaken(Random &random, Progress &progress) -> void;
     auto boundQueue(std::optional<CallId> newcomer, Random &random, Progress &progress) -> void;
+    /// The queue has no room for this call.
+    auto noteLostPlace(const CallOffer &offer) -> void;
     auto refuse(CallId id, Reason reason, Random &random, Progress &progress) -> void;
 
     /// Time until a waiting call is dispatched that has `ahead` calls before it, while no place is free.
     [[nodiscard]] auto waitBehind(std::uint32_t ahead) const -> Duration;
     [[nodiscard]] auto waitAtFloor() const -> Duration;
+    /// How long a call of this kind holds a place.
+    [[nodiscard]] auto serviceTimeOf(FloorKey kind) const -> Duration;
+    [[nodiscard]] auto orderOf(const CallOffer &offer) const -> ServingOrder;
+    /// The own floors as levels, by class and, for the paths of which some levels yield, by path.
+    auto addOwnFloors(LoadReport &report) const -> void;
     [[nodiscard]] auto isBelowDeeperFloor(const CallOffer &call) const -> bool;
     [[nodiscard]] auto queueBound() const -> std::uint32_t;
 
@@ -75,15 +83,16 @@
 
     AdmissionSettings m_settings;
     AdaptiveLimit m_limit;
-    ServiceTime m_serviceTime;
+    ServiceTime m_serviceTime; ///< Of all calls.
+    RequestCosts m_costs;
     WaitingQueue m_queue;
     FloorEstimator m_floor;
     /// Arriving calls below it are refused, unless they come before one that waits. Follows the floors that entries may
     /// still go by, but never falls while load only grows: what was refused must not be let in from others.
-    Level m_enforcedFloor = LowestLevel;
+    ServingOrder m_enforcedFloor = LowestOrder;
     DeeperFloors m_deeper;
     RetryAfter m_retryAfter;
-    std::unordered_set<CallId> m_running;
+    std::unordered_map<CallId, FloorKey> m_running; ///< With the kind of each call.
     std::uint64_t m_sequence = 0;
     bool m_isDraining = false;
 };
--- a/source/admission/WaitingQueue.cpp
+++ b/source/admission/WaitingQueue.cpp
@@ -2,17 +2,16 @@
 
 #include <cassert>
 #include <iterator>
-#include <limits>
 
 namespace stairspur::admission {
 
-auto WaitingQueue::push(const CallOffer &offer) -> void
+auto WaitingQueue::push(const QueuedCall &call) -> void
 {
-    const auto key = Key{offer.level, m_nextArrival++};
-    const auto isNew = m_keys.emplace(offer.id, key).second;
+    const auto key = Key{call.order, m_nextArrival++};
+    const auto isNew = m_keys.emplace(call.offer.id, key).second;
     assert(isNew && "a call id waits only once");
     if (isNew)
-        m_calls.emplace(key, Waiting{offer, m_taken});
+        m_calls.emplace(key, Waiting{call, m_taken});
 }
 
 auto WaitingQueue::popFirst() -> CallOffer
@@ -28,10 +27,10 @@
     return take(std::prev(m_calls.end()));
 }
 
-auto WaitingQueue::last() const -> const CallOffer &
+auto WaitingQueue::last() const -> const QueuedCall &
 {
     assert(!isEmpty());
-    return m_calls.rbegin()->second.offer;
+    return m_calls.rbegin()->second.call;
 }
 
 auto WaitingQueue::remove(CallId id) -> bool
@@ -44,22 +43,15 @@
     return true;
 }
 
-auto WaitingQueue::greatestOvertaken(std::uint64_t count) const -> std::optional<Level>
+auto WaitingQueue::greatestOvertaken(std::uint64_t count) const -> std::optional<ServingOrder>
 {
     for (const auto &[key, waiting] : m_calls) {
         if (m_taken - waiting.takenBefore >= count)
-            return key.level;
+            return key.order;
     }
     return std::nullopt;
 }
 
-auto WaitingQueue::countAhead(Level level) const -> std::uint32_t
-{
-    // The queue is bounded to a few hundred calls, so that walking it costs less than keeping counts by level.
-    const auto end = m_calls.upper_bound(Key{level, std::numeric_limits<std::uint64_t>::max()});
-    return static_cast<std::uint32_t>(std::distance(m_calls.begin(), end));
-}
-
 auto WaitingQueue::size() const -> std::uint32_t
 {
     return static_cast<std::uint32_t>(m_calls.size());
@@ -67,7 +59,7 @@
 
 auto WaitingQueue::take(std::map<Key, Waiting>::iterator it) -> CallOffer
 {
-    const auto offer = it->second.offer;
+    const auto offer = it->second.call.offer;
     m_keys.erase(offer.id);
     m_calls.erase(it);
     return offer;
--- a/source/admission/WaitingQueue.h
+++ b/source/admission/WaitingQueue.h
@@ -7,15 +7,23 @@
 #include <vector>
 
 #include <stairspur/admission/AdmissionController.h>
-#include <stairspur/core/Level.h>
+
+#include "ServingOrder.h"
 
 namespace stairspur::admission {
 
-/// The calls that wait for a place: the greatest level first, in the order of arrival within a level.
+/// A call that waits, and where it stands.
+struct QueuedCall
+{
+    CallOffer offer;
+    ServingOrder order;
+};
+
+/// The calls that wait for a place: the greatest order first, in the order of arrival among equals.
 class WaitingQueue
 {
 public:
-    auto push(const CallOffer &offer) -> void;
+    auto push(const QueuedCall &call) -> void;
 
     /// Takes the call that is next. The queue is not empty.
     auto popFirst() -> CallOffer;
@@ -24,22 +32,19 @@
     auto popLast() -> CallOffer;
 
     /// The call that popLast() would take. The queue is not empty.
-    [[nodiscard]] auto last() const -> const CallOffer &;
+    [[nodiscard]] auto last() const -> const QueuedCall &;
 
     /// Takes out one call. False when it does not wait here.
     auto remove(CallId id) -> bool;
 
-    /// The greatest level of the calls that saw at least `count` others taken by popFirst() since they came; nothing when
+    /// The greatest order of the calls that saw at least `count` others taken by popFirst() since they came; nothing when
     /// there is none.
-    [[nodiscard]] auto greatestOvertaken(std::uint64_t count) const -> std::optional<Level>;
-
-    /// How many waiting calls would be served before a call of `level` that came now.
-    [[nodiscard]] auto countAhead(Level level) const -> std::uint32_t;
+    [[nodiscard]] auto greatestOvertaken(std::uint64_t count) const -> std::optional<ServingOrder>;
 
     [[nodiscard]] auto size() const -> std::uint32_t;
     [[nodiscard]] auto isEmpty() const -> bool { return m_calls.empty(); }
 
-    /// Takes out all calls for which `shouldRemove(offer, position)` holds, in the order of the queue. The position counts
+    /// Takes out all calls for which `shouldRemove(call, position)` holds, in the order of the queue. The position counts
     /// the calls ahead that stay.
     template <typename Predicate>
     auto removeIf(Predicate shouldRemove) -> std::vector<CallOffer>
@@ -47,13 +52,13 @@
         auto removed = std::vector<CallOffer>();
         auto position = std::uint32_t{0};
         for (auto it = m_calls.begin(); it != m_calls.end();) {
-            if (!shouldRemove(it->second.offer, position)) {
+            if (!shouldRemove(it->second.call, position)) {
                 ++position;
                 ++it;
                 continue;
             }
-            removed.push_back(it->second.offer);
-            m_keys.erase(it->second.offer.id);
+            removed.push_back(it->second.call.offer);
+            m_keys.erase(it->second.call.offer.id);
             it = m_calls.erase(it);
         }
         return removed;
@@ -62,18 +67,18 @@
 private:
     struct Key
     {
-        Level level;
+        ServingOrder order;
         std::uint64_t arrival = 0;
 
         auto operator<(const Key &other) const -> bool
         {
-            return level != other.level ? level > other.level : arrival < other.arrival;
+            return order != other.order ? order > other.order : arrival < other.arrival;
         }
     };
 
     struct Waiting
     {
-        CallOffer offer;
+        QueuedCall call;
         std::uint64_t takenBefore = 0; ///< Calls that popFirst() had taken when it came.
     };
 
--- a/source/node/CallIntake.h
+++ b/source/node/CallIntake.h
@@ -24,6 +24,7 @@
     bool isIdempotent = true;
     bool hasDeeperCalls = false; ///< Its service calls others, as far as the call paths tell.
     PathKey parentPath = NoPath;
+    std::uint32_t parentCallsPerRoot = 1; ///< Calls like the parent that the root makes.
     std::optional<CallId> parent; ///< The running call of this host's backend server that makes it.
 };
 
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -36,7 +36,7 @@
     , m_keyedRouter(io, {{settings.nodeId(), start}, {}}, peers, seed + 1)
     , m_random(seed)
     , m_routes(settings, board)
-    , m_floorTeller(io, board,
+    , m_floorTeller(io, board, m_observedCalls,
                     [this](const auto &call, auto rank, auto now) {
                         return m_routes.floorAt(call, rank, now);
                     })
@@ -99,18 +99,17 @@
     }
     const auto parent = *call.parent;
     call.request.isDeeperCall = true;
-    if (m_protocol)
-        m_floorTeller.didCall({call.request.level.rank(), call.parentPath},
-                              {call.request.service, call.request.path}, monotonicNow());
     const auto childId = CallId{m_random()};
     auto cancelHere = [this, cancellation] {
         transport::asio::post(m_io, [cancellation] { cancellation->cancel(); });
     };
-    auto share = m_running.addChild(parent, childId, std::move(cancelHere));
+    auto share = m_running.addChild(parent, childId, call.request.path, std::move(cancelHere));
+    if (m_protocol)
+        noteDeeperCall(call, share.ordinal);
     // Routed calls are bounded by their route's attempts and their service's bucket, not by their parent's share.
     if (m_protocol && share.refusal != Reason::ParentUnknown) {
         const auto isRepeat = share.isRepeat || share.refusal == Reason::RetryBudgetSpent;
-        share = {Reason::None, call.request.retryBudget, isRepeat};
+        share = {Reason::None, call.request.retryBudget, isRepeat, share.ordinal};
     }
     auto answer = co_await routeShare(std::move(call), share, cancellation);
     if (share.refusal == Reason::None)
@@ -119,6 +118,23 @@
     co_return answer;
 }
 
+/// The product of both, as far as a call may tell it.
+static auto boundedCallsPerRoot(std::uint32_t ofParent, std::uint32_t perParent) -> std::uint32_t
+{
+    const auto product = std::uint64_t{ofParent} * perParent;
+    return static_cast<std::uint32_t>(
+            std::min<std::uint64_t>(product, transport::MostCallsPerRoot));
+}
+
+auto Entry::noteDeeperCall(IncomingCall &call, std::uint32_t ordinal) -> void
+{
+    const auto deeper = DeeperCall{call.request.service, call.request.path};
+    m_observedCalls.didCall({call.request.level.rank(), call.parentPath}, deeper, ordinal,
+                            monotonicNow());
+    const auto ofParent = m_observedCalls.callsPerRequest(call.parentPath, deeper);
+    call.request.callsPerRoot = boundedCallsPerRoot(call.parentCallsPerRoot, ofParent);
+}
+
 auto Entry::routeShare(IncomingCall call, const ChildShare &share,
                        const CancellationPtr &cancellation) -> Task<CallAnswer>
 {
@@ -196,7 +212,8 @@
         const auto decision = routes.pool.choose({.level = call.request.level,
                                                   .deadline = call.deadline,
                                                   .excluded = attempts.excluded,
-                                                  .path = call.request.floorPath()},
+                                                  .path = call.request.floorPath(),
+                                                  .hasBegun = call.request.isDeeperCall},
                                                  now, m_random);
         logDecision(call, decision, attempts);
         if (m_protocol && !decision.node && wasShed(attempts) && !attempts.excluded.empty()) {
--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -21,6 +21,7 @@
 #include "FloorTeller.h"
 #include "NodeBoard.h"
 #include "NodeMetrics.h"
+#include "ObservedCalls.h"
 #include "RunningCalls.h"
 #include "ServiceRouteTable.h"
 
@@ -68,6 +69,8 @@
             -> IncomingCall;
     auto refuse(Reason reason, const std::string &detail, Duration retryAfter)
             -> transport::HttpResponse;
+    /// Learns from a deeper call how often its kind is made, and tells the call.
+    auto noteDeeperCall(IncomingCall &call, std::uint32_t ordinal) -> void;
     auto routeShare(IncomingCall call, const ChildShare &share,
                     const transport::CancellationPtr &cancellation)
             -> transport::Task<transport::CallAnswer>;
@@ -104,6 +107,7 @@
     std::uint64_t m_keyedConfigurationGeneration = 0;
     Random m_random;
     ServiceRouteTable m_routes;
+    ObservedCalls m_observedCalls;
     FloorTeller m_floorTeller;
     const CallProtocol *m_protocol; ///< Null: the product's own.
 };
--- a/source/node/FloorTeller.cpp
+++ b/source/node/FloorTeller.cpp
@@ -10,17 +10,14 @@
 /// How often unchanged floors are told again: those that nobody confirms lapse after a second.
 static constexpr auto FloorConfirmInterval = Duration{250'000};
 
-FloorTeller::FloorTeller(boost::asio::io_context &io, NodeBoard &board, FloorAt floorAt)
+FloorTeller::FloorTeller(boost::asio::io_context &io, NodeBoard &board,
+                         const ObservedCalls &observedCalls, FloorAt floorAt)
     : m_board(board)
+    , m_observedCalls(observedCalls)
     , m_floorAt(std::move(floorAt))
     , m_timer(io)
 {}
 
-auto FloorTeller::didCall(FloorKey of, const DeeperCall &call, TimePoint now) -> void
-{
-    m_observedCalls.didCall(of, call, now);
-}
-
 auto FloorTeller::refresh(TimePoint now) -> void
 {
     if (now - m_refreshedAt < FloorInterval)
--- a/source/node/FloorTeller.h
+++ b/source/node/FloorTeller.h
@@ -21,10 +21,8 @@
     /// The floor that a call of class `rank` meets at a deeper service, as the entry's pools know it.
     using FloorAt = std::function<Level(const DeeperCall &call, ClassRank rank, TimePoint now)>;
 
-    FloorTeller(boost::asio::io_context &io, NodeBoard &board, FloorAt floorAt);
-
-    /// The backend server made a call; see ObservedCalls.
-    auto didCall(FloorKey of, const DeeperCall &call, TimePoint now) -> void;
+    FloorTeller(boost::asio::io_context &io, NodeBoard &board, const ObservedCalls &observedCalls,
+                FloorAt floorAt);
 
     /// Tells the floors if it is time to. Calls bring what floors are made of, so that their ends are the time to look: a
     /// timer would wake an idle node fifty times a second for nothing.
@@ -39,8 +37,8 @@
     [[nodiscard]] auto floorsByPath(TimePoint now) const -> std::vector<PathFloor>;
 
     NodeBoard &m_board;
+    const ObservedCalls &m_observedCalls;
     FloorAt m_floorAt;
-    ObservedCalls m_observedCalls;
     boost::asio::steady_timer m_timer;
     bool m_hasTimer = false;
     DeeperFloorsHeard m_told;
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -186,8 +186,14 @@
     const auto id = newCallId(request);
     ++m_calls;
     const auto deadline = now + request.remaining;
-    const auto decision = co_await waitForPlace(
-            id, {id, request.level, deadline, request.floorPath()}, cancellation);
+    const auto decision = co_await waitForPlace(id,
+                                                {.id = id,
+                                                 .level = request.level,
+                                                 .deadline = deadline,
+                                                 .path = request.path,
+                                                 .hasBegun = request.isDeeperCall,
+                                                 .callsPerRoot = request.callsPerRoot},
+                                                cancellation);
     auto answer = CallAnswer();
     if (decision.reason != Reason::None)
         answer = refusal(request, decision.reason, decision.retryAfter);
@@ -241,7 +247,7 @@
     const auto className = request.className;
     m_running.open(id,
                    {request.className, request.level, request.root, deadline, request.caller,
-                    request.path},
+                    request.path, request.callsPerRoot},
                    request.retryBudget, request.isRepeat);
     const auto client = m_client; // A newer backend server must not end this call's connections.
     auto answer = CallAnswer();
--- a/source/node/ObservedCalls.h
+++ b/source/node/ObservedCalls.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -19,13 +20,18 @@
     auto operator<=>(const DeeperCall &) const = default;
 };
 
-/// Which services this host's backend server calls for requests of each path, as far as its calls have shown. It stands
-/// in for call paths where the configuration has none.
+/// Which services this host's backend server calls for requests of each path, and how often, as far as its calls have shown.
+/// It stands in for call paths where the configuration has none.
 class ObservedCalls
 {
 public:
-    /// While it ran a request of class `rank` and `path`, the backend server made `call`.
-    auto didCall(FloorKey of, const DeeperCall &call, TimePoint now) -> void;
+    /// While it ran a request of class `rank` and `path`, the backend server made `call`, which is the `ordinal`-th of its
+    /// kind that this request made.
+    auto didCall(FloorKey of, const DeeperCall &call, std::uint32_t ordinal, TimePoint now) -> void;
+
+    /// How many calls like `call` a request of `path` makes: the most that one has made lately. The mean would shrink just
+    /// when requests fail half way. 1 where nothing is known.
+    [[nodiscard]] auto callsPerRequest(PathKey path, const DeeperCall &call) const -> std::uint32_t;
 
     /// What was called for one path, and for which classes.
     struct Path
@@ -45,7 +51,14 @@
     /// backend server to be learnt.
     static constexpr auto Memory = Duration{60'000'000};
 
-    std::unordered_map<PathKey, std::map<DeeperCall, TimePoint>> m_lastCalls;
+    struct Seen
+    {
+        TimePoint lastCall{};
+        std::uint32_t mostCalls = 0; ///< That one request made.
+        TimePoint mostSeenAt{};
+    };
+
+    std::unordered_map<PathKey, std::map<DeeperCall, Seen>> m_seen;
     ClassRank m_leastRank = 0;
 };
 
--- a/source/node/RoutedIntake.cpp
+++ b/source/node/RoutedIntake.cpp
@@ -63,6 +63,7 @@
     if (parent) {
         call.parent = callIdOf(request.parentAttemptId);
         call.parentPath = parent->path;
+        call.parentCallsPerRoot = parent->callsPerRoot;
         call.request.className = parent->className;
         call.request.level = parent->level;
         call.request.root = parent->root;
--- a/source/node/RunningCalls.cpp
+++ b/source/node/RunningCalls.cpp
@@ -5,7 +5,7 @@
 auto RunningCalls::open(CallId id, RunningCall call, std::uint32_t budget, bool isRepeat) -> void
 {
     const auto lock = std::scoped_lock(m_mutex);
-    m_records.emplace(id, Record{std::move(call), {}});
+    m_records.emplace(id, Record{.call = std::move(call)});
     m_ledger.open(id, budget, isRepeat);
 }
 
@@ -18,17 +18,19 @@
     return it->second.call;
 }
 
-auto RunningCalls::addChild(CallId parent, CallId child, CancelChild cancel) -> ChildShare
+auto RunningCalls::addChild(CallId parent, CallId child, PathKey path, CancelChild cancel)
+        -> ChildShare
 {
     const auto lock = std::scoped_lock(m_mutex);
     const auto it = m_records.find(parent);
     if (it == m_records.end())
         return {Reason::ParentUnknown};
+    const auto ordinal = ++it->second.callsMade[path];
     const auto share = m_ledger.takeShare(parent);
     if (!share)
-        return {Reason::RetryBudgetSpent};
+        return {.refusal = Reason::RetryBudgetSpent, .ordinal = ordinal};
     it->second.children.emplace(child, std::move(cancel));
-    return {Reason::None, *share, m_ledger.isRepeat(parent)};
+    return {Reason::None, *share, m_ledger.isRepeat(parent), ordinal};
 }
 
 auto RunningCalls::removeChild(CallId parent, CallId child, std::uint32_t unspent, bool isAnswered)
--- a/source/node/RunningCalls.h
+++ b/source/node/RunningCalls.h
@@ -25,6 +25,7 @@
     TimePoint deadline;
     std::string caller;
     PathKey path = NoPath;
+    std::uint32_t callsPerRoot = 1; ///< See CallRequest.
 };
 
 /// What a deeper call gets of its parent's retry budget.
@@ -33,6 +34,8 @@
     Reason refusal = Reason::None; ///< ParentUnknown or RetryBudgetSpent: the call may not start.
     std::uint32_t budget = 0;
     bool isRepeat = false;
+    std::uint32_t ordinal =
+            1; ///< Of the deeper call among those of its path that the parent made, from 1 on.
 };
 
 /// What remains of a call that ended.
@@ -57,7 +60,7 @@
 
     /// A deeper call of `parent` starts and gets its share of the budget, unless the parent has ended meanwhile.
     /// `cancel` is run, from the gate's thread, when the parent ends first.
-    auto addChild(CallId parent, CallId child, CancelChild cancel) -> ChildShare;
+    auto addChild(CallId parent, CallId child, PathKey path, CancelChild cancel) -> ChildShare;
 
     /// The deeper call ended with `unspent` of its share left. `isAnswered`: with a whole answer.
     auto removeChild(CallId parent, CallId child, std::uint32_t unspent, bool isAnswered) -> void;
@@ -70,6 +73,7 @@
     {
         RunningCall call;
         std::unordered_map<CallId, CancelChild> children;
+        std::unordered_map<PathKey, std::uint32_t> callsMade; ///< Deeper calls so far, by path.
         bool hasFailedChild = false;
     };
 
--- a/source/routing/PoolState.cpp
+++ b/source/routing/PoolState.cpp
@@ -95,6 +95,12 @@
                 Duration::zero(), static_cast<std::uint32_t>(members.size())};
     }
     const auto &refusing = tiers.members(Tier::BelowFloor);
+    if (!refusing.empty() && request.hasBegun) {
+        // What the request has cost so far is lost with this call: a floor that is a moment old is no reason to give it up.
+        const auto &view = m_views[pickOfTwo(refusing, loads, now, random)];
+        return {view.upstream().node, RouteReason::BegunWork, Reason::None, Duration::zero(),
+                static_cast<std::uint32_t>(refusing.size())};
+    }
     if (!refusing.empty() && request.mayProbe && randomUnit(random) < m_settings.probeShare) {
         const auto &view = m_views[pickOne(refusing, std::nullopt, now, random)];
         return {view.upstream().node, RouteReason::Probe, Reason::None, Duration::zero(),
--- a/source/transport/CallCodec.cpp
+++ b/source/transport/CallCodec.cpp
@@ -8,7 +8,9 @@
 
 namespace stairspur::transport {
 
-static constexpr auto CallItems = std::uint64_t{17};
+static constexpr auto CallItems = std::uint64_t{18};
+/// Of a node that does not tell yet how many calls a root request makes.
+static constexpr auto CallItemsBeforeCounts = std::uint64_t{17};
 static constexpr auto AnswerItems = std::uint64_t{8};
 static constexpr auto ReportItems = std::uint64_t{8};
 static constexpr auto SizeGuess = std::size_t{512};
@@ -62,11 +64,13 @@
 public:
     FieldReader(std::string_view fields, std::uint64_t known)
         : m_reader(fields)
-        , m_surplus(m_reader.readArray())
-    {
+        , m_items(m_reader.readArray())
         // Too few items make a read run into the end.
-        m_surplus = m_surplus > known ? m_surplus - known : 0;
-    }
+        , m_surplus(m_items > known ? m_items - known : 0)
+    {}
+
+    /// How many items the message has.
+    [[nodiscard]] auto items() const -> std::uint64_t { return m_items; }
 
     auto reader() -> CborReader & { return m_reader; }
 
@@ -78,6 +82,7 @@
 
 private:
     CborReader m_reader;
+    std::uint64_t m_items;
     std::uint64_t m_surplus;
 };
 
@@ -103,7 +108,8 @@
             .addBytes(request.attemptId)
             .addBytes(request.originService)
             .addUnsigned(request.path)
-            .addBoolean(request.isDeeperCall);
+            .addBoolean(request.isDeeperCall)
+            .addUnsigned(request.callsPerRoot);
     return bytes;
 }
 
@@ -129,6 +135,8 @@
     request.originService = reader.readBytes();
     request.path = readNumber(reader);
     request.isDeeperCall = reader.readBoolean();
+    if (fieldReader.items() > CallItemsBeforeCounts)
+        request.callsPerRoot = static_cast<std::uint32_t>(reader.readUnsigned(MostCallsPerRoot));
     fieldReader.finish();
     return request;
 }
--- a/tests/node/TestCallIntake.cpp
+++ b/tests/node/TestCallIntake.cpp
@@ -157,13 +157,13 @@
     auto running = RunningCalls();
     auto cancelled = 0;
     running.open(1, {}, 4, false);
-    const auto first = running.addChild(1, 10, [&] { ++cancelled; });
-    const auto second = running.addChild(1, 11, [&] { ++cancelled; });
+    const auto first = running.addChild(1, 10, NoPath, [&] { ++cancelled; });
+    const auto second = running.addChild(1, 11, NoPath, [&] { ++cancelled; });
     cr_assert_eq(first.budget + second.budget, 3);
     running.removeChild(1, 11, second.budget, true);
     cr_assert(running.close(1).wasHeldUpBelow, "a child still runs");
     cr_assert_eq(cancelled, 1, "only the child that still runs is cancelled");
-    cr_assert(running.addChild(1, 12, [] {}).refusal == Reason::ParentUnknown);
+    cr_assert(running.addChild(1, 12, NoPath, [] {}).refusal == Reason::ParentUnknown);
 }
 
 Test(RunningCalls, onlyUnansweredChildrenHoldTheirParentUp)
@@ -181,7 +181,7 @@
         auto running = RunningCalls();
         running.open(1, {}, 4, false);
         if (it.hasChild) {
-            const auto share = running.addChild(1, 10, [] {});
+            const auto share = running.addChild(1, 10, NoPath, [] {});
             running.removeChild(1, 10, share.budget, it.isAnswered);
         }
         const auto closed = running.close(1);
@@ -189,3 +189,14 @@
         cr_expect_eq(closed.unspentBudget, 4, "%s", it.name);
     }
 }
+
+Test(RunningCalls, deeperCallsAreNumberedByPath)
+{
+    auto running = RunningCalls();
+    running.open(1, {}, 4, false);
+    running.open(2, {}, 4, false);
+    cr_assert_eq(running.addChild(1, 10, 33, [] {}).ordinal, 1);
+    cr_assert_eq(running.addChild(1, 11, 33, [] {}).ordinal, 2);
+    cr_assert_eq(running.addChild(1, 12, 44, [] {}).ordinal, 1);
+    cr_assert_eq(running.addChild(2, 13, 33, [] {}).ordinal, 1);
+}
--- a/tests/node/TestObservedCalls.cpp
+++ b/tests/node/TestObservedCalls.cpp
@@ -13,9 +13,9 @@
 Test(ObservedCalls, callsAreLearntByPath)
 {
     auto calls = ObservedCalls();
-    calls.didCall(Orders, {"maps", 33}, Start);
-    calls.didCall(Views, {"kitchen", 44}, Start);
-    calls.didCall(Views, {"maps", 33}, Start);
+    calls.didCall(Orders, {"maps", 33}, 1, Start);
+    calls.didCall(Views, {"kitchen", 44}, 1, Start);
+    calls.didCall(Views, {"maps", 33}, 1, Start);
     const auto paths = calls.paths(Start);
     cr_assert_eq(paths.size(), 2);
     cr_assert_eq(paths[0].path, 11);
@@ -28,9 +28,25 @@
 Test(ObservedCalls, whatIsNotCalledForAWhileIsForgotten)
 {
     auto calls = ObservedCalls();
-    calls.didCall(Views, {"maps", 33}, Start);
-    calls.didCall(Views, {"kitchen", 44}, Start + 30s);
+    calls.didCall(Views, {"maps", 33}, 1, Start);
+    calls.didCall(Views, {"kitchen", 44}, 1, Start + 30s);
     cr_assert(calls.paths(Start + 59s)[0].calls.size() == 2);
     cr_assert(calls.paths(Start + 61s)[0].calls == (std::vector<DeeperCall>{{"kitchen", 44}}));
     cr_assert(calls.paths(Start + 91s).empty());
 }
+
+Test(ObservedCalls, callsOfOneKindAreCountedByTheMostThatOneRequestMade)
+{
+    auto calls = ObservedCalls();
+    cr_assert_eq(calls.callsPerRequest(Views.path, {"maps", 33}), 1, "nothing is known");
+    for (auto ordinal = 1U; ordinal <= 4; ++ordinal)
+        calls.didCall(Views, {"maps", 33}, ordinal, Start);
+    cr_assert_eq(calls.callsPerRequest(Views.path, {"maps", 33}), 4);
+    // Trouble ends requests after their first call: that is no smaller need.
+    for (auto n = 0; n < 100; ++n)
+        calls.didCall(Views, {"maps", 33}, 1, Start + 30s);
+    cr_assert_eq(calls.callsPerRequest(Views.path, {"maps", 33}), 4);
+    cr_assert_eq(calls.callsPerRequest(Orders.path, {"maps", 33}), 1);
+    calls.didCall(Views, {"maps", 33}, 2, Start + 61s);
+    cr_assert_eq(calls.callsPerRequest(Views.path, {"maps", 33}), 2, "a newer version makes fewer");
+}
--- a/tests/platform/TestPlatformPath.cpp
+++ b/tests/platform/TestPlatformPath.cpp
@@ -170,7 +170,7 @@
         // The entry of this host tells of the deeper call by its parent's attempt.
         auto &running = bench.path.hosts[0]->running;
         const auto parent = hash64(std::string(request.headers.find("X-Attempt-Id")));
-        running.addChild(parent, 1, [] {});
+        running.addChild(parent, 1, NoPath, [] {});
         running.removeChild(parent, 1, 0, false);
         co_return backendAnswer(500, "");
     });
--- a/tests/transport/TestFrames.cpp
+++ b/tests/transport/TestFrames.cpp
@@ -151,6 +151,23 @@
     }
 }
 
+Test(CallCodec, howManyCallsARootMakesIsToldAndMayBeMissing)
+{
+    auto request = sampleCall();
+    request.callsPerRoot = 8;
+    auto fields = writeCall(request);
+    cr_assert_eq(readCall(fields).callsPerRoot, 8);
+    // A node of before sends an array that is one item shorter: 0x92 of 18 items, in one byte behind the head.
+    request.callsPerRoot = 1;
+    fields = writeCall(request);
+    cr_assert_eq(static_cast<unsigned char>(fields[0]), 0x92);
+    fields[0] = static_cast<char>(0x91);
+    fields.pop_back();
+    const auto read = readCall(fields);
+    cr_assert_eq(read.callsPerRoot, 1);
+    cr_assert_eq(read.service, request.service);
+}
+
 Test(CallCodec, answersSurvive)
 {
     const auto fields = writeAnswer(sampleAnswer());
