Routing: Leave out what cannot be reached, and tell upwards that nothing is open there

Ruled out: overload (no gate refused them), later detection (links are lost within 0.35 s). Change: the client of the links tells when one is lost and back; an upstream without a link is no candidate and opens no floor. A way that is closed further on is refused as no-upstream, with the time to come back of an absence. Tests: Placing (fails without it: floorFor was the lowest level), whoeverObservesLinksHearsOfOnesThatAreLostAndBack.

--- a/include/stairspur/routing/UpstreamPool.h
+++ b/include/stairspur/routing/UpstreamPool.h
@@ -101,6 +101,9 @@
 
     auto choose(const RouteRequest &request, TimePoint now, Random &random) -> RouteDecision;
 
+    /// Whether calls can be sent to `node`. One that cannot be reached is no candidate, and no reason to admit anything.
+    auto setReachable(const NodeId &node, bool isReachable) -> void;
+
     /// An attempt goes to `node`.
     auto didSend(const NodeId &node, TimePoint now) -> void;
 
--- a/include/stairspur/transport/PeerClient.h
+++ b/include/stairspur/transport/PeerClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -53,6 +54,10 @@
     auto request(NodeId node, std::string topic, std::string payload, Duration timeout)
             -> Task<std::string>;
 
+    /// Whether calls to a node can be sent: told when its link is lost, and when it is there again or no longer sought.
+    using LinkObserver = std::function<void(const NodeId &node, bool isReachable)>;
+    auto setLinkObserver(LinkObserver observer) -> void;
+
     /// Closes links to nodes that are no longer needed, once their calls have ended.
     auto release(const NodeId &node) -> void;
 
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -41,7 +41,16 @@
                         return m_routes.floorAt(call, rank, now);
                     })
     , m_protocol(protocol)
-{}
+{
+    m_peers.setLinkObserver([this](const NodeId &node, bool isReachable) {
+        m_routes.setReachable(node, isReachable);
+    });
+}
+
+Entry::~Entry()
+{
+    m_peers.setLinkObserver(nullptr);
+}
 
 auto Entry::handle(HttpRequest request, CancellationPtr cancellation) -> Task<HttpResponse>
 {
--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -36,6 +36,12 @@
           RunningCalls &running, NodeMetrics &metrics, transport::PeerClient &peers,
           Incarnation start, std::uint64_t seed, const CallProtocol *protocol = nullptr);
 
+    ~Entry();
+    Entry(const Entry &) = delete;
+    Entry(Entry &&) = delete;
+    auto operator=(const Entry &) -> Entry & = delete;
+    auto operator=(Entry &&) -> Entry & = delete;
+
     /// Answers one HTTP request. Its response is final: nothing runs for it afterwards.
     auto handle(transport::HttpRequest request, transport::CancellationPtr cancellation)
             -> transport::Task<transport::HttpResponse>;
--- a/source/node/ServiceRouteTable.cpp
+++ b/source/node/ServiceRouteTable.cpp
@@ -20,6 +20,12 @@
     return *m_routes.emplace(service, std::move(routes)).first->second;
 }
 
+auto ServiceRouteTable::setReachable(const NodeId &node, bool isReachable) -> void
+{
+    for (auto &[service, routes] : m_routes)
+        routes->pool.setReachable(node, isReachable);
+}
+
 auto ServiceRouteTable::didChangeConfiguration() -> void
 {
     const auto limits = bucketLimits();
--- a/source/node/ServiceRouteTable.h
+++ b/source/node/ServiceRouteTable.h
@@ -39,6 +39,9 @@
     /// Takes a newer view of the members over.
     auto refreshMembers(ServiceRoutes &routes) -> void;
 
+    /// Tells all services whether calls to a host can be sent.
+    auto setReachable(const NodeId &node, bool isReachable) -> void;
+
     /// Takes over limits that a newer configuration has changed.
     auto didChangeConfiguration() -> void;
 
--- a/source/routing/CandidateTiers.cpp
+++ b/source/routing/CandidateTiers.cpp
@@ -23,7 +23,7 @@
         ++m_draining;
         return;
     }
-    if (view.isEjected(m_now))
+    if (view.isEjected(m_now) || !view.isReachable())
         return;
     const auto floor = view.floors().floorFor({m_request.level.rank(), m_request.path}, m_now,
                                               m_settings.reportHalfLife);
--- a/source/routing/PoolState.cpp
+++ b/source/routing/PoolState.cpp
@@ -133,8 +133,11 @@
     auto decision = RouteDecision{};
     decision.candidates = static_cast<std::uint32_t>(tiers.members(Tier::BelowFloor).size());
     if (const auto floor = tiers.lowestFloor()) {
-        decision.refusal = Reason::BelowFloor;
-        decision.retryAfter = floorDelay(request.level, *floor, m_settings, random);
+        // Nothing is open on the way that the call would take: no lack of room, but of a reachable upstream.
+        const auto isClosed = *floor >= ClosedLevel;
+        decision.refusal = isClosed ? Reason::NoUpstream : Reason::BelowFloor;
+        decision.retryAfter = isClosed ? absenceDelay(m_settings, random)
+                                       : floorDelay(request.level, *floor, m_settings, random);
         return decision;
     }
     const auto isDraining = tiers.hasDraining() && !tiers.hasOtherThanDraining();
@@ -183,6 +186,12 @@
     });
 }
 
+auto UpstreamPool::State::setReachable(const NodeId &node, bool isReachable) -> void
+{
+    if (auto *view = find(node))
+        view->setReachable(isReachable);
+}
+
 auto UpstreamPool::State::didSend(const NodeId &node, TimePoint now) -> void
 {
     if (auto *view = find(node))
@@ -253,7 +262,8 @@
     auto hasSilent = false;
     for (const auto &it : m_views) {
         const auto isKnown = it.isInSubset() || it.reports().limit() > 0;
-        if (!isKnown || it.isEjected(now) || it.isDraining(now, m_settings.reportHalfLife))
+        if (!isKnown || !it.isReachable() || it.isEjected(now)
+            || it.isDraining(now, m_settings.reportHalfLife))
             continue;
         if (it.floors().age(key, now) > m_settings.reportHalfLife) {
             hasSilent = true;
--- a/source/routing/PoolState.h
+++ b/source/routing/PoolState.h
@@ -18,6 +18,7 @@
 
     auto setUpstreams(std::span<const Upstream> upstreams, TimePoint now) -> void;
     auto choose(const RouteRequest &request, TimePoint now, Random &random) -> RouteDecision;
+    auto setReachable(const NodeId &node, bool isReachable) -> void;
     auto didSend(const NodeId &node, TimePoint now) -> void;
     auto didEnd(const AttemptResult &result, TimePoint now) -> void;
     auto didReport(const NodeId &node, const admission::LoadReport &report, TimePoint now) -> void;
--- a/source/routing/UpstreamPool.cpp
+++ b/source/routing/UpstreamPool.cpp
@@ -23,6 +23,11 @@
     return m_state->choose(request, now, random);
 }
 
+auto UpstreamPool::setReachable(const NodeId &node, bool isReachable) -> void
+{
+    m_state->setReachable(node, isReachable);
+}
+
 auto UpstreamPool::didSend(const NodeId &node, TimePoint now) -> void
 {
     m_state->didSend(node, now);
--- a/source/routing/UpstreamView.h
+++ b/source/routing/UpstreamView.h
@@ -28,6 +28,10 @@
     [[nodiscard]] auto isInSubset() const -> bool { return m_isInSubset; }
     auto setInSubset(bool isInSubset) -> void { m_isInSubset = isInSubset; }
 
+    /// Whether calls can be sent there, as far as our link tells.
+    [[nodiscard]] auto isReachable() const -> bool { return m_isReachable; }
+    auto setReachable(bool isReachable) -> void { m_isReachable = isReachable; }
+
     auto didSend(TimePoint now) -> void
     {
         ++m_inFlight;
@@ -74,6 +78,7 @@
     TimePoint m_lastSentAt{};
     std::uint32_t m_inFlight = 0;
     bool m_isInSubset = false;
+    bool m_isReachable = true;
 };
 
 } // namespace stairspur::routing
--- a/source/transport/PeerClient.cpp
+++ b/source/transport/PeerClient.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <unordered_map>
+#include <utility>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -56,15 +57,21 @@
         if (it == m_entries.end())
             return;
         const auto link = std::move(it->second.link);
+        const auto wasDown = it->second.isDown;
         m_entries.erase(it); // Its timer ends with it.
+        if (wasDown)
+            tell(node, true);
         if (!link)
             return;
         m_leaving.emplace(link.get(), link);
         link->release();
     }
 
+    auto setObserver(LinkObserver observer) -> void { m_observer = std::move(observer); }
+
     auto abort() -> void
     {
+        m_observer = nullptr;
         const auto leaving = std::exchange(m_leaving, {});
         for (const auto &[key, link] : leaving)
             link->abort();
@@ -145,7 +152,8 @@
         if (it == m_entries.end() || it->second.link.get() != link)
             return;
         it->second.failures = 0;
-        it->second.isDown = false;
+        if (std::exchange(it->second.isDown, false))
+            tell(node, true);
     }
 
     auto didClose(const NodeId &node, const PeerClientLink *link, LinkEnd end) -> void
@@ -159,10 +167,17 @@
         if (end == LinkEnd::Graceful)
             return;
         entry.failures = std::min(entry.failures + 1, MaxDoublings);
-        entry.isDown = true;
+        if (!std::exchange(entry.isDown, true))
+            tell(node, false);
         scheduleReconnect(node, entry);
     }
 
+    auto tell(const NodeId &node, bool isReachable) const -> void
+    {
+        if (m_observer)
+            m_observer(node, isReachable);
+    }
+
     auto scheduleReconnect(const NodeId &node, Entry &entry) -> void
     {
         entry.reconnect =
@@ -179,10 +194,12 @@
         const auto it = m_entries.find(node);
         if (it == m_entries.end() || it->second.link)
             return;
-        if (monotonicNow() - it->second.lastWanted > SeekTime)
-            m_entries.erase(it); // The next call opens it as if for the first time.
-        else
+        if (monotonicNow() - it->second.lastWanted <= SeekTime) {
             open(node, it->second);
+            return;
+        }
+        m_entries.erase(it); // The next call opens it as if for the first time.
+        tell(node, true);
     }
 
     /// Half of it is random, so that nodes that lost the same peer don't come back all at once.
@@ -194,6 +211,7 @@
     }
 
     std::shared_ptr<PeerClientContext> m_context;
+    LinkObserver m_observer;
     Random m_random;
     std::unordered_map<NodeId, Entry> m_entries;
     /// Released links, until the far end has closed too: a link that is let go of before may lose that it was closed.
@@ -221,6 +239,11 @@
     return m_links->request(std::move(node), std::move(topic), std::move(payload), timeout);
 }
 
+auto PeerClient::setLinkObserver(LinkObserver observer) -> void
+{
+    m_links->setObserver(std::move(observer));
+}
+
 auto PeerClient::release(const NodeId &node) -> void
 {
     m_links->release(node);
--- a/tests/routing/TestPlacing.cpp
+++ b/tests/routing/TestPlacing.cpp
@@ -55,3 +55,54 @@
     }
     cr_assert(!chooseFor(fixture, true, excluded).node);
 }
+
+Test(Placing, whatCannotBeReachedIsNoCandidate)
+{
+    auto fixture = PoolFixture(threeUpstreams());
+    fixture.pool.setReachable("own0", false);
+    for (auto n = 0; n < 50; ++n)
+        cr_assert_eq(chooseFor(fixture, false).node, "own1");
+    fixture.pool.setReachable("own1", false);
+    cr_assert_eq(chooseFor(fixture, false).node, "far0");
+    fixture.pool.setReachable("own0", true);
+    cr_assert_eq(chooseFor(fixture, false).node, "own0");
+}
+
+Test(Placing, aServiceThatCannotBeReachedAdmitsNothing)
+{
+    // A failure domain is cut off: membership holds the hosts beyond for alive, some seconds longer than their links.
+    const auto members = threeUpstreams();
+    auto fixture = PoolFixture(members);
+    cr_assert_eq(fixture.pool.floorFor(2, fixture.now), LowestLevel);
+    for (const auto &it : members)
+        fixture.pool.setReachable(it.node, false);
+    cr_assert_eq(fixture.pool.floorFor(2, fixture.now), ClosedLevel);
+    const auto decision = chooseFor(fixture, false);
+    cr_assert(!decision.node);
+    cr_assert_eq(decision.refusal, Reason::NoUpstream);
+    cr_assert_gt(decision.retryAfter, Duration::zero());
+    fixture.pool.setReachable("far0", true);
+    cr_assert_eq(fixture.pool.floorFor(2, fixture.now), LowestLevel);
+}
+
+Test(Placing, aWayThatIsClosedFurtherOnIsNoLackOfRoom)
+{
+    // The upstreams tell that a service which this path needs has nobody to reach.
+    static constexpr auto Path = PathKey{11};
+    const auto members = threeUpstreams();
+    auto fixture = PoolFixture(members);
+    auto report = makeReport(1, 0, {LowestLevel});
+    report.pathFloors.push_back({Path, ClosedLevel});
+    for (const auto &it : members)
+        fixture.pool.didReport(it.node, report, fixture.now);
+    auto request = RouteRequest();
+    request.level = levelOf(2);
+    request.deadline = fixture.now + Millisecond * 1000;
+    request.mayProbe = false;
+    request.path = Path;
+    const auto decision = fixture.pool.choose(request, fixture.now, fixture.random);
+    cr_assert(!decision.node);
+    cr_assert_eq(decision.refusal, Reason::NoUpstream);
+    request.path = Path + 1;
+    cr_assert(fixture.pool.choose(request, fixture.now, fixture.random).node);
+}
--- a/tests/transport/TestPeers.cpp
+++ b/tests/transport/TestPeers.cpp
@@ -200,6 +200,33 @@
     cr_assert_eq(pair.client.links(), 0);
 }
 
+Test(Peers, whoeverObservesLinksHearsOfOnesThatAreLostAndBack)
+{
+    auto io = asio::io_context();
+    auto told = std::vector<bool>();
+    auto pair = std::make_unique<Pair>(io, echo);
+    const auto node = pair->node;
+    auto client = PeerClient(io, settings("observed"));
+    client.setLinkObserver([&](const NodeId &of, bool isReachable) {
+        cr_assert_eq(of, node);
+        told.push_back(isReachable);
+    });
+    const auto port = pair->server.port();
+    cr_assert(runTask(io, client.call(node, callOf("a"), nullptr)).outcome == Outcome::Answered);
+    cr_assert(told.empty(), "a link that opens at once is no news");
+    pair.reset();
+    runUntil(io, [&] { return !told.empty() || client.links() == 0; });
+    runTask(io, client.call(node, callOf("b"), nullptr));
+    runUntil(io, [&] { return !told.empty(); });
+    cr_assert_eq(told, std::vector<bool>{false});
+    auto server = PeerServer(io, "127.0.0.1", port, settings("server"));
+    server.setCallHandler(echo);
+    server.start();
+    runUntil(io, [&] { return told.size() == 2; });
+    cr_assert_eq(told.back(), true);
+    cr_assert(runTask(io, client.call(node, callOf("c"), nullptr)).outcome == Outcome::Answered);
+}
+
 Test(Peers, wrongSecretOpensNoLink)
 {
     auto io = asio::io_context();
