Membership: Take the living instance back after a late announcement of a dead one

A node that knows the old one passes it over. One that has started meanwhile hears the living first, takes the late one for its successor, and refused the living for good. Ruled out: going by the time of arrival alone (the dead one's come last), by the count alone (those that were held back come at once). Change: an instance whose place was taken, and which goes on announcing for a third of the timeout while the other is silent, is back. Those that have left by their own word stay gone. Tests: Instances, two; the first fails without the change.

--- a/include/stairspur/membership/BackendAnnouncements.h
+++ b/include/stairspur/membership/BackendAnnouncements.h
@@ -46,13 +46,25 @@
     [[nodiscard]] auto stateThatCounts(ServingState announced) const -> ServingState;
     [[nodiscard]] auto isOutdated(const Announcement &announcement) const -> bool;
     auto retire(const std::string &instance) -> void;
+    /// Whether an instance that was replaced goes on announcing while the one in its place is silent.
+    auto isBack(const Announcement &announcement, TimePoint now) -> bool;
+
+    /// An instance whose place was taken, and which announces again.
+    struct Returning
+    {
+        std::string instance;
+        std::uint64_t sequence = 0;
+        TimePoint since;
+    };
 
     Duration m_timeout;
     bool m_isDraining = false;
     TimePoint m_lastHeard;
     std::optional<Announcement> m_current;
     std::deque<std::string>
-            m_retired; ///< Instances that were replaced or have left, the last ones.
+            m_retired;              ///< Instances that were replaced or have left, the last ones.
+    std::deque<std::string> m_left; ///< Those of them that have left by their own word.
+    std::optional<Returning> m_returning;
 };
 
 } // namespace stairspur::membership
--- a/source/membership/BackendAnnouncements.cpp
+++ b/source/membership/BackendAnnouncements.cpp
@@ -22,20 +22,46 @@
            && announcement.sequence < m_current->sequence;
 }
 
-auto BackendAnnouncements::retire(const std::string &instance) -> void
+static auto keepLast(std::deque<std::string> &instances, const std::string &instance) -> void
 {
     /// Far more instances than one host starts while an announcement is on its way.
-    static constexpr auto MaxRetired = std::size_t{32};
+    static constexpr auto MaxKept = std::size_t{32};
     if (instance.empty())
         return;
-    m_retired.push_back(instance);
-    if (m_retired.size() > MaxRetired)
-        m_retired.pop_front();
+    instances.push_back(instance);
+    if (instances.size() > MaxKept)
+        instances.pop_front();
+}
+
+auto BackendAnnouncements::retire(const std::string &instance) -> void
+{
+    keepLast(m_retired, instance);
+}
+
+/// A node that has just started may hear a late announcement of a dead instance after the first one of the living, and take
+/// the dead for the newer. Late announcements come at once when a cut ends; who announces over some time is alive.
+auto BackendAnnouncements::isBack(const Announcement &announcement, TimePoint now) -> bool
+{
+    /// Share of the timeout for silence: with three announcements in it, two in a row.
+    static constexpr auto ReturnDivisor = 3;
+    const auto hasLeft = std::ranges::find(m_left, announcement.instance) != m_left.end();
+    if (hasLeft)
+        return false;
+    const auto isKnown = m_returning && m_returning->instance == announcement.instance
+                         && m_returning->since >= m_lastHeard
+                         && m_returning->sequence < announcement.sequence;
+    if (!isKnown) {
+        m_returning = Returning{announcement.instance, announcement.sequence, now};
+        return false;
+    }
+    m_returning->sequence = announcement.sequence;
+    return now - m_returning->since >= m_timeout / ReturnDivisor;
 }
 
 auto BackendAnnouncements::leave(const std::string &instance, TimePoint now) -> bool
 {
     retire(instance);
+    keepLast(m_left, instance);
     if (!m_current || m_current->instance != instance || m_current->state == ServingState::Left)
         return false;
     m_lastHeard = now;
@@ -45,6 +71,9 @@
 
 auto BackendAnnouncements::take(const Announcement &announcement, TimePoint now) -> bool
 {
+    const auto isRetired = std::ranges::find(m_retired, announcement.instance) != m_retired.end();
+    if (isRetired && isBack(announcement, now))
+        std::erase(m_retired, announcement.instance);
     if (isOutdated(announcement))
         return false;
     const auto isNewInstance = m_current && !announcement.instance.empty()
--- a/tests/membership/TestInstances.cpp
+++ b/tests/membership/TestInstances.cpp
@@ -68,3 +68,29 @@
     cr_assert(announcements.take(makeAnnouncement("a", 2), Start + Second * 10));
     cr_assert(announcements.isServing());
 }
+
+Test(Instances, aLateAnnouncementOfADeadOneIsTakenBackByTheLiving)
+{
+    // The node has started anew: it hears the living one first, then what a cut has held back of the one before it.
+    auto announcements = BackendAnnouncements(Second * 8);
+    announcements.take(makeAnnouncement("living", 7), Start);
+    announcements.take(makeAnnouncement("dead", 90), Start + Second);
+    auto sequence = std::uint64_t{8};
+    for (auto now = Start + Second; now < Start + Second * 6; now += Second * 3 / 2)
+        announcements.take(makeAnnouncement("living", sequence++), now);
+    cr_assert_eq(announcements.current()->instance, "living");
+    cr_assert(!announcements.take(makeAnnouncement("dead", 91), Start + Second * 7));
+    cr_assert_eq(announcements.current()->instance, "living");
+}
+
+Test(Instances, lateAnnouncementsThatComeAtOnceAreNoReturn)
+{
+    auto announcements = BackendAnnouncements(Second * 8);
+    announcements.take(makeAnnouncement("dead", 5), Start);
+    announcements.take(makeAnnouncement("living", 1), Start + Second);
+    for (auto sequence = std::uint64_t{6}; sequence < 12; ++sequence)
+        cr_assert(!announcements.take(makeAnnouncement("dead", sequence), Start + Second * 2));
+    announcements.take(makeAnnouncement("living", 2), Start + Second * 3);
+    cr_assert(!announcements.take(makeAnnouncement("dead", 12), Start + Second * 6));
+    cr_assert_eq(announcements.current()->instance, "living");
+}
