Transport: Notice connections that fall silent for good

Links between nodes have their pings. A kept connection to a backend server or to the store showed it only by the timeout of the request on it, and so did each other kept one, one request after another. Ruled out: probing each connection before use (a round trip a request). Tests: afterOneSilentKeptConnectionTheOthersAreNotTrusted fails without the change. Conclusion: at most one request in a pool is lost to silence, in place of one for each kept connection.

--- a/source/transport/HttpClient.cpp
+++ b/source/transport/HttpClient.cpp
@@ -91,15 +91,25 @@
             -> Task<std::optional<HttpResponse>>
     {
         const auto guard = CancellationGuard(std::move(cancellation), connection);
+        const auto begin = monotonicNow();
         try {
             co_return co_await exchange(connection, head, request, deadline);
         } catch (const HttpClientError &error) {
+            if (error.failure() == HttpFailure::TimedOut)
+                dropUnusedSince(begin);
             if (error.failure() != HttpFailure::NotConnected)
                 throw;
         }
         co_return std::nullopt;
     }
 
+    /// A kept connection that gives no answer may have been forgotten on the way, and then others have been too: those that
+    /// have answered nothing since are not trusted with another request.
+    auto dropUnusedSince(TimePoint time) -> void
+    {
+        std::erase_if(m_idle, [time](const auto &it) { return it->lastUsed() < time; });
+    }
+
     auto exchange(const ConnectionPtr &connection, const std::string &head,
                   const HttpRequest &request, TimePoint deadline) -> Task<HttpResponse>
     {
--- a/source/transport/HttpClientConnection.h
+++ b/source/transport/HttpClientConnection.h
@@ -19,6 +19,7 @@
 #include <stairspur/transport/HttpClient.h>
 
 #include "HttpWire.h"
+#include "SilenceDetection.h"
 
 namespace stairspur::transport {
 
@@ -51,6 +52,7 @@
         auto ignored = boost::system::error_code();
         m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         m_socket.non_blocking(true, ignored);
+        detectSilence(m_socket);
     }
 
     /// Sends `head` and the request's body, and reads the answer.
@@ -81,6 +83,9 @@
         return m_idleLimit && now - m_lastUsed >= *m_idleLimit;
     }
 
+    /// When the last answer came.
+    [[nodiscard]] auto lastUsed() const -> TimePoint { return m_lastUsed; }
+
     /// Closes; a request that runs ends with the failure that is given here.
     auto giveUp(HttpFailure failure) -> void
     {
--- a/tests/transport/TestHttpClient.cpp
+++ b/tests/transport/TestHttpClient.cpp
@@ -1,6 +1,9 @@
 #include <criterion/criterion.h>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <stairspur/transport/HttpClient.h>
 #include <stairspur/transport/HttpServer.h>
@@ -240,3 +243,80 @@
         cr_assert(!failureOf(io, client.send(get("/"), LongTimeout, nullptr)));
     cr_assert_eq(server.requests(), 2, "each request came on a connection of its own");
 }
+
+/// Answers requests on connections that it accepts, until it falls silent on those that are open. New ones work.
+class ForgetfulServer
+{
+public:
+    explicit ForgetfulServer(asio::io_context &io)
+        : m_io(io)
+        , m_acceptor(io, {asio::ip::address_v4::loopback(), 0})
+    {
+        asio::co_spawn(io, acceptAll(), asio::detached);
+    }
+
+    [[nodiscard]] auto port() const -> std::uint16_t { return m_acceptor.local_endpoint().port(); }
+    [[nodiscard]] auto connections() const -> int { return m_connections; }
+    auto forgetOpenOnes() -> void { m_forgotten = m_connections; }
+    /// Answers are held back until this many requests wait, so that each has a connection of its own.
+    auto holdUntil(int requests) -> void { m_held = requests; }
+
+private:
+    auto acceptAll() -> Task<void>
+    {
+        while (true) {
+            auto socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+            asio::co_spawn(m_io, serve(std::move(socket), ++m_connections), asio::detached);
+        }
+    }
+
+    auto serve(asio::ip::tcp::socket socket, int number) -> Task<void>
+    {
+        auto timer = asio::steady_timer(m_io);
+        while (true) {
+            auto request = std::string();
+            const auto [ec, n] = co_await asio::async_read_until(
+                    socket, asio::dynamic_buffer(request), "\r\n\r\n",
+                    asio::as_tuple(asio::use_awaitable));
+            if (ec)
+                co_return;
+            ++m_requests;
+            while (m_requests < m_held || number <= m_forgotten) {
+                timer.expires_after(std::chrono::milliseconds(1));
+                co_await timer.async_wait(asio::use_awaitable);
+            }
+            co_await asio::async_write(
+                    socket,
+                    asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")),
+                    asio::use_awaitable);
+        }
+    }
+
+    asio::io_context &m_io;
+    asio::ip::tcp::acceptor m_acceptor;
+    int m_connections = 0;
+    int m_forgotten = 0;
+    int m_requests = 0;
+    int m_held = 0;
+};
+
+Test(HttpClient, afterOneSilentKeptConnectionTheOthersAreNotTrusted)
+{
+    auto io = asio::io_context();
+    auto server = ForgetfulServer(io);
+    auto client = HttpClient(io, {.address = "127.0.0.1", .port = server.port()});
+    server.holdUntil(3);
+    auto answered = 0;
+    for (auto n = 0; n < 3; ++n) {
+        asio::co_spawn(io, client.send(get("/"), LongTimeout, nullptr),
+                       [&](const std::exception_ptr &, const HttpResponse &) { ++answered; });
+    }
+    runUntil(io, [&] { return answered == 3; });
+    cr_assert_eq(server.connections(), 3);
+    server.forgetOpenOnes();
+    cr_assert(failureOf(io, client.send(get("/"), Duration(50'000), nullptr))
+              == HttpFailure::TimedOut);
+    cr_assert(!failureOf(io, client.send(get("/"), LongTimeout, nullptr)),
+              "the next request goes on a new connection");
+    cr_assert_eq(server.connections(), 4);
+}
