Admission: Let the gate's own floor hold for running requests as for others

Change: the exception goes; entries still send running requests whatever the floor, and the gate's queue still raises it for new ones.

--- a/include/stairspur/admission/AdmissionController.h
+++ b/include/stairspur/admission/AdmissionController.h
@@ -34,7 +34,7 @@
     Level level;
     TimePoint deadline;
     PathKey path = NoPath;
-    /// It belongs to a request that already runs: floors do not refuse it, only its place in the queue does.
+    /// It belongs to a request that already runs: floors of deeper services do not refuse it any more.
     bool hasBegun = false;
     /// Calls of this class and path that its root request makes altogether.
     std::uint32_t callsPerRoot = 1;
--- a/source/admission/State.cpp
+++ b/source/admission/State.cpp
@@ -190,7 +190,7 @@
     // Whoever is greater than a call that waits comes before it, whatever the floor.
     const auto comesBefore = !m_queue.isEmpty() && call.order > m_queue.last().order;
     const auto isFree = inFlight() < m_limit.limit();
-    if (!offer.hasBegun && !comesBefore && !isFree && call.order < m_enforcedFloor)
+    if (!comesBefore && !isFree && call.order < m_enforcedFloor)
         return Reason::BelowFloor;
     return Reason::None;
 }
