--- a/include/stairspur/membership/BackendAnnouncements.h
+++ b/include/stairspur/membership/BackendAnnouncements.h
@@ -61,9 +61,10 @@
     bool m_isDraining = false;
     TimePoint m_lastHeard;
     std::optional<Announcement> m_current;
-    std::deque<std::string>
-            m_retired;              ///< Instances that were replaced or have left, the last ones.
-    std::deque<std::string> m_left; ///< Those of them that have left by their own word.
+    /// Instances that were replaced or have left, the last ones.
+    std::deque<std::string> m_retired;
+    /// Those of them that have left by their own word.
+    std::deque<std::string> m_left;
     std::optional<Returning> m_returning;
 };
 
--- a/include/stairspur/retry/RetryDemand.h
+++ b/include/stairspur/retry/RetryDemand.h
@@ -30,8 +30,8 @@
     std::array<float, LevelCount> m_wants{};     ///< Since the last judgement.
     std::array<float, LevelCount> m_perSecond{}; ///< Smoothed.
     Level m_floor = LowestLevel;
-    bool m_isIdle =
-            true; ///< Nobody has wanted anything for so long that nothing is left to smooth.
+    /// Nobody has wanted anything for so long that nothing is left to smooth.
+    bool m_isIdle = true;
 };
 
 } // namespace stairspur::retry
--- a/include/stairspur/transport/CallMessages.h
+++ b/include/stairspur/transport/CallMessages.h
@@ -33,8 +33,8 @@
     bool isDeeperCall = false;     ///< A running call makes it.
     /// Calls of this service and path that its root request makes altogether, as far as earlier ones have shown.
     std::uint32_t callsPerRoot = 1;
-    std::uint32_t callsLeft =
-            1; ///< Of these the ones that are still to be made, this one included.
+    /// Of these the ones that are still to be made, this one included.
+    std::uint32_t callsLeft = 1;
     std::string originService{}; ///< Of the backend server on the host where the request began.
     std::string method;
     std::string target;
