--- a/tests/admission/TestCostOrder.cpp
+++ b/tests/admission/TestCostOrder.cpp
@@ -33,6 +33,17 @@
         : m_kinds(std::move(kinds))
     {}
 
+    /// Counts over twenty seconds, after five in which floors and costs settle.
+    auto playSettled() -> void
+    {
+        run(5000_ms);
+        forget();
+        run(20'000_ms);
+    }
+
+    [[nodiscard]] auto kind(std::size_t index) const -> const Kind & { return m_kinds[index]; }
+
+private:
     auto run(Duration time) -> void
     {
         for (const auto end = m_gate.now + time; m_gate.now < end;) {
@@ -50,9 +61,6 @@
             it.offered = it.begun = it.served = 0;
     }
 
-    [[nodiscard]] auto kind(std::size_t index) const -> const Kind & { return m_kinds[index]; }
-
-private:
     auto arrive(std::size_t index) -> void
     {
         auto &kind = m_kinds[index];
@@ -103,9 +111,7 @@
     // would lose a quarter of their requests; of the dear ones alone it takes three sevenths of a few.
     auto load = MixedLoad({{.path = 11, .perMillisecond = 0.6, .serviceTime = 10_ms},
                            {.path = 22, .perMillisecond = 0.0875, .serviceTime = 80_ms}});
-    load.run(5000_ms);
-    load.forget();
-    load.run(20'000_ms);
+    load.playSettled();
     const auto cheap = load.kind(0).servedShare();
     const auto dear = load.kind(1).servedShare();
     cr_assert_gt(cheap, 0.93, "cheap %.3f, dear %.3f", cheap, dear);
@@ -116,9 +122,7 @@
 {
     auto load = MixedLoad({{.path = 11, .perMillisecond = 1.3, .serviceTime = 10_ms},
                            {.path = 22, .perMillisecond = 0.0875, .serviceTime = 80_ms}});
-    load.run(5000_ms);
-    load.forget();
-    load.run(20'000_ms);
+    load.playSettled();
     const auto cheap = load.kind(0).servedShare();
     const auto dear = load.kind(1).servedShare();
     cr_assert_gt(dear, 0.12, "cheap %.3f, dear %.3f", cheap, dear);
@@ -130,9 +134,7 @@
     auto load = MixedLoad({{.path = 11, .perMillisecond = 1.0, .serviceTime = 10_ms, .rank = 2},
                            {.path = 22, .perMillisecond = 0.0875, .serviceTime = 80_ms, .rank = 0},
                            {.path = 33, .perMillisecond = 0.1, .serviceTime = 10_ms, .rank = 0}});
-    load.run(5000_ms);
-    load.forget();
-    load.run(20'000_ms);
+    load.playSettled();
     cr_assert_gt(load.kind(1).servedShare(), 0.98, "%.3f", load.kind(1).servedShare());
     cr_assert_gt(load.kind(2).servedShare(), 0.98, "%.3f", load.kind(2).servedShare());
 }
@@ -143,9 +145,7 @@
     // until the queue has shown it: 0.122 of what is sent is then refused by the gate.
     auto load = MixedLoad({{.path = 11, .perMillisecond = 1.0, .serviceTime = 10_ms, .rank = 2},
                            {.path = 22, .perMillisecond = 0.02, .serviceTime = 240_ms, .rank = 0}});
-    load.run(5000_ms);
-    load.forget();
-    load.run(20'000_ms);
+    load.playSettled();
     const auto &cheap = load.kind(0);
     const auto inVain =
             static_cast<double>(cheap.begun - cheap.served) / static_cast<double>(cheap.begun);
