Distribution: Tell by which way a version came, who is a relay and how long a watch pauses

Cause: the lines of a late version could not tell a late notice from a slow spread, nor a growing pause from a silent watch. Change: configuration-in-force names its source and peer; configuration-relay tells when a node becomes a relay or ceases to be one; configuration-watch-ended has how long the watch was up and the pause that follows. No decision changes. Ruled out: a line for each request that uses a version; the traffic threads read the blackboard at each request, and the line 'configuration' already tells when it was put there.

--- a/include/stairspur/distribution/Actions.h
+++ b/include/stairspur/distribution/Actions.h
@@ -38,9 +38,20 @@
     std::vector<std::string> hashes; ///< Empty: everything under the prefix of sections.
 };
 
+/// How a node came by a configuration.
+enum class NewsSource {
+    Watch, ///< A message of its watch of the store.
+    Read,  ///< Its own read of the store.
+    Delta, ///< A peer's datagram.
+    Pull,  ///< A peer's reply to a control request.
+};
+
 /// Another configuration is in force: hand it to the node.
 struct Publish
-{};
+{
+    NewsSource source = NewsSource::Read;
+    NodeId from; ///< Empty: the store.
+};
 
 enum class AlarmKind {
     TwoHashes,   ///< Two configurations bear one version. The first is kept.
@@ -78,6 +89,10 @@
 
 } // namespace stairspur::distribution
 
+template <>
+inline constexpr auto stairspur::enumNames<stairspur::distribution::NewsSource> =
+        std::array<std::string_view, 4>{"watch", "read", "delta", "pull"};
+
 template <>
 inline constexpr auto stairspur::enumNames<stairspur::distribution::AlarmKind> =
         std::array<std::string_view, 2>{"two-hashes", "store-behind"};
--- a/include/stairspur/distribution/DistributionContext.h
+++ b/include/stairspur/distribution/DistributionContext.h
@@ -64,6 +64,7 @@
 {
     std::uint64_t version = 0;
     KnownConfiguration::Candidate candidate;
+    NewsSource source = NewsSource::Read;
     NodeId from; ///< Empty: the store.
 };
 
--- a/include/stairspur/distribution/DistributionState.h
+++ b/include/stairspur/distribution/DistributionState.h
@@ -131,7 +131,7 @@
     /// The answer to ReadHead; nothing when the store has no head.
     auto didReadHead(const std::optional<Head> &head, TimePoint now) -> void
     {
-        adopt(m_follower.didReadHead(head, true, now), now);
+        adopt(m_follower.didReadHead(head, NewsSource::Read, now), now);
     }
 
     auto didFailToReadHead(TimePoint now) -> void { m_follower.didFailToReadHead(now); }
@@ -139,7 +139,7 @@
     /// A message of a relay's watch.
     auto didWatchHead(const Head &head, TimePoint now) -> void
     {
-        adopt(m_follower.didReadHead(head, false, now), now);
+        adopt(m_follower.didReadHead(head, NewsSource::Watch, now), now);
     }
 
     auto didReadSections(const Blobs &blobs, TimePoint now) -> void
@@ -230,7 +230,7 @@
             return;
         m_context.known.adopt(adoption->version, std::move(adoption->candidate));
         m_context.counters.adoptions += 1;
-        m_context.actions.emplace_back(Publish{});
+        m_context.actions.emplace_back(Publish{adoption->source, adoption->from});
         tellPeers(adoption->from);
         m_roundsLeft = m_context.settings.laterRounds;
         m_nextRound = now + m_context.settings.roundInterval;
--- a/include/stairspur/distribution/HeadFollower.h
+++ b/include/stairspur/distribution/HeadFollower.h
@@ -28,9 +28,10 @@
     {}
 
     /// A watch's message, or the answer to ReadHead. Nothing: the store has no head.
-    auto didReadHead(const std::optional<Head> &head, bool isAnswer, TimePoint now)
+    auto didReadHead(const std::optional<Head> &head, NewsSource source, TimePoint now)
             -> std::optional<Adoption>
     {
+        const auto isAnswer = source == NewsSource::Read;
         if (isAnswer)
             m_isReadingHead = false;
         m_context.lastHeard = m_lastHead = now;
@@ -40,6 +41,7 @@
             || !isNewer<Policy>(digestOf(head->version, head->hash), m_context.known.digest()))
             return std::nullopt;
         m_head = *head;
+        m_headSource = source;
         if (m_isReadingSections)
             return std::nullopt; // Taken up once those are there.
         return load(now);
@@ -61,7 +63,7 @@
             auto candidate = m_context.known.assemble(*changes, m_isWhole);
             if (candidate.hash == m_loading.hash || !Policy::VerifiesHash) {
                 m_context.counters.wholeLoads += m_isWhole ? 1 : 0;
-                return Adoption{m_loading.version, std::move(candidate), {}};
+                return Adoption{m_loading.version, std::move(candidate), m_loadingSource, {}};
             }
             m_context.counters.rejectedHashes += 1;
         }
@@ -141,6 +143,7 @@
     auto load(TimePoint now) -> std::optional<Adoption>
     {
         m_loading = m_head;
+        m_loadingSource = m_headSource;
         m_needed.clear();
         const auto known = m_context.known.version();
         const auto changes = known > 0 ? m_head.changesSince(known) : std::nullopt;
@@ -231,8 +234,10 @@
     bool m_isReadingHead = false;
     bool m_isReadingSections = false;
     bool m_isWhole = false;
-    Head m_head;    ///< The newest that was seen.
+    Head m_head; ///< The newest that was seen.
+    NewsSource m_headSource = NewsSource::Read;
     Head m_loading; ///< The one whose sections are being read.
+    NewsSource m_loadingSource = NewsSource::Read;
     std::map<std::string, std::string> m_needed;
     std::uint32_t m_readsBehind = 0;
     Digest m_alarmed;
--- a/include/stairspur/distribution/PeerFetch.h
+++ b/include/stairspur/distribution/PeerFetch.h
@@ -47,7 +47,7 @@
             return std::nullopt;
         auto candidate = known.assemble(delta.changes, false);
         if (isTrue(candidate, delta.digest))
-            return Adoption{delta.digest.version, std::move(candidate), from};
+            return Adoption{delta.digest.version, std::move(candidate), NewsSource::Delta, from};
         if (m_stage == Stage::Asking && m_peer == from)
             loadWhole(now);
         return std::nullopt;
@@ -228,7 +228,7 @@
         auto candidate = m_context.known.assemble(m_collected, m_isWhole);
         if (isTrue(candidate, m_digest)) {
             m_context.counters.wholeLoads += m_isWhole ? 1 : 0;
-            return Adoption{m_digest.version, std::move(candidate), m_peer};
+            return Adoption{m_digest.version, std::move(candidate), NewsSource::Pull, m_peer};
         }
         if (m_isWhole)
             didFail(now);
--- a/source/distribution/DistributionService.cpp
+++ b/source/distribution/DistributionService.cpp
@@ -139,7 +139,12 @@
                 && it.state != membership::ServingState::Left)
                 alive.push_back({it.node, it.domain});
         }
+        const auto wasRelay = m_state.isRelay();
         m_state.setPeers(std::move(alive));
+        if (m_state.isRelay() != wasRelay)
+            log::Line(log::Severity::Info, "configuration-relay")
+                    .add("is_relay", m_state.isRelay())
+                    .add("members", m_view->members.size());
         if (m_watch && !m_state.isRelay())
             m_watch->cancel();
     }
@@ -156,15 +161,20 @@
                 revision = end.value.nextRevision;
                 if (end.isOk())
                     backoff.reset();
-            }
-            if (!m_isStopped)
+                const auto wait = backoff.next(m_random);
+                logEnd(end, wait);
+                if (!m_isStopped)
+                    co_await pause(wait);
+            } else {
                 co_await pause(backoff.next(m_random));
+            }
         }
     }
 
     auto watchOnce(store::Revision revision) -> Task<store::StoreResult<store::WatchEnd>>
     {
         m_watch = std::make_shared<transport::Cancellation>();
+        m_watchSince = monotonicNow();
         auto handler = [weak = weak_from_this()](const store::WatchMessage &message) {
             if (const auto self = weak.lock())
                 self->didHearWatch(message);
@@ -172,10 +182,16 @@
         auto request = store::WatchRequest{.key = m_headReader.key(), .startRevision = revision};
         auto end = co_await m_parts.store->watch(std::move(request), std::move(handler), m_watch);
         m_watch.reset();
+        co_return end;
+    }
+
+    auto logEnd(const store::StoreResult<store::WatchEnd> &end, Duration pause) const -> void
+    {
         log::Line(log::Severity::Info, "configuration-watch-ended")
                 .add("status", end.status)
-                .add("detail", end.detail);
-        co_return end;
+                .add("detail", end.detail)
+                .add("lasted_ms", toMilliseconds(monotonicNow() - m_watchSince))
+                .add("pause_ms", toMilliseconds(pause));
     }
 
     auto didHearWatch(const store::WatchMessage &message) -> void
@@ -274,7 +290,7 @@
         carryOut();
     }
 
-    auto carryOut(Publish) -> void
+    auto carryOut(const Publish &news) -> void
     {
         const auto &known = m_state.known();
         auto next = std::make_shared<config::VersionedConfiguration>();
@@ -290,7 +306,9 @@
         }
         log::Line(log::Severity::Info, "configuration-in-force")
                 .add("version", known.version())
-                .add("hash", known.hash());
+                .add("hash", known.hash())
+                .add("source", news.source)
+                .add("from", news.from);
         m_parts.didPublish(std::move(next));
     }
 
@@ -313,6 +331,7 @@
     Random m_random;
     std::shared_ptr<const membership::MembershipView> m_view;
     transport::CancellationPtr m_watch;
+    TimePoint m_watchSince{}; ///< When the present watch was asked for.
     HeadReader m_headReader;
     std::uint64_t m_malformedDigests = 0;
     bool m_isStopped = false;
--- a/tests/distribution/FakeCluster.h
+++ b/tests/distribution/FakeCluster.h
@@ -31,6 +31,7 @@
         bool mayReachStore = true;
         std::vector<std::function<void()>> waiting; ///< Events that came while it was paused.
         std::vector<std::uint64_t> versions; ///< All that it took into force since its start.
+        std::vector<NewsSource> sources;     ///< How it came by each of them.
         std::vector<Alarm> alarms;
         TimePoint lastAdoption{};
     };
@@ -66,6 +67,7 @@
         node.isPaused = false;
         node.waiting.clear();
         node.versions.clear();
+        node.sources.clear();
     }
 
     auto kill(const NodeId &id) -> void { nodes[id].isAlive = false; }
@@ -330,8 +332,9 @@
         });
     }
 
-    auto carryOut(const NodeId &id, const Publish &) -> void
+    auto carryOut(const NodeId &id, const Publish &news) -> void
     {
+        nodes[id].sources.push_back(news.source);
         nodes[id].versions.push_back(nodes[id].state->known().version());
         nodes[id].lastAdoption = now;
     }
--- a/tests/distribution/TestDistributionMatrix.cpp
+++ b/tests/distribution/TestDistributionMatrix.cpp
@@ -101,3 +101,26 @@
     for (const auto &it : mutants)
         cr_expect(!it.run().empty(), "nothing saw the guard missing: %s", it.name);
 }
+
+/// Whoever looks for the cause of a late version has to see which way it took.
+Test(DistributionState, tellsByWhichWayAVersionCame)
+{
+    auto found = Violations();
+    auto cluster = FakeCluster<DistributionPolicy>(1, 6, 1);
+    startUp(cluster, "ways", found);
+    applyNext(cluster, 1);
+    check(cluster, 2s, "by watch", found);
+    for (const auto &[id, node] : cluster.nodes)
+        cr_expect((node.sources.back() == NewsSource::Watch) == node.state->isRelay());
+    cluster.isWatchSilent = true;
+    cluster.hasDigests = false;
+    for (auto &[id, node] : cluster.nodes)
+        node.sources.clear();
+    applyNext(cluster, 2);
+    check(cluster, 10s, "by read", found);
+    const auto isRead = [](const auto &it) {
+        return std::ranges::count(it.second.sources, NewsSource::Read) > 0;
+    };
+    cr_expect(std::ranges::any_of(cluster.nodes, isRead));
+    cr_expect(found.empty());
+}
