Distribution: Decide when to watch the store in the pure state, as before

Cause: the loop that opens the relays' watches stood in DistributionService, on real timers: no test on a virtual clock could reach it. Change: WatchSchedule decides, OpenWatch and CloseWatch are actions, DistributionService carries them out. The tests' cluster plays cut, refused and silent watches. Ruled out: leaving it there with a shorter pause; the fault matrix could still not see it.

--- a/include/stairspur/distribution/Actions.h
+++ b/include/stairspur/distribution/Actions.h
@@ -32,6 +32,14 @@
 struct ReadHead
 {};
 
+/// Watch the head from where the last watch ended: didWatchHead() for each message, didEndWatch() at the end.
+struct OpenWatch
+{};
+
+/// Cancel the watch; didEndWatch() follows.
+struct CloseWatch
+{};
+
 /// didReadSections() or didFailToReadSections() follows.
 struct ReadSections
 {
@@ -66,7 +74,8 @@
     std::string from; ///< A node, or "store".
 };
 
-using Action = std::variant<SendDatagram, SendRequest, ReadHead, ReadSections, Publish, Alarm>;
+using Action = std::variant<SendDatagram, SendRequest, ReadHead, OpenWatch, CloseWatch,
+                            ReadSections, Publish, Alarm>;
 
 /// Counts since the start; bytes are payloads.
 struct DistributionCounters
--- a/include/stairspur/distribution/DistributionState.h
+++ b/include/stairspur/distribution/DistributionState.h
@@ -13,6 +13,7 @@
 #include <stairspur/distribution/DistributionContext.h>
 #include <stairspur/distribution/HeadFollower.h>
 #include <stairspur/distribution/PeerFetch.h>
+#include <stairspur/distribution/WatchSchedule.h>
 
 namespace stairspur::distribution {
 
@@ -37,6 +38,7 @@
         m_context.settings = settings;
         m_context.hasStore = hasStore;
         m_context.random.seed(seed);
+        m_watch.seed(seed + 1);
     }
 
     DistributionState(const DistributionState &) = delete;
@@ -142,6 +144,14 @@
         adopt(m_follower.didReadHead(head, NewsSource::Watch, now), now);
     }
 
+    /// Returns the pause before the next watch.
+    auto didEndWatch(TimePoint now) -> Duration
+    {
+        const auto pause = m_watch.didEnd(now);
+        updateWatch(now);
+        return pause;
+    }
+
     auto didReadSections(const Blobs &blobs, TimePoint now) -> void
     {
         try {
@@ -159,6 +169,7 @@
     {
         m_fetch.tick(now);
         m_follower.tick(now);
+        updateWatch(now);
         if (m_roundsLeft > 0 && now >= m_nextRound)
             tellOneMore(now);
         if (Policy::TellsOtherDomains && m_context.isRelay && now >= m_nextCrossDomain)
@@ -166,6 +177,17 @@
     }
 
 private:
+    auto updateWatch(TimePoint now) -> void
+    {
+        if (!m_context.hasStore)
+            return;
+        const auto step = m_watch.next(m_context.isRelay, now);
+        if (step == WatchStep::Open)
+            m_context.actions.emplace_back(OpenWatch{});
+        else if (step == WatchStep::Close)
+            m_context.actions.emplace_back(CloseWatch{});
+    }
+
     auto handle(const NodeId &from, const ConfigDatagram &datagram, TimePoint now) -> void
     {
         const auto version = m_context.known.version();
@@ -275,6 +297,7 @@
     DistributionContext m_context;
     PeerFetch<Policy> m_fetch;
     HeadFollower<Policy> m_follower;
+    WatchSchedule m_watch;
     std::vector<std::vector<NodeId>> m_otherRelays; ///< One entry for each other domain.
     std::size_t m_turn = 0;
     TimePoint m_nextCrossDomain{};
--- a/source/distribution/DistributionService.cpp
+++ b/source/distribution/DistributionService.cpp
@@ -22,8 +22,6 @@
 using transport::Task;
 
 static constexpr auto TickInterval = Duration{100'000};
-static constexpr auto MinWatchPause = Duration{100'000};
-static constexpr auto MaxWatchPause = Duration{5'000'000};
 
 /// What the coroutines share with their service, so that they may end after it.
 class DistributionService::Runner : public std::enable_shared_from_this<Runner>
@@ -35,8 +33,6 @@
         , m_parts(std::move(parts))
         , m_state(std::move(self), std::move(domain), settings, m_parts.store != nullptr, seed)
         , m_ticker(control)
-        , m_watchPause(control)
-        , m_random(seed + 1)
         , m_headReader(m_parts.source)
     {}
 
@@ -48,17 +44,13 @@
                         self->didReceiveDatagram(from, payload);
                 });
         spawn(tickUntilStopped());
-        if (m_parts.store != nullptr)
-            spawn(watchUntilStopped());
     }
 
     auto stop() -> void
     {
         m_isStopped = true;
         m_ticker.cancel();
-        m_watchPause.cancel();
-        if (const auto watch = m_watch)
-            watch->cancel();
+        carryOut(CloseWatch{});
     }
 
     auto didHearDigest(const NodeId &from, std::string_view bytes) -> void
@@ -145,55 +137,48 @@
             log::Line(log::Severity::Info, "configuration-relay")
                     .add("is_relay", m_state.isRelay())
                     .add("members", m_view->members.size());
-        if (m_watch && !m_state.isRelay())
-            m_watch->cancel();
     }
 
-    /// Watches the head for as long as this node is a relay.
-    auto watchUntilStopped() -> Task<void>
+    auto carryOut(OpenWatch) -> void { spawn(watch()); }
+
+    auto carryOut(CloseWatch) -> void
     {
-        auto backoff = store::Backoff(MinWatchPause, MaxWatchPause);
-        auto revision = store::Revision{0};
-        while (!m_isStopped) {
-            if (m_state.isRelay()) {
-                const auto end = co_await watchOnce(revision);
-                // The head is read anew by the state machine, so a gap in the history does no harm.
-                revision = end.value.nextRevision;
-                if (end.isOk())
-                    backoff.reset();
-                const auto wait = backoff.next(m_random);
-                logEnd(end, wait);
-                if (!m_isStopped)
-                    co_await pause(wait);
-            } else {
-                co_await pause(backoff.next(m_random));
-            }
-        }
+        if (const auto watch = m_watch)
+            watch->cancel();
+    }
+
+    auto watch() -> Task<void>
+    {
+        const auto since = monotonicNow();
+        const auto end = co_await watchOnce();
+        // A history that is gone does no harm: the next watch begins with the present head.
+        m_watchRevision = end.value.nextRevision;
+        if (m_isStopped)
+            co_return;
+        const auto now = monotonicNow();
+        const auto pause = m_state.didEndWatch(now);
+        log::Line(log::Severity::Info, "configuration-watch-ended")
+                .add("status", end.status)
+                .add("detail", end.detail)
+                .add("lasted_ms", toMilliseconds(now - since))
+                .add("pause_ms", toMilliseconds(pause));
+        carryOut();
     }
 
-    auto watchOnce(store::Revision revision) -> Task<store::StoreResult<store::WatchEnd>>
+    auto watchOnce() -> Task<store::StoreResult<store::WatchEnd>>
     {
         m_watch = std::make_shared<transport::Cancellation>();
-        m_watchSince = monotonicNow();
         auto handler = [weak = weak_from_this()](const store::WatchMessage &message) {
             if (const auto self = weak.lock())
                 self->didHearWatch(message);
         };
-        auto request = store::WatchRequest{.key = m_headReader.key(), .startRevision = revision};
+        auto request =
+                store::WatchRequest{.key = m_headReader.key(), .startRevision = m_watchRevision};
         auto end = co_await m_parts.store->watch(std::move(request), std::move(handler), m_watch);
         m_watch.reset();
         co_return end;
     }
 
-    auto logEnd(const store::StoreResult<store::WatchEnd> &end, Duration pause) const -> void
-    {
-        log::Line(log::Severity::Info, "configuration-watch-ended")
-                .add("status", end.status)
-                .add("detail", end.detail)
-                .add("lasted_ms", toMilliseconds(monotonicNow() - m_watchSince))
-                .add("pause_ms", toMilliseconds(pause));
-    }
-
     auto didHearWatch(const store::WatchMessage &message) -> void
     {
         if (m_isStopped)
@@ -208,13 +193,6 @@
         carryOut();
     }
 
-    auto pause(Duration time) -> Task<void>
-    {
-        auto ec = boost::system::error_code();
-        m_watchPause.expires_after(time);
-        co_await m_watchPause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    }
-
     auto carryOut() -> void
     {
         for (auto actions = m_state.takeActions(); !actions.empty() && !m_isStopped;
@@ -327,11 +305,9 @@
     DistributionParts m_parts;
     DistributionState<> m_state;
     asio::steady_timer m_ticker;
-    asio::steady_timer m_watchPause;
-    Random m_random;
     std::shared_ptr<const membership::MembershipView> m_view;
     transport::CancellationPtr m_watch;
-    TimePoint m_watchSince{}; ///< When the present watch was asked for.
+    store::Revision m_watchRevision = 0; ///< Where the next watch begins; 0: with the present head.
     HeadReader m_headReader;
     std::uint64_t m_malformedDigests = 0;
     bool m_isStopped = false;
--- a/tests/distribution/FakeCluster.h
+++ b/tests/distribution/FakeCluster.h
@@ -22,6 +22,15 @@
 class FakeCluster
 {
 public:
+    /// A node's watch of the store.
+    struct FakeWatch
+    {
+        bool isOpen = false;
+        bool isDeaf = false;          ///< Its connection has fallen silent for good.
+        bool isHistoryGone = false;   ///< The next one is refused; the one after it is not.
+        std::uint64_t generation = 0; ///< What belongs to an earlier one is void.
+    };
+
     struct Node
     {
         std::unique_ptr<DistributionState<Policy>> state;
@@ -29,6 +38,7 @@
         bool isAlive = true;
         bool isPaused = false;
         bool mayReachStore = true;
+        FakeWatch watch;
         std::vector<std::function<void()>> waiting; ///< Events that came while it was paused.
         std::vector<std::uint64_t> versions; ///< All that it took into force since its start.
         std::vector<NewsSource> sources;     ///< How it came by each of them.
@@ -65,6 +75,7 @@
                                                                  random());
         node.isAlive = true;
         node.isPaused = false;
+        node.watch = {.generation = node.watch.generation + 1};
         node.waiting.clear();
         node.versions.clear();
         node.sources.clear();
@@ -110,18 +121,33 @@
         return protocol.result();
     }
 
-    /// Each relay that can reach the store hears of the head.
+    /// Each open watch that is not silent tells of the head.
     auto notifyWatches() -> void
     {
-        const auto head = store.head();
         for (auto &[id, node] : nodes) {
-            if (!node.state->isRelay() || !node.mayReachStore)
+            if (node.watch.isOpen)
+                tellHead(id);
+        }
+    }
+
+    /// The connections of all open watches are reset. `isHistoryGone`: the store refuses to go on from where they were.
+    auto cutWatches(bool isHistoryGone) -> void
+    {
+        for (auto &[id, node] : nodes) {
+            if (!node.watch.isOpen)
                 continue;
-            ++storeReads;
-            deliver(id, [this, id, head] { nodes[id].state->didWatchHead(head, now); });
+            node.watch.isHistoryGone = isHistoryGone;
+            endWatch(id);
         }
     }
 
+    /// All watches that are open now stay open and say nothing more; new ones work.
+    auto silenceWatches() -> void
+    {
+        for (auto &[id, node] : nodes)
+            node.watch.isDeaf = node.watch.isOpen;
+    }
+
     auto run(Duration time) -> void
     {
         const auto end = now + time;
@@ -313,6 +339,45 @@
         });
     }
 
+    auto carryOut(const NodeId &id, const OpenWatch &) -> void
+    {
+        ++storeReads;
+        const auto generation = ++nodes[id].watch.generation;
+        schedule(storeLatency, [this, id, generation] {
+            auto &node = nodes[id];
+            if (!node.isAlive || node.watch.generation != generation)
+                return;
+            const auto isRefused = std::exchange(node.watch.isHistoryGone, false);
+            if (isStoreDown || !node.mayReachStore || isRefused)
+                return endWatch(id);
+            node.watch.isOpen = true;
+            node.watch.isDeaf = false;
+            tellHead(id);
+        });
+    }
+
+    auto carryOut(const NodeId &id, const CloseWatch &) -> void { endWatch(id); }
+
+    auto endWatch(const NodeId &id) -> void
+    {
+        nodes[id].watch.isOpen = false;
+        const auto generation = ++nodes[id].watch.generation;
+        schedule(latency(), [this, id, generation] {
+            if (nodes[id].watch.generation == generation)
+                arrive(id, [this, id] { nodes[id].state->didEndWatch(now); });
+        });
+    }
+
+    /// The watch of a node tells of the head that the store has now.
+    auto tellHead(const NodeId &id) -> void
+    {
+        auto &node = nodes[id];
+        if (isWatchSilent || node.watch.isDeaf || !node.mayReachStore || store.head().version == 0)
+            return;
+        ++storeReads;
+        deliver(id, [this, id, head = store.head()] { nodes[id].state->didWatchHead(head, now); });
+    }
+
     auto carryOut(const NodeId &id, const ReadSections &action) -> void
     {
         storeReads += std::max<std::size_t>(action.hashes.size(), 1);
