Distribution: Show that a version may be late after cut watches and under other faults (fails)

Change: none of the product. A test that plays the incident, and one that holds seven other faults against the same bound of 2 s (5 s for 13 domains).

--- /dev/null
+++ b/tests/distribution/TestDistributionBound.cpp
@@ -0,0 +1,228 @@
+#include "DistributionScenarios.h"
+
+// After Boost, whose headers its macros break.
+#include <criterion/criterion.h>
+
+/// How late a version may be in force, under the faults of the platform's store, of relays and of links.
+///
+/// The story behind it: operators confirmed a change, and 2.1 s later a host still served requests by the version before
+/// it; two seconds are promised. In order: the store dropped its history five times, 17 s apart, and each time all relays'
+/// watches were cut, refused when asked for again since their history was gone, and opened anew. 4.6 s after the
+/// fourth cut the change was written. No relay had a watch at that moment, and the fallback had just read the store.
+/// Cause: the pause between two watches doubled with each cut and refusal of a process's whole life and was
+/// never reset, so that by the fourth time it took 2.5 to 5 s, twice a cut; the fallback behind it read every 4 s, all relays
+/// at once. In one case the first domain then had the version 0.9 s before the last, which waited for its turn to be told.
+///
+/// What proved it: the store's count of calls (nine refusals 2.5 to 5 s after a cut, nine reads 2.5 to 5 s after those), and
+/// the lines of three runs that broke the promise: `configuration-watch-ended` with its pauses, then
+/// `configuration-in-force source=watch` 1.3 to 2.2 s after the acknowledgement on the first host.
+using namespace stairspur;
+using namespace stairspur::distribution;
+
+/// From an acknowledged write to every host that can be reached: what the platform's smallest deployments promise.
+static constexpr auto SmallFleetBound = Duration{2s};
+/// The same for 14,000 hosts in 13 failure domains.
+static constexpr auto LargeFleetBound = Duration{5s};
+
+static constexpr auto BoundSeeds = {1U, 2U, 3U, 4U, 5U, 6U, 7U, 8U, 9U, 10U};
+
+using Cluster = FakeCluster<DistributionPolicy>;
+
+/// Nodes that have been up for a while, with one version in force.
+static auto settle(Cluster &cluster, const std::string &name, Violations &found) -> void
+{
+    startUp(cluster, name, found);
+    cluster.run(7s);
+}
+
+static auto relaysIn(const Cluster &cluster, const std::string &domain) -> std::vector<NodeId>
+{
+    auto relays = std::vector<NodeId>();
+    for (const auto &[id, node] : cluster.nodes) {
+        if (node.domain == domain && node.state->isRelay())
+            relays.push_back(id);
+    }
+    return relays;
+}
+
+/// The store says nothing for a second while a version is written, then cuts all watches and has no history for them.
+static auto loseHistory(Cluster &cluster, int mark, Violations &found) -> void
+{
+    cluster.isWatchSilent = true;
+    applyNext(cluster, mark);
+    cluster.run(1s);
+    cluster.isWatchSilent = false;
+    cluster.cutWatches(true);
+    check(cluster, SmallFleetBound - 1s, "version of the silence", found);
+}
+
+static auto runLostHistory() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : BoundSeeds) {
+        auto cluster = Cluster(3, 5, seed);
+        settle(cluster, "lost history", found);
+        for (auto round = 0; round < 6; ++round) {
+            loseHistory(cluster, 2 * round + 1, found);
+            cluster.run(round * 900ms);
+            applyNext(cluster, 2 * round + 2);
+            check(cluster, SmallFleetBound, "version after a cut", found);
+            cluster.run(11s);
+        }
+    }
+    return found;
+}
+
+Test(DistributionBound, aVersionIsInForceInTimeAfterWatchesLostTheirHistory)
+{
+    const auto found = runLostHistory();
+    cr_expect(found.empty(), "%zu violations, first: %s", found.size(),
+              found.empty() ? "" : found[0].c_str());
+}
+
+/// All watches fall silent for good without being cut, and stay so while versions are written.
+static auto runDeafWatches() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : BoundSeeds) {
+        auto cluster = Cluster(3, 5, seed);
+        settle(cluster, "deaf watches", found);
+        cluster.silenceWatches();
+        for (auto mark = 1; mark <= 6; ++mark) {
+            cluster.run(mark * 300ms);
+            applyNext(cluster, mark);
+            check(cluster, SmallFleetBound, "deaf watches", found);
+        }
+    }
+    return found;
+}
+
+/// The store has been away for 40 s, and a version is written a second after its return.
+static auto runStoreReturned() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : BoundSeeds) {
+        auto cluster = Cluster(3, 5, seed);
+        settle(cluster, "store returned", found);
+        cluster.isStoreDown = true;
+        cluster.cutWatches(false);
+        cluster.run(40s);
+        cluster.isStoreDown = false;
+        cluster.run(1s);
+        applyNext(cluster, 1);
+        check(cluster, SmallFleetBound, "store returned", found);
+    }
+    return found;
+}
+
+/// All relays of the only domain are gone, others have just taken their place.
+static auto runNewRelays() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : BoundSeeds) {
+        auto cluster = Cluster(1, 8, seed);
+        settle(cluster, "new relays", found);
+        cluster.run(30s);
+        for (const auto &it : relaysIn(cluster, "d0"))
+            cluster.kill(it);
+        cluster.shareView();
+        applyNext(cluster, 1);
+        check(cluster, SmallFleetBound, "new relays", found);
+    }
+    return found;
+}
+
+/// All relays of a domain have stopped, and nobody has noticed yet.
+static auto runRelaysStopped() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : BoundSeeds) {
+        auto cluster = Cluster(3, 5, seed);
+        settle(cluster, "relays stopped", found);
+        for (const auto &it : relaysIn(cluster, "d0"))
+            cluster.kill(it);
+        applyNext(cluster, 1);
+        check(cluster, SmallFleetBound, "relays stopped", found);
+    }
+    return found;
+}
+
+/// The relays of a domain can't reach the store.
+static auto runRelaysWithoutStore() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : BoundSeeds) {
+        auto cluster = Cluster(3, 5, seed);
+        settle(cluster, "relays without store", found);
+        for (const auto &it : relaysIn(cluster, "d0"))
+            cluster.nodes[it].mayReachStore = false;
+        for (auto mark = 1; mark <= 4; ++mark) {
+            applyNext(cluster, mark);
+            check(cluster, SmallFleetBound, "relays without store", found);
+            cluster.run(mark * 700ms);
+        }
+    }
+    return found;
+}
+
+/// A host hears others but is not heard: it asks in vain for half a minute. A version is written a second after that.
+static auto runHealedCut() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : BoundSeeds) {
+        auto cluster = Cluster(3, 5, seed);
+        settle(cluster, "healed cut", found);
+        const auto id = cluster.nodes.begin()->first;
+        cluster.nodes[id].mayReachStore = false;
+        cluster.isCut = [id](const auto &from, const auto &) { return from == id; };
+        applyNext(cluster, 1);
+        cluster.run(30s);
+        cluster.isCut = [](const auto &, const auto &) { return false; };
+        cluster.run(1s);
+        applyNext(cluster, 2);
+        check(cluster, SmallFleetBound, "healed cut", found);
+    }
+    return found;
+}
+
+/// Of 13 domains one alone has the store.
+static auto runOneDomainHasStore() -> Violations
+{
+    auto found = Violations();
+    for (const auto seed : BoundSeeds) {
+        auto cluster = Cluster(13, 6, seed);
+        settle(cluster, "one domain has the store", found);
+        for (auto &[id, node] : cluster.nodes)
+            node.mayReachStore = node.domain == "d0";
+        for (auto mark = 1; mark <= 4; ++mark) {
+            applyNext(cluster, mark);
+            check(cluster, LargeFleetBound, "one domain has the store", found);
+        }
+    }
+    return found;
+}
+
+struct BoundScenario
+{
+    const char *name;
+    Violations (*run)();
+};
+
+static constexpr BoundScenario BoundScenarios[] = {
+        {"deaf watches", runDeafWatches},
+        {"store returned", runStoreReturned},
+        {"new relays", runNewRelays},
+        {"relays stopped", runRelaysStopped},
+        {"relays without store", runRelaysWithoutStore},
+        {"healed cut", runHealedCut},
+        {"one domain has the store", runOneDomainHasStore},
+};
+
+Test(DistributionBound, aVersionIsInForceInTimeUnderEveryOtherFault)
+{
+    for (const auto &it : BoundScenarios) {
+        const auto found = it.run();
+        cr_expect(found.empty(), "%s: %zu violations, first: %s", it.name, found.size(),
+                  found.empty() ? "" : found[0].c_str());
+    }
+}
