Distribution: Let a domain's relays read the head in turn, one each 1.2 s

Cause: the fallback behind silent watches read every 4 s, counted from the watch's last message, which all relays hear at once: the three of a domain read at the same moment and were blind together for 4 s, twice the bound. Pauses after failed reads grew to 15 s, also for relays, and a node that became one kept its longer pause as a node that is none. Change: relays take turns by their rank, 1.2 s apart, counted from when a version came into force; a relay's pause after a failure is bounded by that; a change of role ends the other role's pause.

--- a/include/stairspur/distribution/DistributionContext.h
+++ b/include/stairspur/distribution/DistributionContext.h
@@ -28,8 +28,10 @@
     std::size_t maxSetBytes = 64U << 20U;    ///< Of sections taken from a peer.
     std::size_t datagramBytes = 1200;        ///< Larger deltas go by control request.
     Duration crossDomainInterval{1'000'000}; ///< Between a relay's words to another domain.
-    Duration headPollInterval{
-            4'000'000}; ///< A relay whose watch is silent for so long reads the head.
+    /// The relays of a domain read the head in turn, one of them in each of these, against watches that have fallen silent.
+    /// With the spread inside a domain (0.6 s among a few hosts, 1.2 s among 400) it has to stay below the time within
+    /// which a version must be in force: 2 s on the smallest deployments, 5 s on the largest.
+    Duration headPollInterval{1'200'000};
     Duration staleAfter{
             60'000'000}; ///< Without a word from anyone, a node that is no relay reads too.
     Duration freshStoreDelay{
@@ -81,7 +83,9 @@
     std::vector<Peer> peers;         ///< Alive, without this node.
     std::vector<NodeId> domainPeers; ///< Those of its own domain.
     bool isRelay = false;
-    TimePoint lastHeard{}; ///< From any peer or the store.
+    std::uint32_t relayRank = 0;  ///< Among the relays of its domain; the same on all nodes.
+    std::uint32_t relayCount = 1; ///< Of its domain.
+    TimePoint lastHeard{};        ///< From any peer or the store.
 
     std::vector<Action> actions;
     DistributionCounters counters;
--- a/include/stairspur/distribution/DistributionState.h
+++ b/include/stairspur/distribution/DistributionState.h
@@ -59,7 +59,10 @@
         m_context.peers = alive;
         alive.push_back({m_context.self, m_context.domain});
         const auto own = relaysOf(m_context.domain, alive);
-        m_context.isRelay = std::ranges::find(own, m_context.self) != own.end();
+        const auto self = std::ranges::find(own, m_context.self);
+        m_context.isRelay = self != own.end();
+        m_context.relayRank = static_cast<std::uint32_t>(self - own.begin());
+        m_context.relayCount = static_cast<std::uint32_t>(own.size());
         m_otherRelays.clear();
         auto domains = std::set<std::string>();
         for (const auto &it : alive) {
--- a/include/stairspur/distribution/HeadFollower.h
+++ b/include/stairspur/distribution/HeadFollower.h
@@ -16,8 +16,8 @@
 /// Values of the store by their hash.
 using Blobs = std::map<std::string, std::string>;
 
-/// Follows the store's head. A relay hears of each head by its watch and reads the head itself when the watch has been
-/// silent for a while, which no watch can tell from quiet; other nodes read only when they have nobody else to ask.
+/// Follows the store's head. A relay hears of each head by its watch; and since no watch can tell silence from quiet, the
+/// relays of a domain also read the head in turn. Other nodes read only when they have nobody else to ask.
 template <typename Policy>
 class HeadFollower
 {
@@ -50,7 +50,7 @@
     auto didFailToReadHead(TimePoint now) -> void
     {
         m_isReadingHead = false;
-        m_notBefore = now + m_backoff.next(m_context.random);
+        m_notBefore = now + pauseAfterFailure();
     }
 
     auto didReadSections(const Blobs &blobs, TimePoint now) -> std::optional<Adoption>
@@ -75,24 +75,30 @@
     {
         m_isReadingSections = false;
         m_lastHead = {};
-        m_notBefore = now + m_backoff.next(m_context.random);
+        m_notBefore = now + pauseAfterFailure();
     }
 
     /// Something newer is in force: a head that came meanwhile may be newer still.
     auto didAdopt(TimePoint now) -> std::optional<Adoption>
     {
+        // All relays of a domain take a version into force at nearly the same time, which sets their turns apart.
+        m_nextRead = now + m_context.settings.headPollInterval * (m_context.relayRank + 1);
         return m_isReadingSections ? std::nullopt : next(now);
     }
 
     auto tick(TimePoint now) -> void
     {
+        if (std::exchange(m_wasRelay, m_context.isRelay) != m_context.isRelay)
+            m_notBefore = now; // The other role's pauses are longer than a relay may wait.
         if (!m_context.hasStore || m_isReadingHead || m_isReadingSections || now < m_notBefore)
             return;
         if (m_start == TimePoint{})
             m_start = now;
         if (!isReadDue(now))
             return;
-        if (!m_context.isRelay)
+        if (m_context.isRelay)
+            takeTurn(now);
+        else
             m_notBefore = now + jitteredStaleness();
         m_isReadingHead = true;
         m_context.counters.headReads += 1;
@@ -108,13 +114,29 @@
         const auto &settings = m_context.settings;
         if (m_context.isRelay) {
             const auto isFirst = m_lastHead == TimePoint{};
-            return isFirst || (Policy::PollsHead && now - m_lastHead >= settings.headPollInterval);
+            return isFirst || (Policy::PollsHead && now >= m_nextRead);
         }
         if (m_context.known.version() == 0)
             return now - m_start >= settings.freshStoreDelay;
         return now - std::max(m_context.lastHeard, m_start) >= settings.staleAfter;
     }
 
+    /// The next turn is counted from this one's time, not from when it was taken, so that relays' turns stay apart.
+    auto takeTurn(TimePoint now) -> void
+    {
+        const auto period = m_context.settings.headPollInterval * m_context.relayCount;
+        m_nextRead += period;
+        if (m_nextRead <= now)
+            m_nextRead = now + period;
+    }
+
+    /// A relay goes on at its turns, so that a store that is back is read in time; the many others leave it alone longer.
+    auto pauseAfterFailure() -> Duration
+    {
+        const auto pause = m_backoff.next(m_context.random);
+        return m_context.isRelay ? std::min(pause, m_context.settings.headPollInterval) : pause;
+    }
+
     auto jitteredStaleness() -> Duration
     {
         const auto &settings = m_context.settings;
@@ -231,6 +253,8 @@
     TimePoint m_start{};
     TimePoint m_lastHead{};
     TimePoint m_notBefore{};
+    TimePoint m_nextRead{}; ///< A relay's next turn.
+    bool m_wasRelay = false;
     bool m_isReadingHead = false;
     bool m_isReadingSections = false;
     bool m_isWhole = false;
