Distribution: Pause failed fetches from peers for 1 s at most

Cause: a node that hears others but is not heard asks in vain; its pauses grew to 3 s, longer than the 2 s within which it has to have the next version once it is heard again. Ruled out: starting the pauses anew with each word of a newer version: such words come all the time while the node is not heard. Change: maxBackoff 3 s -> 1 s.

--- a/include/stairspur/distribution/DistributionContext.h
+++ b/include/stairspur/distribution/DistributionContext.h
@@ -23,7 +23,9 @@
     Duration askTimeout{200'000};    ///< For a datagram's answer.
     Duration pullTimeout{1'000'000}; ///< For a control request.
     Duration minBackoff{100'000};    ///< Between failed fetches.
-    Duration maxBackoff{3'000'000};
+    /// Half of the 2 s within which a version must be in force: a node whose fetches failed while it was cut off still has
+    /// time for one when it hears of a newer version.
+    Duration maxBackoff{1'000'000};
     std::size_t pieceBytes = 64U << 10U;     ///< Of sections in one reply.
     std::size_t maxSetBytes = 64U << 20U;    ///< Of sections taken from a peer.
     std::size_t datagramBytes = 1200;        ///< Larger deltas go by control request.
