Membership: Bring lapsed rendezvous keys back soon after the store

Holders of rendezvous keys asked a failing store less and less often, up to every five minutes, so that after an outage longer than their leases a domain had no keys for as long again, and a node that started then found nobody. Ruled out: a lower bound for all nodes; 14,000 that only look would then ask a failing store thousands of times a second. Change: holders, and nodes whose lease lapsed meanwhile, pause for one second at most while the store fails.

--- a/include/stairspur/membership/RendezvousSlots.h
+++ b/include/stairspur/membership/RendezvousSlots.h
@@ -25,6 +25,9 @@
             30'000'000}; ///< A node waits up to this long before it claims what it saw free.
     Duration minimumBackoff{1'000'000}; ///< After the store failed; doubles up to the next.
     Duration maximumBackoff{300'000'000};
+    /// The same for the few that hold a slot or have lost it meanwhile: their keys are back about two seconds after the
+    /// store, as those rely on who starts then. 39 holders in 13 failure domains ask 39 times a second at most.
+    Duration holderBackoff{1'000'000};
 };
 
 /// The call of the store that is due.
@@ -87,6 +90,7 @@
         }
         if (free.empty()) {
             m_sawFree = false;
+            m_wasHolding = false;
             m_due = now + m_settings.readInterval / 2 + jitter(m_settings.readInterval);
             return;
         }
@@ -129,8 +133,9 @@
     {
         m_mayClaim = false;
         m_sawFree = false;
-        const auto doubled =
-                std::clamp(m_backoff * 2, m_settings.minimumBackoff, m_settings.maximumBackoff);
+        const auto isHolder = m_isHolding || m_wasHolding;
+        const auto maximum = isHolder ? m_settings.holderBackoff : m_settings.maximumBackoff;
+        const auto doubled = std::clamp(m_backoff * 2, m_settings.minimumBackoff, maximum);
         m_backoff = Policy::backsOff ? doubled : Duration{0};
         m_due = now + m_backoff / 2 + jitter(m_backoff);
     }
@@ -158,6 +163,7 @@
     auto lose(TimePoint now) -> void
     {
         m_isHolding = false;
+        m_wasHolding = true;
         m_due = now + jitter(m_settings.claimSpread);
     }
 
@@ -173,6 +179,7 @@
     TimePoint m_leaseEnd;
     Duration m_backoff{0};
     bool m_isHolding = false;
+    bool m_wasHolding = false; ///< Lost its slot, and has not seen others hold all of them since.
     bool m_isStopped = false;
     bool m_sawFree = false;
     bool m_mayClaim = false;
--- a/tests/membership/TestRendezvousSlots.cpp
+++ b/tests/membership/TestRendezvousSlots.cpp
@@ -192,3 +192,61 @@
     cr_expect(!RendezvousCell<NoLook>(StoreFault::None).run().empty());
     cr_expect(!RendezvousCell<NoBackoff>(StoreFault::DownAtStart).run().empty());
 }
+
+/// One node and its domain's key, while the store is away for a while. Steps of a tenth of a second.
+struct HolderAndStore
+{
+    static constexpr auto Step = Duration{100'000};
+
+    RendezvousSettings settings{.slots = 1, .claimSpread = Duration{500'000}};
+    RendezvousSlots slots{settings, 1, TimePoint{}};
+    TimePoint now{};
+    TimePoint leaseEnd{};
+    bool isDown = false;
+    int calls = 0;
+
+    [[nodiscard]] auto hasKey() const -> bool { return now < leaseEnd; }
+
+    auto runFor(Duration time) -> void
+    {
+        for (const auto end = now + time; now < end; now += Step)
+            answer(slots.next(now));
+    }
+
+    auto answer(RendezvousAction action) -> void
+    {
+        if (action == RendezvousAction::None)
+            return;
+        ++calls;
+        if (isDown)
+            return slots.didFail(now);
+        if (action == RendezvousAction::Read)
+            return slots.didRead({hasKey() ? std::optional<NodeId>("self") : std::nullopt}, now);
+        const auto isDone = action == RendezvousAction::Claim || hasKey();
+        if (isDone)
+            leaseEnd = now + settings.leaseTime;
+        if (action == RendezvousAction::Claim)
+            slots.didClaim(isDone, now, now);
+        else
+            slots.didRenew(isDone, now, now);
+    }
+};
+
+/// A node that starts finds its peers by these keys alone, so that one that lapsed while the store was away has to be
+/// back soon after the store. Pauses that doubled to five minutes left a domain without keys for as long as the store had
+/// been away.
+Test(RendezvousSlots, aKeyThatLapsedIsBackSoonAfterTheStore)
+{
+    for (const auto outage : {20, 60, 600}) {
+        auto it = HolderAndStore();
+        it.runFor(60 * Second);
+        cr_assert(it.hasKey());
+        it.isDown = true;
+        it.calls = 0;
+        it.runFor(outage * Second);
+        cr_expect(it.calls <= 2 * outage, "%d calls while the store was away", it.calls);
+        it.isDown = false;
+        it.runFor(3 * Second);
+        cr_expect(it.hasKey(), "after %d s", outage);
+    }
+}
