Distribution: Seed the watch's schedule where it is made, name what a relay's first read waits for

Cause: last read: a time that was only asked whether it is set, and a second way to seed. Change: m_isReadWanted; a constructor with the seed. Conclusion: no decision changes.

--- a/include/stairspur/distribution/DistributionState.h
+++ b/include/stairspur/distribution/DistributionState.h
@@ -32,13 +32,13 @@
                       std::uint64_t seed)
         : m_fetch(m_context)
         , m_follower(m_context)
+        , m_watch(seed + 1)
     {
         m_context.self = std::move(self);
         m_context.domain = std::move(domain);
         m_context.settings = settings;
         m_context.hasStore = hasStore;
         m_context.random.seed(seed);
-        m_watch.seed(seed + 1);
     }
 
     DistributionState(const DistributionState &) = delete;
--- a/include/stairspur/distribution/HeadFollower.h
+++ b/include/stairspur/distribution/HeadFollower.h
@@ -34,7 +34,8 @@
         const auto isAnswer = source == NewsSource::Read;
         if (isAnswer)
             m_isReadingHead = false;
-        m_context.lastHeard = m_lastHead = now;
+        m_context.lastHeard = now;
+        m_isReadWanted = false;
         m_backoff.reset();
         noteWhetherBehind(head, isAnswer);
         if (!head
@@ -74,7 +75,7 @@
     auto didFailToReadSections(TimePoint now) -> void
     {
         m_isReadingSections = false;
-        m_lastHead = {};
+        m_isReadWanted = true;
         m_notBefore = now + pauseAfterFailure();
     }
 
@@ -112,10 +113,8 @@
     [[nodiscard]] auto isReadDue(TimePoint now) const -> bool
     {
         const auto &settings = m_context.settings;
-        if (m_context.isRelay) {
-            const auto isFirst = m_lastHead == TimePoint{};
-            return isFirst || (Policy::PollsHead && now >= m_nextRead);
-        }
+        if (m_context.isRelay)
+            return m_isReadWanted || (Policy::PollsHead && now >= m_nextRead);
         if (m_context.known.version() == 0)
             return now - m_start >= settings.freshStoreDelay;
         return now - std::max(m_context.lastHeard, m_start) >= settings.staleAfter;
@@ -251,9 +250,9 @@
     DistributionContext &m_context;
     store::Backoff m_backoff;
     TimePoint m_start{};
-    TimePoint m_lastHead{};
     TimePoint m_notBefore{};
-    TimePoint m_nextRead{}; ///< A relay's next turn.
+    TimePoint m_nextRead{};     ///< A relay's next turn.
+    bool m_isReadWanted = true; ///< No head has been read, or its sections could not be.
     bool m_wasRelay = false;
     bool m_isReadingHead = false;
     bool m_isReadingSections = false;
--- a/include/stairspur/distribution/WatchSchedule.h
+++ b/include/stairspur/distribution/WatchSchedule.h
@@ -15,6 +15,7 @@
     Close,
 };
 
+/// Why a watch has ended, as far as it decides when the next one begins.
 enum class WatchEnding {
     HistoryLost, ///< The store no longer knows what came after the last message.
     Other,       ///< Cut, refused, cancelled, or the store was not reached.
@@ -29,6 +30,10 @@
 class WatchSchedule
 {
 public:
+    explicit WatchSchedule(std::uint64_t seed)
+        : m_random(seed)
+    {}
+
     /// What is to be done now, if anything. To be called several times a second and after each didEnd().
     auto next(bool isRelay, TimePoint now) -> std::optional<WatchStep>
     {
@@ -56,8 +61,6 @@
         return pause;
     }
 
-    auto seed(std::uint64_t seed) -> void { m_random.seed(seed); }
-
 private:
     enum class Stage {
         Closed,
--- a/tests/distribution/TestWatchSchedule.cpp
+++ b/tests/distribution/TestWatchSchedule.cpp
@@ -24,7 +24,7 @@
 
 Test(WatchSchedule, relaysAloneWatch)
 {
-    auto schedule = WatchSchedule();
+    auto schedule = WatchSchedule(1);
     cr_expect(!schedule.next(false, Start));
     cr_expect(schedule.next(true, Start) == WatchStep::Open);
     cr_expect(!schedule.next(true, Start));
@@ -35,7 +35,7 @@
 
 Test(WatchSchedule, aNodeThatBecomesARelayWatchesAtOnce)
 {
-    auto schedule = WatchSchedule();
+    auto schedule = WatchSchedule(1);
     for (auto second = 0s; second < 600s; second += 1s)
         cr_expect(!schedule.next(false, Start + second));
     cr_expect(schedule.next(true, Start + 600s) == WatchStep::Open);
@@ -43,7 +43,7 @@
 
 Test(WatchSchedule, cutsOfEarlierWatchesDoNotLengthenAPause)
 {
-    auto schedule = WatchSchedule();
+    auto schedule = WatchSchedule(1);
     auto now = Start;
     for (auto n = 0; n < 50; ++n)
         cr_expect(pauseAfter(schedule, now, 14s) <= 100ms);
@@ -51,7 +51,7 @@
 
 Test(WatchSchedule, refusalsInARowLengthenAPauseUpToItsBound)
 {
-    auto schedule = WatchSchedule();
+    auto schedule = WatchSchedule(1);
     auto now = Start;
     cr_expect(pauseAfter(schedule, now, 5ms) <= 100ms);
     for (auto n = 0; n < 4; ++n)
@@ -64,7 +64,7 @@
 
 Test(WatchSchedule, aLostHistoryIsAnsweredAtOnceButNotForEver)
 {
-    auto schedule = WatchSchedule();
+    auto schedule = WatchSchedule(1);
     auto now = Start;
     pauseAfter(schedule, now, 14s);
     cr_expect(pauseAfter(schedule, now, 5ms, WatchEnding::HistoryLost) == Duration{0});
