Tests: Say why an apply fails where a wait for its version would have no end

Cause: DistributionService::aFreshNode... hung for its 60 s, twice in 165 runs beside load: the result of its apply was not looked at. Seen with this change: store-unavailable, 'the server did not answer in time', after three attempts of 2 s at the stand-in store. Ruled out: a wait for news of a version that was applied (the debugger shows the wait before the store goes down, both connections idle); processor time alone (0 of 1,500 runs of anAppliedFile... by itself at load 35); gaps of the clock (none over 0.3 s in a minute). Change: applyOrFail() ends the test with outcome and detail; stricter, since aFreshNode... asked nothing of its first apply before.

--- a/tests/distribution/TestDistributionService.cpp
+++ b/tests/distribution/TestDistributionService.cpp
@@ -117,6 +117,16 @@
         return *result;
     }
 
+    /// Ends the test when the store was not reached or refuses: a later wait for the version would have no end.
+    auto applyOrFail(const config::Configuration &configuration, const std::string &id)
+            -> PublishResult
+    {
+        auto result = apply(configuration, id);
+        cr_assert(result.outcome == PublishOutcome::Applied, "%s: %s (%s)", id.c_str(),
+                  nameOf(result.outcome).data(), result.detail.c_str());
+        return result;
+    }
+
     auto waitForVersion(std::uint64_t version) -> void
     {
         for (const auto &it : nodes) {
@@ -131,12 +141,11 @@
     auto bench = Bench();
     for (const auto hasStore : {true, false, false, true})
         bench.addNode(hasStore);
-    cr_assert(bench.apply(configurationWith(80, 100), "first").outcome == PublishOutcome::Applied);
+    bench.applyOrFail(configurationWith(80, 100), "first");
     bench.waitForVersion(1);
     auto second = configurationWith(80, 100);
     second.services[7].limits.maxQueue = 7;
-    const auto applied = bench.apply(second, "second");
-    cr_assert(applied.outcome == PublishOutcome::Applied);
+    const auto applied = bench.applyOrFail(second, "second");
     bench.waitForVersion(2);
     for (const auto &it : bench.nodes) {
         const auto *service = it->inForce->configuration.findService("service-7");
@@ -151,7 +160,7 @@
     auto bench = Bench();
     bench.addNode(true);
     // More than one piece of a reply and far more than one datagram.
-    bench.apply(configurationWith(1500, 100), "first");
+    bench.applyOrFail(configurationWith(1500, 100), "first");
     bench.waitForVersion(1);
     bench.server->setFault({standin::FaultMode::Down, 0, 0, ""});
     bench.addNode(true);
@@ -164,7 +173,6 @@
 {
     auto bench = Bench();
     bench.server->setFault({standin::FaultMode::LostAnswer, 0, 1, "txn"});
-    const auto result = bench.apply(configurationWith(3, 100), "first");
-    cr_assert(result.outcome == PublishOutcome::Applied);
+    const auto result = bench.applyOrFail(configurationWith(3, 100), "first");
     cr_assert_eq(result.version, 1);
 }
