--- a/tests/distribution/TestDistributionService.cpp
+++ b/tests/distribution/TestDistributionService.cpp
@@ -122,8 +122,10 @@
             -> PublishResult
     {
         auto result = apply(configuration, id);
-        cr_assert(result.outcome == PublishOutcome::Applied, "%s: %s (%s)", id.c_str(),
-                  nameOf(result.outcome).data(), result.detail.c_str());
+        const auto received = nlohmann::json(server->counters()).dump();
+        cr_assert(result.outcome == PublishOutcome::Applied, "%s: %s (%s); the store received %s",
+                  id.c_str(), nameOf(result.outcome).data(), result.detail.c_str(),
+                  received.c_str());
         return result;
     }
 
