Distribution: Correct the spread's figures above the relays' turns

Cause: the last read found the figures of the former measurement in the comment (0.6 s, 1.2 s); the design page has those of the last one. Change: a comment. Conclusion: no statement changes.

--- a/include/stairspur/distribution/DistributionContext.h
+++ b/include/stairspur/distribution/DistributionContext.h
@@ -32,7 +32,7 @@
     Duration crossDomainInterval{1'000'000}; ///< Between a relay's words to another domain.
     std::uint32_t crossDomainFanout = 2;     ///< Other domains told of a new version at once.
     /// The relays of a domain read the head in turn, one of them in each of these, against watches that have fallen silent.
-    /// With the spread inside a domain (0.6 s among a few hosts, 1.2 s among 400) it has to stay below the time within
+    /// With the spread inside a domain (0.3 s among five hosts, 1.4 s among 400) it has to stay below the time within
     /// which a version must be in force: 2 s on the smallest deployments, 5 s on the largest.
     Duration headPollInterval{1'200'000};
     Duration staleAfter{
