Tests: Show that large fleets begin requests that cannot end (fails)

The chain of the overload measurement now grows with a fleet of 20, 200 and 2,000 hosts, each host's own load being the same, with floors told by path as on the users' platform. The share must not grow; it fails with this code.

--- a/tests/measure/overload/Clients.h
+++ b/tests/measure/overload/Clients.h
@@ -23,6 +23,7 @@
     Duration maxBackoff{100'000};
     bool honoursRetryAfter = false;
     bool hasHashLevels = true;
+    PathKey path = NoPath; ///< Of all requests.
 };
 
 /// Clients that issue requests at a given rate and retry hard.
@@ -100,6 +101,8 @@
         auto root = std::make_shared<RootRequest>();
         root->rank = request->rank;
         root->level = makeLevel(request->rank, m_settings.hasHashLevels ? m_random() : 0);
+        root->path = m_settings.path;
+        root->issuedAt = request->issuedAt;
         root->deadline = m_events.now() + m_settings.timeout;
         m_events.at(root->deadline, [this, request, root] {
             didEnd(request, root, {Outcome::Unknown, Reason::DeadlineExceeded, Duration(0), 0});
--- a/tests/measure/overload/Deployment.h
+++ b/tests/measure/overload/Deployment.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -18,12 +20,13 @@
     Duration serviceTime{0};       ///< Mean of its own work for one call.
 };
 
-/// One chain of services, each of which calls the next, over three failure domains.
+/// One chain of services, each of which calls the next, over some failure domains.
 struct Deployment
 {
     std::string name;
     std::vector<ServiceModel> chain;
     Duration clientDistance{0}; ///< One way.
+    std::uint32_t domains = 3;
 
     /// Calls per second that the deepest service can answer when its work takes `slowdown` times as long.
     [[nodiscard]] auto capacity(double slowdown) const -> double
@@ -54,7 +57,22 @@
             Duration(3'000)};
 }
 
-inline constexpr auto DomainCount = 3U;
+/// A chain of four services that grows with the fleet in the proportions of the operators' largest deployment, so that each
+/// host's share of the load is the same at every size: what one host asks of another thins instead.
+inline auto fleetOf(std::uint32_t hosts) -> Deployment
+{
+    const auto share = [hosts](double of) {
+        return std::max(1U, static_cast<std::uint32_t>(std::lround(of * hosts)));
+    };
+    return {"fleet",
+            {{"menu", share(0.49), 30, 1200, Duration(110'000)},
+             {"order-intake", share(0.355), 30, 1200, Duration(15'000)},
+             {"courier-maps", share(0.105), 67, 1200, Duration(15'000)},
+             {"courier-payouts", share(0.05), 35, 1200, Duration(220'000)}},
+            Duration(3'000),
+            5};
+}
+
 inline constexpr auto SameHostDistance = Duration(50);
 inline constexpr auto SameDomainDistance = Duration(300);
 inline constexpr auto OtherDomainDistance = Duration(1'000);
--- a/tests/measure/overload/Entry.h
+++ b/tests/measure/overload/Entry.h
@@ -56,8 +56,12 @@
         , m_pool(settings.service, routingSettings(settings))
         , m_bucket(RetrySuccessShare, RetryBucketSize)
     {
-        for (const auto &it : hosts)
-            m_hosts.emplace(it->node(), it.get());
+        for (const auto &it : upstreams)
+            m_hosts.emplace(it.node, nullptr);
+        for (const auto &it : hosts) {
+            if (const auto known = m_hosts.find(it->node()); known != m_hosts.end())
+                known->second = it.get();
+        }
         m_pool.setUpstreams(upstreams, events.now());
     }
 
@@ -84,9 +88,9 @@
         call.host = nullptr;
     }
 
-    [[nodiscard]] auto floorFor(ClassRank rank) const -> Level
+    [[nodiscard]] auto floorFor(FloorKey key) const -> Level
     {
-        return m_pool.floorFor(rank, m_events.now());
+        return m_pool.floorFor(key, m_events.now());
     }
 
 private:
@@ -107,11 +111,21 @@
         return ++next;
     }
 
+    /// Where floors are told by path, they bind a request only until it runs.
+    [[nodiscard]] auto isDeeperCall(const RootRequest &root) const -> bool
+    {
+        return root.path != NoPath && !m_settings.isRoot;
+    }
+
     auto attempt(const CallPtr &call) -> void
     {
         const auto now = m_events.now();
-        const auto request = routing::RouteRequest{call->root->level, call->root->deadline,
-                                                   call->excluded, m_settings.isRoot};
+        const auto request = routing::RouteRequest{.level = call->root->level,
+                                                   .deadline = call->root->deadline,
+                                                   .excluded = call->excluded,
+                                                   .mayProbe = m_settings.isRoot,
+                                                   .path = call->root->path,
+                                                   .hasBegun = isDeeperCall(*call->root)};
         const auto decision = m_pool.choose(request, now, m_random);
         if (!decision.node) {
             finish(call, {Outcome::NotRun, decision.refusal, decision.retryAfter, 0});
@@ -125,7 +139,7 @@
         m_pool.didSend(host->node(), now);
         m_events.after(distanceTo(*host), [this, call, host, id, budget, now] {
             if (call->attempt == id && call->host != nullptr)
-                send(call, *host, {id, call->root, budget}, now);
+                send(call, *host, {id, call->root, budget, isDeeperCall(*call->root)}, now);
         });
         if (m_settings.traits.attemptTimeout > Duration(0))
             m_events.after(m_settings.traits.attemptTimeout,
@@ -158,8 +172,9 @@
         const auto now = m_events.now();
         const auto node = call->host->node();
         call->host = nullptr;
-        auto result = routing::AttemptResult{node,         answer.outcome, answer.reason,
-                                             now - sentAt, std::nullopt,   call->root->level};
+        auto result = routing::AttemptResult{
+                node,         answer.outcome,    answer.reason,   now - sentAt,
+                std::nullopt, call->root->level, call->root->path};
         if (answer.report.sequence > 0)
             result.report = answer.report;
         m_pool.didEnd(result, now, m_random);
--- a/tests/measure/overload/Gates.h
+++ b/tests/measure/overload/Gates.h
@@ -20,7 +20,7 @@
 concept AdmissionGate =
         std::constructible_from<Gate, const AdmissionSettings &>
         && requires(Gate gate, CallOffer offer, CallId id, TimePoint now, Random random,
-                    std::vector<Level> floors) {
+                    std::vector<Level> floors, std::vector<PathFloor> pathFloors) {
                {
                    gate.offer(offer, now, random)
                } -> std::same_as<Progress>;
@@ -36,7 +36,7 @@
                {
                    gate.report(now)
                } -> std::same_as<LoadReport>;
-               gate.setDeeperFloors(floors);
+               gate.setDeeperFloors(floors, pathFloors);
            };
 
 /// A FIFO gate with a fixed limit and a bounded queue, which knows neither classes nor waits.
@@ -80,7 +80,9 @@
         return progress;
     }
 
-    auto setDeeperFloors(const std::vector<Level> & /*floors*/) -> void {}
+    auto setDeeperFloors(const std::vector<Level> & /*floors*/,
+                         const std::vector<PathFloor> & /*pathFloors*/) -> void
+    {}
 
     auto report(TimePoint /*now*/) -> LoadReport
     {
--- a/tests/measure/overload/Host.h
+++ b/tests/measure/overload/Host.h
@@ -25,8 +25,11 @@
         std::string domain;
         std::uint32_t maxQueue = 256;
         std::uint32_t reportedSlots = 1;
+        bool trustsReportedSlots = false;
         bool hasFloors = true;
         std::uint32_t classes = 1;
+        PathKey path = NoPath; ///< The one by which deeper floors are told; none: by class.
+        Duration tickLength{5'000};
     };
 
     Host(const Settings &settings, const ServiceModel &model, EventQueue &events, Random &random)
@@ -52,7 +55,12 @@
         const auto &root = *request.root;
         m_calls.emplace(request.id, Call{request, std::move(answer), nullptr, TimePoint(), false});
         m_events.at(root.deadline, [this, id = request.id] { didExpire(id); });
-        carryOut(m_gate.offer({request.id, root.level, root.deadline}, m_events.now(), m_random));
+        const auto offer = admission::CallOffer{.id = request.id,
+                                                .level = root.level,
+                                                .deadline = root.deadline,
+                                                .path = root.path,
+                                                .hasBegun = request.isDeeperCall};
+        carryOut(m_gate.offer(offer, m_events.now(), m_random));
     }
 
     /// The entry that sent the attempt no longer waits for it.
@@ -79,13 +87,12 @@
         bool isDispatched = false;
     };
 
-    static constexpr auto TickLength = Duration(5'000);
-
     static auto admissionSettings(const Settings &settings) -> AdmissionSettings
     {
         auto result = AdmissionSettings();
         result.maxQueue = settings.maxQueue;
         result.reportedSlots = settings.reportedSlots;
+        result.trustsReportedSlots = settings.trustsReportedSlots;
         return result;
     }
 
@@ -93,17 +100,23 @@
     {
         tellDeeperFloors();
         carryOut(m_gate.didPassTime(m_events.now(), m_random));
-        m_events.after(TickLength, [this] { tick(); });
+        m_events.after(m_settings.tickLength, [this] { tick(); });
     }
 
     auto tellDeeperFloors() -> void
     {
         if (!m_settings.hasFloors || !m_entry)
             return;
+        const auto leastRank = static_cast<ClassRank>(m_settings.classes - 1);
+        if (m_settings.path != NoPath) {
+            const auto floor = m_entry->floorFor({leastRank, m_settings.path});
+            m_gate.setDeeperFloors({}, {{m_settings.path, floor}});
+            return;
+        }
         auto floors = std::vector<Level>();
         for (std::uint32_t rank = 0; rank < m_settings.classes; ++rank)
             floors.push_back(m_entry->floorFor(static_cast<ClassRank>(rank)));
-        m_gate.setDeeperFloors(std::move(floors));
+        m_gate.setDeeperFloors(std::move(floors), {});
     }
 
     auto carryOut(const Progress &progress) -> void
@@ -202,8 +215,10 @@
         if (it == m_calls.end())
             return;
         answer.report = m_gate.report(m_events.now());
-        if (!m_settings.hasFloors)
+        if (!m_settings.hasFloors) {
             answer.report.floors.clear();
+            answer.report.pathFloors.clear();
+        }
         const auto handler = std::move(it->second.answer);
         m_calls.erase(it);
         handler(answer);
--- a/tests/measure/overload/Messages.h
+++ b/tests/measure/overload/Messages.h
@@ -17,6 +17,7 @@
     CallId id = 0;
     RootRequestPtr root;
     retry::AttemptBudget budget;
+    bool isDeeperCall = false; ///< Made by a backend server that runs the root request.
 };
 
 struct AttemptAnswer
--- a/tests/measure/overload/Results.h
+++ b/tests/measure/overload/Results.h
@@ -32,6 +32,9 @@
     std::uint64_t answered = 0; ///< Whole and on time, at the first try or a later one.
     std::uint64_t tries = 0;
     std::map<Reason, std::uint64_t> endings; ///< Of the tries that were not answered.
+    std::uint64_t lostBeforeStart =
+            0; ///< Tries that ended without an answer and never ran anywhere.
+    std::uint64_t lostAfterStart = 0; ///< The same, after a backend server had begun to work.
 
     [[nodiscard]] auto goodput() const -> double
     {
@@ -85,6 +88,10 @@
         ++m_roots;
         m_dispatches += root.dispatches;
         m_maxDispatches = std::max(m_maxDispatches, root.dispatches);
+        if (wasAnswered || !isInSurge(root.issuedAt))
+            return;
+        auto &ofClass = m_classes[root.rank];
+        ++(root.dispatches > 0 ? ofClass.lostAfterStart : ofClass.lostBeforeStart);
     }
 
     [[nodiscard]] auto classes() const -> const std::vector<ClassResult> & { return m_classes; }
--- a/tests/measure/overload/Simulation.h
+++ b/tests/measure/overload/Simulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -26,6 +27,11 @@
     std::uint32_t retryBudget = 3; ///< Extra dispatches of one root request.
     double reportedSlots =
             1.0; ///< What the deepest backend servers report, over the slots that they have.
+    bool hasExactSlots = false; ///< Gates take the reported slots for their limit.
+    bool entersAnywhere =
+            false;            ///< Clients call any host; else the hosts of the first service only.
+    PathKey path = NoPath;    ///< By which floors of deeper services are told; none: by class.
+    Duration gateTick{5'000}; ///< How often a gate looks at its deadlines and deeper floors.
     std::uint64_t seed = 1;
     Phases phases;
     ClientSettings clients;
@@ -75,6 +81,7 @@
     {
         auto settings = m_scenario.clients;
         settings.hasHashLevels = m_traits.hasHashLevels;
+        settings.path = m_scenario.path;
         return settings;
     }
 
@@ -93,11 +100,14 @@
         auto settings = typename Node::Settings();
         settings.node =
                 "10.0." + std::to_string(service) + "." + std::to_string(upstream + 1) + ":7100";
-        settings.domain = "domain-" + std::to_string(upstream % DomainCount);
+        settings.domain = "domain-" + std::to_string(upstream % m_scenario.deployment.domains);
         settings.hasFloors = m_traits.hasFloors;
         settings.classes = static_cast<std::uint32_t>(m_scenario.clients.classShares.size());
         const auto &model = m_scenario.deployment.chain[service];
         settings.reportedSlots = reportedSlotsOf(service);
+        settings.trustsReportedSlots = m_scenario.hasExactSlots;
+        settings.path = m_scenario.path;
+        settings.tickLength = m_scenario.gateTick;
         m_hosts[service].push_back(std::make_unique<Node>(settings, model, m_events, m_random));
     }
 
@@ -114,8 +124,12 @@
             for (const auto &it : m_hosts[service])
                 it->setDeeperEntry(createEntry(*it, service + 1, false));
         }
-        for (const auto &it : m_hosts.front())
-            m_rootEntries.push_back(createEntry(*it, 0, true));
+        for (const auto &service : m_hosts) {
+            for (const auto &it : service)
+                m_rootEntries.push_back(createEntry(*it, 0, true));
+            if (!m_scenario.entersAnywhere)
+                break;
+        }
     }
 
     auto createEntry(const Node &host, std::size_t service, bool isRoot)
@@ -129,13 +143,27 @@
         settings.traits = m_traits;
         settings.hasDeeperCalls = service + 1 < m_hosts.size();
         settings.isRoot = isRoot;
-        auto upstreams = std::vector<routing::Upstream>();
-        for (const auto &it : m_hosts[service])
-            upstreams.push_back({it->node(), it->domain(), 1, reportedSlotsOf(service), false});
+        const auto upstreams = upstreamsKnownTo(settings.ownNode, service);
         return std::make_unique<Entry<Node>>(settings, m_hosts[service], upstreams, m_events,
                                              m_random);
     }
 
+    /// All upstreams of a service, or of a large one as many in a row as a host may call in a run: its choice sees a subset
+    /// of them only, and thousands of whole lists would not fit into memory.
+    [[nodiscard]] auto upstreamsKnownTo(const NodeId &node, std::size_t service) const
+            -> std::vector<routing::Upstream>
+    {
+        static constexpr auto MostKnown = std::size_t{60};
+        const auto &hosts = m_hosts[service];
+        const auto first = hosts.size() > MostKnown ? std::hash<NodeId>()(node) : 0;
+        auto upstreams = std::vector<routing::Upstream>();
+        for (std::size_t n = 0; n < std::min(MostKnown, hosts.size()); ++n) {
+            const auto &it = hosts[(first + n) % hosts.size()];
+            upstreams.push_back({it->node(), it->domain(), 1, reportedSlotsOf(service), false});
+        }
+        return upstreams;
+    }
+
     auto enter(const RootRequestPtr &root, ResultHandler done) -> void
     {
         auto &entry = *m_rootEntries[randomBelow(m_random, m_rootEntries.size())];
