Routing: Take the floors of a path from all upstreams' reports together

Cause: an entry knew a deeper service's floors pair by pair. Each view lapses after 0.5 s, and of 16 views one that had lapsed was enough to let a request begin; upwards, the lowest of old floors was told. In a fleet of hundreds a pair speaks every second or two, so that most views are old (194 entries, 16 links each: two of 16 were heard of within a half-life).

Change: what the services further down admit is the same through each upstream of a service. PathFloorEstimate takes the mean of all upstreams' words, each by its age (half after 0.1 s), and each view is drawn towards it as its own word ages. Where the path is shut, the search is not widened to the upstreams outside the subset. Of upstreams' own floors a lower quartile of fresh words is told upwards in place of the lowest.

Ruled out: longer half-lives, which keep floors up after the surge; asking gates more often, which costs a hop for each request.

--- a/source/routing/CandidateTiers.cpp
+++ b/source/routing/CandidateTiers.cpp
@@ -25,8 +25,7 @@
     }
     if (view.isEjected(m_now) || !view.isReachable())
         return;
-    const auto floor = view.floors().floorFor({m_request.level.rank(), m_request.path}, m_now,
-                                              m_settings.reportHalfLife);
+    const auto floor = floorOf(view);
     if (floor > m_request.level)
         m_lowestFloor = std::min(m_lowestFloor.value_or(floor), floor);
     if (isExcluded(view.upstream().node))
@@ -41,12 +40,31 @@
            != m_request.excluded.end();
 }
 
+auto CandidateTiers::floorOf(const UpstreamView &view) const -> Level
+{
+    const auto key = FloorKey(m_request.level.rank(), m_request.path);
+    const auto own = view.floors().ownFloorFor(key, m_now, m_settings.reportHalfLife);
+    if (key.path == NoPath)
+        return own;
+    const auto proven = view.floors().provenLevel(key.path, m_now, m_settings.reportHalfLife);
+    return std::max(own, std::min(m_pathFloor.floorOf(view), proven));
+}
+
+/// How long ago the floor was told that stands above the call. That of the path is as young as the last word of any upstream.
+auto CandidateTiers::floorAge(const UpstreamView &view) const -> Duration
+{
+    const auto ofView = view.floors().age({m_request.level.rank(), m_request.path}, m_now);
+    const auto ofPath = m_pathFloor.age();
+    const auto isPathShut =
+            m_request.path != NoPath && ofPath && m_pathFloor.floorOf(view) > m_request.level;
+    return isPathShut ? std::min(ofView, *ofPath) : ofView;
+}
+
 auto CandidateTiers::tierOf(const UpstreamView &view, Level floor) const -> Tier
 {
     if (floor <= m_request.level)
         return admittedTierOf(view);
-    if (view.floors().age({m_request.level.rank(), m_request.path}, m_now)
-        <= maxFloorAge(m_request.level.rank(), m_settings.reportHalfLife))
+    if (floorAge(view) <= maxFloorAge(m_request.level.rank(), m_settings.reportHalfLife))
         return Tier::BelowFloor;
     return Tier::OldFloor;
 }
--- a/source/routing/CandidateTiers.h
+++ b/source/routing/CandidateTiers.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "LoadEstimate.h"
+#include "PathFloorEstimate.h"
 #include "UpstreamView.h"
 
 namespace stairspur::routing {
@@ -36,11 +37,12 @@
 {
 public:
     CandidateTiers(const RouteRequest &request, const RoutingSettings &settings, TimePoint now,
-                   const LoadEstimate &estimate)
+                   const LoadEstimate &estimate, const PathFloorEstimate &pathFloor)
         : m_request(request)
         , m_settings(settings)
         , m_now(now)
         , m_estimate(estimate)
+        , m_pathFloor(pathFloor)
     {}
 
     /// Puts an upstream into its tier, or counts why it is none.
@@ -65,6 +67,8 @@
 
 private:
     [[nodiscard]] auto isExcluded(const NodeId &node) const -> bool;
+    [[nodiscard]] auto floorOf(const UpstreamView &view) const -> Level;
+    [[nodiscard]] auto floorAge(const UpstreamView &view) const -> Duration;
     [[nodiscard]] auto tierOf(const UpstreamView &view, Level floor) const -> Tier;
     [[nodiscard]] auto admittedTierOf(const UpstreamView &view) const -> Tier;
 
@@ -72,6 +76,7 @@
     const RoutingSettings &m_settings;
     TimePoint m_now;
     const LoadEstimate &m_estimate;
+    const PathFloorEstimate &m_pathFloor;
     std::array<std::vector<std::uint32_t>, TierCount> m_tiers;
     std::optional<Level> m_lowestFloor;
     std::size_t m_seen = 0;
--- a/source/routing/FloorView.cpp
+++ b/source/routing/FloorView.cpp
@@ -1,28 +1,52 @@
 #include "FloorView.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace stairspur::routing {
 
-/// After this many half-lives nothing is left of a floor that nobody refreshed.
-static constexpr auto LifetimeHalfLives = 8;
-
 /// How far a floor falls in each half-life, after the first one.
 static constexpr auto FallPerHalfLife = HashesPerClass;
 
 static constexpr auto MaxRanks = std::size_t{MaxClassRank} + 1;
 
-auto FloorView::reportedFloor(FloorKey key) const -> Level
+auto fallenFloor(Level floor, Duration age, Duration halfLife) -> Level
+{
+    if (age <= halfLife)
+        return floor;
+    if (age > halfLife * FloorLifetimeHalfLives)
+        return LowestLevel;
+    const auto fall = (age - halfLife).count() * FallPerHalfLife / halfLife.count();
+    return Level{static_cast<std::uint16_t>(std::max<std::int64_t>(0, floor.value - fall))};
+}
+
+auto freshness(Duration age, Duration halfLife) -> double
+{
+    static constexpr auto FreshnessDivisor = 5;
+    const auto unit = static_cast<double>(halfLife.count()) / FreshnessDivisor;
+    return std::exp2(-static_cast<double>(std::max(age, Duration::zero()).count()) / unit);
+}
+
+auto FloorView::rankFloor(ClassRank rank) const -> Level
 {
-    const auto ofPath = floorOfPath(m_pathFloors, key.path);
     if (m_floors.empty())
-        return ofPath;
-    return std::max(ofPath, key.rank < m_floors.size() ? m_floors[key.rank] : m_floors.back());
+        return LowestLevel;
+    return rank < m_floors.size() ? m_floors[rank] : m_floors.back();
+}
+
+auto FloorView::reportedFloor(FloorKey key) const -> Level
+{
+    return std::max(pathFloor(key.path), rankFloor(key.rank));
 }
 
 auto FloorView::heldFloor(FloorKey key) const -> HeldFloor
 {
-    auto held = HeldFloor{reportedFloor(key), m_reportedAt};
+    return heldFloor(key, reportedFloor(key));
+}
+
+auto FloorView::heldFloor(FloorKey key, Level reported) const -> HeldFloor
+{
+    auto held = HeldFloor{reported, m_reportedAt};
     for (const auto &it : m_refusals) {
         if (it.key == key && it.held.floor >= held.floor)
             held = it.held;
@@ -51,6 +75,7 @@
     m_floors = std::move(bounded);
     m_pathFloors = std::move(pathFloors);
     m_reportedAt = now;
+    m_hasReported = true;
     m_refusals.clear();
 }
 
@@ -82,16 +107,21 @@
 
 auto FloorView::floorFor(FloorKey key, TimePoint now, Duration halfLife) const -> Level
 {
-    auto floor = heldFloor(key).floor;
-    const auto floorAge = age(key, now);
-    if (floorAge > halfLife * LifetimeHalfLives)
-        return LowestLevel;
-    if (floorAge > halfLife) {
-        const auto fall = (floorAge - halfLife).count() * FallPerHalfLife / halfLife.count();
-        floor.value = static_cast<std::uint16_t>(std::max<std::int64_t>(0, floor.value - fall));
-    }
-    const auto isProven = key.path == m_admittedPath && now - m_admittedAt <= halfLife;
-    return isProven ? std::min(floor, m_admitted) : floor;
+    const auto floor = fallenFloor(heldFloor(key).floor, age(key, now), halfLife);
+    return std::min(floor, provenLevel(key.path, now, halfLife));
+}
+
+auto FloorView::ownFloorFor(FloorKey key, TimePoint now, Duration halfLife) const -> Level
+{
+    const auto held = heldFloor(key, rankFloor(key.rank));
+    const auto floor = fallenFloor(held.floor, now - held.at, halfLife);
+    return std::min(floor, provenLevel(key.path, now, halfLife));
+}
+
+auto FloorView::provenLevel(PathKey path, TimePoint now, Duration halfLife) const -> Level
+{
+    const auto isProven = path == m_admittedPath && now - m_admittedAt <= halfLife;
+    return isProven ? m_admitted : ClosedLevel;
 }
 
 auto FloorView::age(FloorKey key, TimePoint now) const -> Duration
--- a/source/routing/PoolState.cpp
+++ b/source/routing/PoolState.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "OwnFloorEstimate.h"
 #include "RefusalDelay.h"
 #include "RendezvousSubset.h"
 #include "SlowStart.h"
@@ -77,14 +78,34 @@
     return loads;
 }
 
+auto UpstreamPool::State::isUsable(const UpstreamView &view, TimePoint now) const -> bool
+{
+    return view.isReachable() && !view.isEjected(now)
+           && !view.isDraining(now, m_settings.reportHalfLife);
+}
+
+auto UpstreamPool::State::pathFloor(FloorKey key, TimePoint now) const -> PathFloorEstimate
+{
+    auto result = PathFloorEstimate(key, now, m_settings.reportHalfLife);
+    if (key.path == NoPath)
+        return result;
+    for (const auto it : m_subsetIndices) {
+        if (isUsable(m_views[it], now))
+            result.include(m_views[it]);
+    }
+    return result;
+}
+
 auto UpstreamPool::State::choose(const RouteRequest &request, TimePoint now, Random &random)
         -> RouteDecision
 {
     const auto loads = estimate(now);
-    auto tiers = CandidateTiers(request, m_settings, now, loads);
+    const auto floorBelow = pathFloor({request.level.rank(), request.path}, now);
+    auto tiers = CandidateTiers(request, m_settings, now, loads, floorBelow);
     for (const auto it : m_subsetIndices)
         tiers.add(m_views[it], it);
-    if (!tiers.hasTimely())
+    // What no upstream's way admits is not to be found outside the subset either.
+    if (!tiers.hasTimely() && floorBelow.floor() <= request.level)
         widen(tiers);
     if (const auto tier = tiers.best()) {
         const auto &members = tiers.members(*tier);
@@ -235,11 +256,11 @@
                                        m_settings.ejectionBase))
         return;
     const auto isEjected = [&](const UpstreamView &it) { return it.isEjected(now); };
-    const auto isUsable = [&](const UpstreamView &it) {
+    const auto mayTakeCalls = [&](const UpstreamView &it) {
         return !it.isEjected(now) && !it.isDraining(now, m_settings.reportHalfLife);
     };
     const auto ejected = std::count_if(m_views.begin(), m_views.end(), isEjected);
-    const auto usable = std::count_if(m_views.begin(), m_views.end(), isUsable);
+    const auto usable = std::count_if(m_views.begin(), m_views.end(), mayTakeCalls);
     const auto most = OutlierEjection::maxEjected(m_views.size(), m_settings.maxEjectedShare);
     if (static_cast<std::size_t>(ejected) >= most || usable <= 1)
         return;
@@ -258,23 +279,19 @@
 /// all of them lead to the same overloaded service.
 auto UpstreamPool::State::floorFor(FloorKey key, TimePoint now) const -> Level
 {
-    auto lowestHeard = std::optional<Level>();
-    auto hasSilent = false;
+    const auto floorBelow = pathFloor(key, now).floor();
+    auto heard = OwnFloorEstimate(key, now, m_settings.reportHalfLife);
+    auto isAnyUsable = false;
     for (const auto &it : m_views) {
         const auto isKnown = it.isInSubset() || it.reports().limit() > 0;
-        if (!isKnown || !it.isReachable() || it.isEjected(now)
-            || it.isDraining(now, m_settings.reportHalfLife))
+        if (!isKnown || !isUsable(it, now))
             continue;
-        if (it.floors().age(key, now) > m_settings.reportHalfLife) {
-            hasSilent = true;
-            continue;
-        }
-        const auto floor = it.floors().floorFor(key, now, m_settings.reportHalfLife);
-        lowestHeard = std::min(lowestHeard.value_or(floor), floor);
+        isAnyUsable = true;
+        heard.include(it);
     }
-    if (lowestHeard)
-        return *lowestHeard;
-    return hasSilent ? LowestLevel : ClosedLevel;
+    if (!isAnyUsable)
+        return ClosedLevel;
+    return std::max(heard.floor(), floorBelow);
 }
 
 } // namespace stairspur::routing
--- a/source/routing/PoolState.h
+++ b/source/routing/PoolState.h
@@ -32,6 +32,8 @@
     auto maybeEject(UpstreamView &view, TimePoint now) -> void;
     [[nodiscard]] auto poolRate(TimePoint now) const -> double;
     [[nodiscard]] auto estimate(TimePoint now) const -> LoadEstimate;
+    [[nodiscard]] auto pathFloor(FloorKey key, TimePoint now) const -> PathFloorEstimate;
+    [[nodiscard]] auto isUsable(const UpstreamView &view, TimePoint now) const -> bool;
 
     /// Adds the upstreams outside the subset, before a call is refused or placed too late.
     auto widen(CandidateTiers &tiers) const -> void;
