Admission: Pass over the levels that no call has used

Cause: every 20 ms the floor's estimator went over all 8,192 places of the serving order, 245,000 instructions a window by callgrind, 0.3 to 0.4 % of a core on each node that serves. A fleet uses a few of 32 classes.

Change: nothing below the least important class that was ever seen is looked at: 41,000 instructions with three classes.

--- a/source/admission/FloorEstimator.cpp
+++ b/source/admission/FloorEstimator.cpp
@@ -45,8 +45,18 @@
 
 auto FloorEstimator::didArrive(ServingOrder order, Duration work) -> void
 {
-    m_arrivals[std::min<std::size_t>(order.value, LevelCount - 1)] +=
-            static_cast<float>(work.count());
+    const auto level = std::min<std::size_t>(order.value, LevelCount - 1);
+    if (level < m_lowestUsed)
+        extendTo(level);
+    m_arrivals[level] += static_cast<float>(work.count());
+}
+
+auto FloorEstimator::extendTo(std::size_t level) -> void
+{
+    const auto start = level / OrdersPerClass * OrdersPerClass;
+    std::fill(m_windowsSeen.begin() + static_cast<std::ptrdiff_t>(start),
+              m_windowsSeen.begin() + static_cast<std::ptrdiff_t>(m_lowestUsed), m_windowsOfUnused);
+    m_lowestUsed = start;
 }
 
 auto FloorEstimator::raiseAbove(ServingOrder order) -> void
@@ -81,7 +91,8 @@
     const auto visible = visibleFrom();
     learnRates(visible, length);
     extrapolate(visible, length);
-    m_arrivals.fill(0);
+    std::fill(m_arrivals.begin() + static_cast<std::ptrdiff_t>(m_lowestUsed), m_arrivals.end(),
+              0.0F);
     if (load.isWorkKnown) {
         auto window = load;
         const auto microseconds = static_cast<double>(length.count());
@@ -100,10 +111,15 @@
 {
     const auto microseconds = static_cast<float>(length.count());
     const auto weight = weightOf(length, RateMemory);
-    std::fill_n(m_windowsSeen.begin(), visible, std::uint8_t{0});
-    for (auto level = visible; level < LevelCount; ++level) {
+    const auto oneMore = [](std::uint8_t windows) {
+        return static_cast<std::uint8_t>(std::min(windows + 1, 255));
+    };
+    m_windowsOfUnused = visible > m_lowestUsed ? std::uint8_t{0} : oneMore(m_windowsOfUnused);
+    for (auto level = m_lowestUsed; level < visible; ++level)
+        m_windowsSeen[level] = 0;
+    for (auto level = std::max(visible, m_lowestUsed); level < LevelCount; ++level) {
         auto &seen = m_windowsSeen[level];
-        seen = static_cast<std::uint8_t>(std::min(seen + 1, 255));
+        seen = oneMore(seen);
         const auto places = m_arrivals[level] / microseconds;
         const auto ownWeight = static_cast<float>(std::max(weight, 1.0 / (seen + 1)));
         m_places[level] += (places - m_places[level]) * ownWeight;
@@ -122,7 +138,7 @@
                   static_cast<float>(mean));
     }
     const auto kept = static_cast<float>(1.0 - weightOf(length, HiddenMemory));
-    for (std::size_t level = 0; level < bandStart; ++level)
+    for (auto level = m_lowestUsed; level < bandStart; ++level)
         m_places[level] *= kept;
 }
 
@@ -169,7 +185,7 @@
 auto FloorEstimator::sumFrom(std::size_t level) const -> double
 {
     auto sum = 0.0;
-    for (; level < LevelCount; ++level)
+    for (level = std::max(level, m_lowestUsed); level < LevelCount; ++level)
         sum += static_cast<double>(m_places[level]);
     return sum;
 }
@@ -178,9 +194,9 @@
 {
     auto level = LevelCount;
     auto sum = 0.0;
-    while (level > 0 && sum < places)
+    while (level > m_lowestUsed && sum < places)
         sum += static_cast<double>(m_places[--level]);
-    return level;
+    return sum < places ? 0 : level;
 }
 
 } // namespace stairspur::admission
--- a/source/admission/FloorEstimator.h
+++ b/source/admission/FloorEstimator.h
@@ -63,6 +63,8 @@
     static constexpr auto FloorsUnderWay = std::size_t{5};
 
     auto endWindow(const Load &load, Duration length) -> void;
+    /// A call came below all levels in use.
+    auto extendTo(std::size_t level) -> void;
     auto learnRates(std::size_t visible, Duration length) -> void;
     auto extrapolate(std::size_t visible, Duration length) -> void;
     auto moveFloor(std::size_t target, double idle) -> void;
@@ -78,6 +80,10 @@
     std::array<float, LevelCount> m_places{};   ///< That what would come takes, by level.
     std::array<float, LevelCount> m_arrivals{}; ///< Work that came in this window, in microseconds.
     std::array<std::uint8_t, LevelCount> m_windowsSeen{}; ///< Windows that a level has been let in.
+    /// No call has come below it, so that nothing is to be learnt there. Of 32 classes a fleet uses a few: with three of them
+    /// a window costs a sixth of what a pass over all levels does (41,000 against 245,000 instructions by callgrind).
+    std::size_t m_lowestUsed = LevelCount;
+    std::uint8_t m_windowsOfUnused = 0; ///< Windows that the levels below it have been let in.
     std::array<ServingOrder, FloorsUnderWay> m_floors{};
     std::size_t m_nextFloor = 0;
     double m_placesAboveFloor = 0; ///< Kept, since each report asks for it.
