Membership: Tell the lives of a backend server apart by their start, refuse what another writer sends

Cause: a backend server that starts again may keep its name. Its sequence then starts anew, so that all it said was taken for late until the sequence had passed the earlier life's; after it had said that it left, it was never believed again.

Change: a life is a name and a start. A later start begins anew whatever its sequence, an earlier one is late; after a clock was set back, the living one is taken once the other has been silent for a third of the timeout. The gate starts cold, and its reports tell other nodes that another life stands behind it, so that load, floors, failures and ejection are forgotten. Refusals are counted, with one line a second.

--- a/include/stairspur/admission/LoadReport.h
+++ b/include/stairspur/admission/LoadReport.h
@@ -29,6 +29,9 @@
     /// Greater floors of single paths, because of the deeper services that their calls need.
     std::vector<PathFloor> pathFloors{};
 
+    /// Grows with each start of a backend server behind this gate: what was learnt before says nothing of the new one.
+    std::uint32_t backendLife = 0;
+
     /// The floor that a call of this class and path meets.
     [[nodiscard]] auto floorFor(FloorKey key) const -> Level
     {
--- a/include/stairspur/membership/Announcement.h
+++ b/include/stairspur/membership/Announcement.h
@@ -17,6 +17,16 @@
     using InputError::InputError;
 };
 
+/// One life of a backend server: from its start to its end. A server that starts again may keep its name, so that only
+/// the time of the start tells its lives apart.
+struct BackendLife
+{
+    std::string instance;          ///< Empty where the server has no name.
+    std::uint64_t startedAtMs = 0; ///< Unix milliseconds by its host's clock; 0: not told.
+
+    auto operator==(const BackendLife &) const -> bool = default;
+};
+
 /// What a backend server says of itself to its host's node, every second.
 struct Announcement
 {
@@ -26,8 +36,8 @@
     ServingState state = ServingState::Starting;
     std::uint32_t inFlight = 0;        ///< Calls that it runs now.
     std::string address = "127.0.0.1"; ///< Of its HTTP server.
-    std::string instance{}; ///< Names one start of the backend server; empty where it has no name.
-    std::uint64_t sequence = 0; ///< Grows with each announcement of one instance; 0: not told.
+    BackendLife life{};
+    std::uint64_t sequence = 0; ///< Grows with each announcement of one life; 0: not told.
     Duration coldFor{0};        ///< How much longer it will be slow after its start.
 
     auto operator==(const Announcement &) const -> bool = default;
--- a/include/stairspur/membership/BackendAnnouncements.h
+++ b/include/stairspur/membership/BackendAnnouncements.h
@@ -10,6 +10,11 @@
 namespace stairspur::membership {
 
 /// The one backend server of this host, as its announcements tell. Silence counts as leaving.
+///
+/// A server that starts again begins a new life, under a new name or under the same one with a later start. Announcements
+/// of a life that is over come late and are passed over, whatever their sequence. Starts are told by the host's clock, which
+/// may have been set back between two lives: one that seems earlier than the life that is known, but goes on announcing
+/// while that one is silent, is taken for the living one after a third of the timeout.
 class BackendAnnouncements
 {
 public:
@@ -18,14 +23,14 @@
         : m_timeout(timeout)
     {}
 
-    /// Takes an announcement in; tells whether the own record changes by it (service, slots or state). Throws
-    /// AnnouncementError when another backend server without a name is there already; a named instance takes the place of the
+    /// Takes an announcement in; tells whether the own record changes by it (life, service, slots or state). Throws
+    /// AnnouncementError when another backend server without a name is there already; a named one takes the place of the
     /// one before it. What comes late is passed over.
     auto take(const Announcement &announcement, TimePoint now) -> bool;
 
-    /// The instance has left for good; announcements of it that come late are passed over. Tells whether the own record
-    /// changes by it.
-    auto leave(const std::string &instance, TimePoint now) -> bool;
+    /// A life has ended for good; announcements of it that come late are passed over. Without the time of its start it is the
+    /// life that is known by that name. Tells whether the own record changes by it.
+    auto leave(const BackendLife &life, TimePoint now) -> bool;
 
     /// Notices silence; tells whether the own record changes by it.
     auto tick(TimePoint now) -> bool;
@@ -44,15 +49,19 @@
 
 private:
     [[nodiscard]] auto stateThatCounts(ServingState announced) const -> ServingState;
+    /// Whether the life is over, or earlier than one of the same name.
+    [[nodiscard]] auto isPast(const BackendLife &life) const -> bool;
     [[nodiscard]] auto isOutdated(const Announcement &announcement) const -> bool;
-    auto retire(const std::string &instance) -> void;
-    /// Whether an instance that was replaced goes on announcing while the one in its place is silent.
+    [[nodiscard]] auto lastLifeOf(const std::string &instance) const -> std::optional<BackendLife>;
+    [[nodiscard]] auto isUnproven(const Announcement &announcement) const -> bool;
+    auto retire(const BackendLife &life) -> void;
+    /// Whether a life that was taken for past goes on announcing while the one in its place is silent.
     auto isBack(const Announcement &announcement, TimePoint now) -> bool;
 
-    /// An instance whose place was taken, and which announces again.
+    /// A life that was taken for past, and announces again.
     struct Returning
     {
-        std::string instance;
+        BackendLife life;
         std::uint64_t sequence = 0;
         TimePoint since;
     };
@@ -61,10 +70,10 @@
     bool m_isDraining = false;
     TimePoint m_lastHeard;
     std::optional<Announcement> m_current;
-    /// Instances that were replaced or have left, the last ones.
-    std::deque<std::string> m_retired;
+    /// Lives that were replaced or have left, the last ones.
+    std::deque<BackendLife> m_retired;
     /// Those of them that have left by their own word.
-    std::deque<std::string> m_left;
+    std::deque<BackendLife> m_left;
     std::optional<Returning> m_returning;
 };
 
--- a/include/stairspur/node/NodeAdapter.h
+++ b/include/stairspur/node/NodeAdapter.h
@@ -22,9 +22,11 @@
 {
     /// Takes what the host's backend server says of itself. Throws AnnouncementError.
     std::function<void(const membership::Announcement &)> announce;
-    /// The backend server `instance` has gone; nothing of it counts from now on.
-    std::function<void(const std::string &instance)> leave;
+    /// A life of the backend server has ended; nothing of it counts from now on.
+    std::function<void(const membership::BackendLife &life)> leave;
     std::function<bool()> isReady;
+    /// What was said of `instance` could not be taken; `error` tells why.
+    std::function<void(const std::string &instance, const std::string &error)> didRefuse;
 };
 
 /// A further address on which the control thread answers HTTP.
--- /dev/null
+++ b/source/node/AnnouncementRefusals.cpp
@@ -0,0 +1,24 @@
+#include "AnnouncementRefusals.h"
+
+#include <stairspur/log/Log.h>
+
+namespace stairspur::node {
+
+/// Time between two lines: a person reads no faster.
+static constexpr auto LineInterval = Duration{1'000'000};
+
+auto AnnouncementRefusals::didRefuse(const std::string &instance, const std::string &error,
+                                     TimePoint now) -> void
+{
+    ++m_count;
+    if (m_toldAt && now - *m_toldAt < LineInterval)
+        return;
+    m_toldAt = now;
+    ++m_lines;
+    log::Line(log::Severity::Warning, "announcement-refused")
+            .add("instance", instance)
+            .add("error", error)
+            .add("refused", m_count);
+}
+
+} // namespace stairspur::node
--- a/source/node/ControlMetrics.cpp
+++ b/source/node/ControlMetrics.cpp
@@ -217,6 +217,10 @@
     auto registry = Registry();
     addMembers(registry, state.members);
     addMembership(registry, state.membership);
+    addCounter(registry,
+               {"stairspur_announcements_refused_total",
+                "Announcements of the host's backend server that were malformed or out of place."},
+               state.refusedAnnouncements);
     addDistribution(registry, state);
     if (state.store) {
         addStore(registry, *state.store);
--- a/source/node/ControlMetrics.h
+++ b/source/node/ControlMetrics.h
@@ -31,6 +31,7 @@
     EntryState entry;
     GateState gate;
     ProcessUsage process;
+    std::uint64_t refusedAnnouncements = 0; ///< Of the host's backend server.
 };
 
 /// The control metrics in the Prometheus text format. Made anew for each scrape from counters that exist anyway, so that
--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -191,8 +191,11 @@
 {
     return {
             [this](const membership::Announcement &it) { didAnnounce(it); },
-            [this](const std::string &instance) { didLeave(instance); },
+            [this](const membership::BackendLife &life) { didLeave(life); },
             [this] { return isReady(); },
+            [this](const std::string &instance, const std::string &error) {
+                m_refusals.didRefuse(instance, error, monotonicNow());
+            },
     };
 }
 
@@ -210,15 +213,32 @@
     }
 }
 
+/// A service that no configuration names is no reason to give up the backend server that stands here. One that is known
+/// goes on announcing when its service leaves the configuration: its leaving has to be heard.
+auto ControlPlane::checkService(const membership::Announcement &announcement) const -> void
+{
+    const auto &current = m_announcements.current();
+    const auto configuration = *m_board.configuration.read();
+    const auto isKnownLife = current && current->life == announcement.life
+                             && current->service == announcement.service;
+    if (isKnownLife || !configuration || configuration->findService(announcement.service))
+        return;
+    throw membership::AnnouncementError("announcement: no configuration names this service",
+                                        "announce a service of the configuration, or apply one "
+                                        "that names it first");
+}
+
 auto ControlPlane::didAnnounce(const membership::Announcement &announcement) -> void
 {
+    if (!announcement.life.instance.empty())
+        checkService(announcement);
     if (m_announcements.take(announcement, monotonicNow()))
         publishBackend();
 }
 
-auto ControlPlane::didLeave(const std::string &instance) -> void
+auto ControlPlane::didLeave(const membership::BackendLife &life) -> void
 {
-    if (m_announcements.leave(instance, monotonicNow()))
+    if (m_announcements.leave(life, monotonicNow()))
         publishBackend();
 }
 
@@ -229,14 +249,15 @@
     if (!current)
         return;
     m_board.backend.publish({current->service, current->port, current->slots, current->state,
-                             current->address, current->instance});
+                             current->address, current->life});
     if (m_handlers.didChangeBackend)
         m_handlers.didChangeBackend();
     m_membership.setSelf(current->service, current->slots, current->state);
     log::Line(log::Severity::Info, "backend")
             .add("service", current->service)
             .add("port", current->port)
-            .add("instance", current->instance)
+            .add("instance", current->life.instance)
+            .add("started_at_ms", current->life.startedAtMs)
             .add("slots", current->slots)
             .add("state", current->state);
 }
@@ -303,6 +324,7 @@
     state.entry = *m_board.entryState.read();
     state.gate = *m_board.gateState.read();
     state.process = readProcessUsage();
+    state.refusedAnnouncements = m_refusals.count();
     return m_metrics.render() + renderControlMetrics(state);
 }
 
--- a/source/node/ControlPlane.h
+++ b/source/node/ControlPlane.h
@@ -23,6 +23,7 @@
 #include <stairspur/transport/PeerServer.h>
 
 #include "AdminApi.h"
+#include "AnnouncementRefusals.h"
 #include "LivenessHistory.h"
 #include "NodeBoard.h"
 #include "NodeMetrics.h"
@@ -75,8 +76,9 @@
     auto adminHooks() -> AdminHooks;
     auto controlHooks() -> ControlHooks;
     auto makeListeners(transport::asio::io_context &io) -> void;
+    auto checkService(const membership::Announcement &announcement) const -> void;
     auto didAnnounce(const membership::Announcement &announcement) -> void;
-    auto didLeave(const std::string &instance) -> void;
+    auto didLeave(const membership::BackendLife &life) -> void;
     auto publishBackend() -> void;
     auto didChangeView(std::shared_ptr<const membership::MembershipView> view) -> void;
     auto didPublish(config::ConfigurationPtr configuration) -> void;
@@ -101,6 +103,7 @@
     VersionsHeard m_versionsHeard;
     LivenessHistory m_livenessHistory;
     membership::BackendAnnouncements m_announcements;
+    AnnouncementRefusals m_refusals;
     AdminApi m_adminApi;
     transport::HttpServer m_adminServer;
     std::vector<std::unique_ptr<transport::HttpServer>> m_listeners; ///< Those of the adapter.
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -53,7 +53,7 @@
     m_admission->setDeeperFloors(floors->byRank, floors->byPath);
 }
 
-/// Takes over what the backend server announced. A new one, at another port, starts cold; calls that still run keep the
+/// Takes over what the backend server announced. A new one, or the former one after a new start, starts cold; calls that still run keep the
 /// client of the old one.
 auto Gate::refreshBackend() -> void
 {
@@ -69,7 +69,7 @@
     const auto limits = service ? service->limits : config::ServiceLimits();
 
     const auto isReplaced = backend.port != m_backend.port || backend.service != m_backend.service
-                            || backend.instance != m_backend.instance;
+                            || backend.life != m_backend.life;
     auto slots = backend.slots;
     if (limits.maxConcurrency > 0)
         slots = std::min(slots, limits.maxConcurrency);
@@ -79,6 +79,7 @@
     if (isReplaced) {
         m_client = makeClient(limits);
         m_admission->didReplaceBackend();
+        ++m_backendLives;
     }
     const auto isLeaving = backend.state == membership::ServingState::Draining
                            || backend.state == membership::ServingState::Left;
@@ -114,7 +115,7 @@
 {
     if (!m_protocol)
         return backendRequest(std::move(request), id, remaining);
-    return m_protocol->writeBackendRequest(std::move(request), remaining, m_backend.instance);
+    return m_protocol->writeBackendRequest(std::move(request), remaining, m_backend.life.instance);
 }
 
 /// What the entry would drop is not worth its way there: bytes between failure domains cost.
@@ -304,6 +305,7 @@
 {
     auto report = m_admission->report(monotonicNow());
     report.isDraining = report.isDraining || m_isDraining;
+    report.backendLife = m_backendLives;
     return report;
 }
 
--- a/source/node/NodeBoard.h
+++ b/source/node/NodeBoard.h
@@ -7,6 +7,7 @@
 #include <stairspur/blackboard/Blackboard.h>
 #include <stairspur/config/ConfigurationIndex.h>
 #include <stairspur/core/Level.h>
+#include <stairspur/membership/Announcement.h>
 #include <stairspur/membership/Member.h>
 
 #include "TrafficState.h"
@@ -21,7 +22,7 @@
     std::uint32_t slots = 0;
     membership::ServingState state = membership::ServingState::Starting;
     std::string address = "127.0.0.1";
-    std::string instance{}; ///< Names this start of it; empty where it has no name.
+    membership::BackendLife life{};
 };
 
 /// The floors of the services below this host's, as its entry sees them.
--- a/source/routing/UpstreamView.cpp
+++ b/source/routing/UpstreamView.cpp
@@ -26,15 +26,21 @@
     if (upstream.incarnation < m_upstream.incarnation)
         return;
     if (upstream.incarnation > m_upstream.incarnation) {
-        m_reports = {};
-        m_floors = {};
-        m_outcomes = {};
-        m_ejection = {};
-        m_newSince = now;
+        startAnew(now);
+        m_backendLife = 0; // Its gate counts anew too.
     }
     m_upstream = upstream;
 }
 
+auto UpstreamView::startAnew(TimePoint now) -> void
+{
+    m_reports = {};
+    m_floors = {};
+    m_outcomes = {};
+    m_ejection = {};
+    m_newSince = now;
+}
+
 auto UpstreamView::didEnd(const AttemptResult &result, TimePoint now, Duration halfLife) -> void
 {
     if (m_inFlight > 0)
@@ -71,6 +77,10 @@
 {
     if (!m_reports.isNewer(report, now, halfLife))
         return;
+    const auto isOfNewLife = m_backendLife > 0 && report.backendLife > m_backendLife;
+    if (isOfNewLife)
+        startAnew(now);
+    m_backendLife = report.backendLife;
     m_reports.take(report, m_upstream.slots, m_inFlight, now);
     m_floors.take(report.floors, report.pathFloors, now);
 }
--- a/source/routing/UpstreamView.h
+++ b/source/routing/UpstreamView.h
@@ -69,7 +69,11 @@
 private:
     auto didRefuse(const AttemptResult &result, TimePoint now) -> void;
 
+    /// What was learnt of the backend server does not hold for the one that stands there now.
+    auto startAnew(TimePoint now) -> void;
+
     Upstream m_upstream;
+    std::uint32_t m_backendLife = 0; ///< As last reported.
     ReportView m_reports;
     FloorView m_floors;
     OutcomeView m_outcomes;
--- a/source/transport/CallCodec.cpp
+++ b/source/transport/CallCodec.cpp
@@ -11,7 +11,7 @@
 /// The last two, of the calls that a root makes, are missing in what older nodes send.
 static constexpr auto CallItems = std::uint64_t{19};
 static constexpr auto AnswerItems = std::uint64_t{8};
-static constexpr auto ReportItems = std::uint64_t{8};
+static constexpr auto ReportItems = std::uint64_t{9};
 static constexpr auto SizeGuess = std::size_t{512};
 static constexpr auto MaxNumber = std::uint64_t{std::numeric_limits<std::uint32_t>::max()};
 /// A day in microseconds; no call lasts longer, and sums of such spans never overflow.
@@ -162,6 +162,7 @@
     writer.addArray(2 * report->pathFloors.size());
     for (const auto &it : report->pathFloors)
         writer.addUnsigned(it.path).addUnsigned(it.floor.value);
+    writer.addUnsigned(report->backendLife);
 }
 
 static auto readReport(CborReader &reader) -> std::optional<admission::LoadReport>
@@ -184,6 +185,8 @@
         it.path = readNumber(reader);
         it.floor = readLevel(reader);
     }
+    if (n >= ReportItems)
+        report.backendLife = readNumber(reader);
     reader.skip(n > ReportItems ? n - ReportItems : 0);
     return report;
 }
--- a/tests/membership/TestInstances.cpp
+++ b/tests/membership/TestInstances.cpp
@@ -16,7 +16,7 @@
     announcement.port = 9001;
     announcement.slots = 20;
     announcement.state = state;
-    announcement.instance = instance;
+    announcement.life.instance = instance;
     announcement.sequence = sequence;
     return announcement;
 }
@@ -26,7 +26,7 @@
     auto announcements = BackendAnnouncements(Second * 8);
     cr_assert(announcements.take(makeAnnouncement("a", 5), Start));
     cr_assert(announcements.take(makeAnnouncement("b", 1), Start), "the same port, another start");
-    cr_assert_eq(announcements.current()->instance, "b");
+    cr_assert_eq(announcements.current()->life.instance, "b");
 }
 
 Test(Instances, lateAnnouncementsArePassedOver)
@@ -37,14 +37,14 @@
     cr_assert(announcements.current()->state == ServingState::Draining);
     announcements.take(makeAnnouncement("b", 1), Start);
     cr_assert(!announcements.take(makeAnnouncement("a", 6), Start));
-    cr_assert_eq(announcements.current()->instance, "b");
+    cr_assert_eq(announcements.current()->life.instance, "b");
 }
 
 Test(Instances, whoHasLeftDoesNotComeBack)
 {
     auto announcements = BackendAnnouncements(Second * 8);
     announcements.take(makeAnnouncement("a", 5), Start);
-    cr_assert(announcements.leave("a", Start));
+    cr_assert(announcements.leave({"a"}, Start));
     cr_assert(!announcements.isServing());
     cr_assert(!announcements.take(makeAnnouncement("a", 6), Start));
     cr_assert(!announcements.isServing());
@@ -56,7 +56,7 @@
 {
     auto announcements = BackendAnnouncements(Second * 8);
     announcements.take(makeAnnouncement("b", 1), Start);
-    cr_assert(!announcements.leave("a", Start));
+    cr_assert(!announcements.leave({"a"}, Start));
     cr_assert(announcements.isServing());
 }
 
@@ -78,9 +78,9 @@
     auto sequence = std::uint64_t{8};
     for (auto now = Start + Second; now < Start + Second * 6; now += Second * 3 / 2)
         announcements.take(makeAnnouncement("living", sequence++), now);
-    cr_assert_eq(announcements.current()->instance, "living");
+    cr_assert_eq(announcements.current()->life.instance, "living");
     cr_assert(!announcements.take(makeAnnouncement("dead", 91), Start + Second * 7));
-    cr_assert_eq(announcements.current()->instance, "living");
+    cr_assert_eq(announcements.current()->life.instance, "living");
 }
 
 Test(Instances, lateAnnouncementsThatComeAtOnceAreNoReturn)
@@ -92,5 +92,98 @@
         cr_assert(!announcements.take(makeAnnouncement("dead", sequence), Start + Second * 2));
     announcements.take(makeAnnouncement("living", 2), Start + Second * 3);
     cr_assert(!announcements.take(makeAnnouncement("dead", 12), Start + Second * 6));
-    cr_assert_eq(announcements.current()->instance, "living");
+    cr_assert_eq(announcements.current()->life.instance, "living");
+}
+
+/// The same backend server "a", by the start of its life.
+static auto ofLife(std::uint64_t startedAtMs, std::uint64_t sequence,
+                   ServingState state = ServingState::Serving) -> Announcement
+{
+    auto announcement = makeAnnouncement("a", sequence, state);
+    announcement.life.startedAtMs = startedAtMs;
+    return announcement;
+}
+
+static constexpr auto FirstStart = std::uint64_t{1'700'000'000'000};
+static constexpr auto SecondStart = FirstStart + 60'000;
+
+Test(Lives, aLaterStartBeginsAnewWhateverItsSequence)
+{
+    struct
+    {
+        const char *name;
+        void (*endOfFirstLife)(BackendAnnouncements &);
+    } const cases[] = {
+            {"crashed", [](auto &) {}},
+            {"silent", [](auto &it) { it.tick(Start + Second * 9); }},
+            {"draining",
+             [](auto &it) { it.take(ofLife(FirstStart, 91, ServingState::Draining), Start); }},
+            {"left",
+             [](auto &it) {
+                 it.leave({"a", FirstStart}, Start);
+             }},
+            {"left without a start", [](auto &it) { it.leave({"a"}, Start); }},
+    };
+    for (const auto &it : cases) {
+        auto announcements = BackendAnnouncements(Second * 8);
+        announcements.take(ofLife(FirstStart, 90), Start);
+        it.endOfFirstLife(announcements);
+        cr_assert(announcements.take(ofLife(SecondStart, 1), Start + Second * 10), "%s", it.name);
+        cr_assert(announcements.isServing(), "%s", it.name);
+        cr_assert_eq(announcements.current()->life.startedAtMs, SecondStart, "%s", it.name);
+    }
+}
+
+Test(Lives, anEarlierStartIsOutdatedWhateverItsSequence)
+{
+    auto announcements = BackendAnnouncements(Second * 8);
+    announcements.take(ofLife(SecondStart, 1), Start);
+    cr_assert(!announcements.take(ofLife(FirstStart, 90, ServingState::Draining), Start));
+    cr_assert(!announcements.take(makeAnnouncement("a", 91), Start), "no start at all");
+    cr_assert(announcements.isServing());
+    cr_assert_eq(announcements.current()->life.startedAtMs, SecondStart);
+    cr_assert_eq(announcements.current()->sequence, 1);
+}
+
+Test(Lives, theLateWordThatAnEarlierLifeLeftChangesNothing)
+{
+    auto announcements = BackendAnnouncements(Second * 8);
+    announcements.take(ofLife(FirstStart, 90), Start);
+    announcements.take(ofLife(SecondStart, 1), Start + Second);
+    cr_assert(!announcements.leave({"a", FirstStart}, Start + Second * 2));
+    cr_assert(announcements.isServing());
+}
+
+Test(Lives, aLifeThatHasLeftDoesNotComeBack)
+{
+    auto announcements = BackendAnnouncements(Second * 8);
+    announcements.take(ofLife(SecondStart, 1), Start);
+    cr_assert(announcements.leave({"a"}, Start));
+    for (auto n = 2; n < 20; ++n)
+        announcements.take(ofLife(SecondStart, static_cast<std::uint64_t>(n)), Start + Second * n);
+    cr_assert(!announcements.isServing());
+}
+
+Test(Lives, afterTheClockWasSetBackTheLivingOneIsTakenOnceTheOtherIsSilent)
+{
+    auto announcements = BackendAnnouncements(Second * 8);
+    announcements.take(ofLife(SecondStart, 90), Start);
+    auto sequence = std::uint64_t{1};
+    for (auto now = Start + Second; now < Start + Second * 6; now += Second * 3 / 2)
+        announcements.take(ofLife(FirstStart, sequence++), now);
+    cr_assert_eq(announcements.current()->life.startedAtMs, FirstStart);
+    // What the dead one sent before comes late, and a third life starts while the clock is still behind.
+    cr_assert(!announcements.take(ofLife(SecondStart, 91), Start + Second * 7));
+    cr_assert(announcements.take(ofLife(FirstStart + 1, 1), Start + Second * 8));
+    cr_assert_eq(announcements.current()->life.startedAtMs, FirstStart + 1);
+}
+
+Test(Lives, whoTellsNoStartDoesNotTakeThePlaceOfOneThatDoes)
+{
+    auto announcements = BackendAnnouncements(Second * 8);
+    announcements.take(ofLife(FirstStart, 1), Start);
+    cr_assert_throw(announcements.take(makeAnnouncement("stranger", 1), Start), AnnouncementError);
+    cr_assert_eq(announcements.current()->life.instance, "a");
+    announcements.tick(Start + Second * 9);
+    cr_assert(announcements.take(makeAnnouncement("stranger", 2), Start + Second * 10));
 }
--- a/tests/routing/TestUpstreamPool.cpp
+++ b/tests/routing/TestUpstreamPool.cpp
@@ -278,3 +278,25 @@
         cr_assert_lt(picks, most * Choices, "%d of %d at %d us", picks, Choices, age);
     }
 }
+
+Test(UpstreamPool, aNewLifeOfTheBackendServerStartsAnew)
+{
+    // The gate stays and its reports go on in order: only the life tells that another server stands behind it.
+    auto fixture = PoolFixture(makeUpstreams("own", 2));
+    auto report = makeReport(9, 0, {ClosedLevel});
+    report.backendLife = 1;
+    fixture.pool.didReport("own0", report, fixture.now);
+    for (auto n = 0; n < 6; ++n)
+        fixture.attempt("own0", Outcome::Failed, Reason::BackendFailed);
+    cr_assert_eq(fixture.choose(levelOf(2)).node, "own1", "floors and failures keep calls away");
+    report = makeReport(10, 0);
+    report.backendLife = 2;
+    fixture.pool.didReport("own0", report, fixture.now);
+    auto isChosen = false;
+    for (auto n = 0; n < 200 && !isChosen; ++n)
+        isChosen = fixture.choose(levelOf(2)).node == "own0";
+    cr_assert(isChosen);
+    fixture.pool.didReport("own0", makeReport(8, 10, {ClosedLevel}), fixture.now);
+    cr_assert_eq(fixture.pool.floorFor(2, fixture.now), LowestLevel,
+                 "a late report of the former life");
+}
