Node: Take no hint from rendezvous keys that no node wrote; tell the floor and its age with each route

Cause: any value below the rendezvous prefix was handed on as a node to ask, and a key like '1x' was taken for slot 1. Change: keys are read by a pure function that passes over what is no slot or no address; told once when their number changes.

The route line now tells which floor was believed below the service on the call's path and how old the youngest word of it was, so that a request that began and failed can be traced to late or missing knowledge.

--- a/include/stairspur/routing/UpstreamPool.h
+++ b/include/stairspur/routing/UpstreamPool.h
@@ -70,6 +70,9 @@
     Reason refusal = Reason::None; ///< BelowFloor, NoUpstream or Draining when refused.
     Duration retryAfter{0};
     std::uint32_t candidates = 0;
+    Level pathFloor; ///< Believed to hold below the service, on the request's path.
+    std::optional<Duration>
+            pathFloorAge{}; ///< Of the youngest word of it; nothing: none was heard.
 };
 
 /// How an attempt ended, for the view of one upstream.
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -365,6 +365,8 @@
     line.add("upstream", decision.node ? *decision.node : std::string("-"))
             .add("reason", decision.refusal)
             .add("candidates", decision.candidates)
+            .add("path_floor", decision.pathFloor.value)
+            .add("path_floor_age_us", decision.pathFloorAge.value_or(Duration{-1}))
             .add("attempt", attempts.sent + 1)
             .add("budget", attempts.budget.left());
 }
--- a/source/node/RendezvousKeeper.cpp
+++ b/source/node/RendezvousKeeper.cpp
@@ -1,7 +1,6 @@
 #include "RendezvousKeeper.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -10,6 +9,8 @@
 
 #include <stairspur/log/Log.h>
 
+#include "RendezvousKeys.h"
+
 namespace stairspur::node {
 
 namespace asio = transport::asio;
@@ -114,27 +115,19 @@
     if (!answer.isOk())
         co_return false;
     m_nextLook = std::max(m_nextLook, monotonicNow() + m_lookDelay);
-    m_holders.assign(m_settings.slots, std::nullopt);
-    auto hints = std::vector<NodeId>();
-    for (const auto &it : answer.value.pairs) {
-        hints.push_back(it.value);
-        if (it.key.starts_with(m_prefix))
-            noteHolder(std::string_view(it.key).substr(m_prefix.size()), it.value);
-        else
-            m_knowsOtherDomains = true;
-    }
-    m_didRead(hints);
+    const auto keys = readRendezvousKeys(answer.value.pairs, m_prefix, m_settings.slots);
+    m_holders = keys.holders;
+    m_knowsOtherDomains = m_knowsOtherDomains || keys.hasOtherDomains;
+    if (keys.ignored != m_ignoredKeys)
+        log::Line(log::Severity::Warning, "rendezvous-keys-ignored")
+                .add("prefix", prefix)
+                .add("ignored", keys.ignored)
+                .add("remedy", "remove the keys that no node has written");
+    m_ignoredKeys = keys.ignored;
+    m_didRead(keys.hints);
     co_return true;
 }
 
-auto RendezvousKeeper::noteHolder(std::string_view digits, const NodeId &node) -> void
-{
-    auto slot = std::uint32_t{0};
-    const auto ec = std::from_chars(digits.data(), digits.data() + digits.size(), slot).ec;
-    if (ec == std::errc() && slot < m_holders.size())
-        m_holders[slot] = node;
-}
-
 /// All domains may start at once, and each sees the others' keys only after they are claimed.
 auto RendezvousKeeper::lookForOtherDomains() -> Task<void>
 {
--- a/source/node/RendezvousKeeper.h
+++ b/source/node/RendezvousKeeper.h
@@ -5,7 +5,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
@@ -40,7 +39,6 @@
     [[nodiscard]] auto pause() const -> Duration;
     auto read() -> transport::Task<void>;
     auto readHolders() -> transport::Task<bool>;
-    auto noteHolder(std::string_view digits, const NodeId &node) -> void;
     auto lookForOtherDomains() -> transport::Task<void>;
     auto claim() -> transport::Task<void>;
     auto renew() -> transport::Task<void>;
@@ -55,6 +53,7 @@
     membership::RendezvousSlots m_slots;
     store::LeaseId m_lease = 0;
     std::vector<std::optional<NodeId>> m_holders; ///< Of the own domain's slots, as last read.
+    std::uint32_t m_ignoredKeys = 0;              ///< At the last read.
     bool m_didLoseClaim = false; ///< Somebody else's key stood there: what was read was old.
     bool m_knowsOtherDomains = false;
     TimePoint m_nextLook;
--- a/source/routing/PoolState.cpp
+++ b/source/routing/PoolState.cpp
@@ -99,8 +99,17 @@
 auto UpstreamPool::State::choose(const RouteRequest &request, TimePoint now, Random &random)
         -> RouteDecision
 {
-    const auto loads = estimate(now);
     const auto floorBelow = pathFloor({request.level.rank(), request.path}, now);
+    auto decision = choose(request, floorBelow, now, random);
+    decision.pathFloor = floorBelow.floor();
+    decision.pathFloorAge = floorBelow.age();
+    return decision;
+}
+
+auto UpstreamPool::State::choose(const RouteRequest &request, const PathFloorEstimate &floorBelow,
+                                 TimePoint now, Random &random) -> RouteDecision
+{
+    const auto loads = estimate(now);
     auto tiers = CandidateTiers(request, m_settings, now, loads, floorBelow);
     for (const auto it : m_subsetIndices)
         tiers.add(m_views[it], it);
@@ -112,20 +121,28 @@
         const auto index = *tier == Tier::OldFloor ? leastRecent(members)
                                                    : pickOfTwo(members, loads, now, random);
         const auto &view = m_views[index];
-        return {view.upstream().node, reasonFor(*tier, view, members.size()), Reason::None,
-                Duration::zero(), static_cast<std::uint32_t>(members.size())};
+        return {view.upstream().node, reasonFor(*tier, view, members.size()),     Reason::None,
+                Duration::zero(),     static_cast<std::uint32_t>(members.size()), {}};
     }
     const auto &refusing = tiers.members(Tier::BelowFloor);
     if (!refusing.empty() && request.hasBegun) {
         // What the request has cost so far is lost with this call: a floor that is a moment old is no reason to give it up.
         const auto &view = m_views[pickOfTwo(refusing, loads, now, random)];
-        return {view.upstream().node, RouteReason::BegunWork, Reason::None, Duration::zero(),
-                static_cast<std::uint32_t>(refusing.size())};
+        return {view.upstream().node,
+                RouteReason::BegunWork,
+                Reason::None,
+                Duration::zero(),
+                static_cast<std::uint32_t>(refusing.size()),
+                {}};
     }
     if (!refusing.empty() && request.mayProbe && randomUnit(random) < m_settings.probeShare) {
         const auto &view = m_views[pickOne(refusing, std::nullopt, now, random)];
-        return {view.upstream().node, RouteReason::Probe, Reason::None, Duration::zero(),
-                static_cast<std::uint32_t>(refusing.size())};
+        return {view.upstream().node,
+                RouteReason::Probe,
+                Reason::None,
+                Duration::zero(),
+                static_cast<std::uint32_t>(refusing.size()),
+                {}};
     }
     return refuse(tiers, request, random);
 }
--- a/source/routing/PoolState.h
+++ b/source/routing/PoolState.h
@@ -27,6 +27,8 @@
     [[nodiscard]] auto subset() const -> const std::vector<NodeId> & { return m_subset; }
 
 private:
+    auto choose(const RouteRequest &request, const PathFloorEstimate &floorBelow, TimePoint now,
+                Random &random) -> RouteDecision;
     [[nodiscard]] auto find(const NodeId &node) -> UpstreamView *;
     auto chooseSubset() -> void;
     auto maybeEject(UpstreamView &view, TimePoint now) -> void;
--- a/source/transport/DatagramChannel.cpp
+++ b/source/transport/DatagramChannel.cpp
@@ -13,7 +13,7 @@
 #include "CborReader.h"
 #include "CborWriter.h"
 #include "Frames.h"
-#include "NodeAddress.h"
+#include <stairspur/transport/NodeAddress.h>
 
 namespace stairspur::transport {
 
--- a/source/transport/NodeAddress.cpp
+++ b/source/transport/NodeAddress.cpp
@@ -1,4 +1,4 @@
-#include "NodeAddress.h"
+#include <stairspur/transport/NodeAddress.h>
 
 #include <charconv>
 
--- a/source/transport/PeerClientLink.cpp
+++ b/source/transport/PeerClientLink.cpp
@@ -10,7 +10,7 @@
 #include <stairspur/log/Log.h>
 
 #include "CallCodec.h"
-#include "NodeAddress.h"
+#include <stairspur/transport/NodeAddress.h>
 
 namespace stairspur::transport {
 
