--- a/source/membership/BackendAnnouncements.cpp
+++ b/source/membership/BackendAnnouncements.cpp
@@ -16,11 +16,9 @@
 {
     if (m_current && m_current->life.instance == instance)
         return m_current->life;
-    for (auto it = m_retired.rbegin(); it != m_retired.rend(); ++it) {
-        if (it->instance == instance)
-            return *it;
-    }
-    return std::nullopt;
+    const auto isNamedSo = [&](const BackendLife &it) { return it.instance == instance; };
+    const auto last = std::find_if(m_retired.rbegin(), m_retired.rend(), isNamedSo);
+    return last == m_retired.rend() ? std::nullopt : std::optional(*last);
 }
 
 auto BackendAnnouncements::isPast(const BackendLife &life) const -> bool
