--- a/Meta/run-fuzzers.py
+++ b/Meta/run-fuzzers.py
@@ -16,7 +16,8 @@
 SECONDS_FOR_ONE_INPUT = 10
 # Texts that the project has anyway serve as first inputs, by edge.
 FIRST_INPUTS = {"configuration": ["examples"], "call_intake": ["tests/fuzz/call_intake/seeds"],
-                "announcement": ["tests/fuzz/announcement/seeds"]}
+                "announcement": ["tests/fuzz/announcement/seeds"],
+                "heartbeat": ["tests/fuzz/heartbeat/seeds"], "operator_item": ["tests/fuzz/operator_item/seeds"]}
 
 
 def run_fuzzer(program: pathlib.Path, folder: pathlib.Path, seconds: int, first: list[str]) -> bool:
--- /dev/null
+++ b/tests/routing/TestFloorEstimates.cpp
@@ -0,0 +1,108 @@
+#include <criterion/criterion.h>
+
+#include "../../source/routing/OwnFloorEstimate.h"
+#include "../../source/routing/PathFloorEstimate.h"
+
+#include "PoolFixture.h"
+
+using namespace stairspur;
+using namespace stairspur::routing;
+
+static constexpr auto HalfLife = Duration{500'000};
+static constexpr auto Path = PathKey{11};
+static constexpr auto Key = FloorKey{3, Path};
+
+static auto viewOf(std::size_t index) -> UpstreamView
+{
+    return {makeUpstreams("own", index + 1).back(), Start};
+}
+
+/// A view whose upstream told, at `at`, a floor for the path and one for its own load.
+static auto told(Level pathFloor, Level ownFloor, TimePoint at) -> UpstreamView
+{
+    auto view = viewOf(0);
+    auto report = makeReport(1, 0, {ownFloor});
+    report.pathFloors.push_back({Path, pathFloor});
+    view.didReport(report, at, HalfLife);
+    return view;
+}
+
+static auto estimateOf(const std::vector<UpstreamView> &views, TimePoint now) -> PathFloorEstimate
+{
+    auto estimate = PathFloorEstimate(Key, now, HalfLife);
+    for (const auto &it : views)
+        estimate.include(it);
+    return estimate;
+}
+
+Test(PathFloorEstimate, oneWordSpeaksForAllUpstreams)
+{
+    const auto view = told(levelOf(3), LowestLevel, Start);
+    const auto estimate = estimateOf({view, viewOf(1), viewOf(2)}, Start);
+    cr_assert_eq(estimate.floor(), levelOf(3));
+    cr_assert_eq(estimate.floorOf(viewOf(1)), levelOf(3));
+    cr_assert_eq(estimate.age(), Duration::zero());
+}
+
+Test(PathFloorEstimate, nobodyHeardOfIsNoFloor)
+{
+    const auto estimate = estimateOf({viewOf(0)}, Start);
+    cr_assert_eq(estimate.floor(), LowestLevel);
+    cr_assert(!estimate.age());
+    const auto lapsed = estimateOf({told(ClosedLevel, LowestLevel, Start)}, Start + HalfLife * 9);
+    cr_assert_eq(lapsed.floor(), LowestLevel);
+}
+
+Test(PathFloorEstimate, youngerWordsCountMore)
+{
+    const auto now = Start + Millisecond * 300;
+    const auto estimate = estimateOf(
+            {told(LowestLevel, LowestLevel, Start), told(levelOf(3), LowestLevel, now)}, now);
+    cr_assert_gt(estimate.floor().value, levelOf(3).value - 10);
+    cr_assert_lt(estimate.floor(), levelOf(3));
+    // The old word of one is drawn towards the others'.
+    cr_assert_gt(estimate.floorOf(told(LowestLevel, LowestLevel, Start)).value,
+                 levelOf(3).value - 20);
+    cr_assert_eq(estimate.floorOf(told(makeLevel(3, 0), LowestLevel, now)), makeLevel(3, 0),
+                 "its word of this moment counts alone");
+}
+
+Test(PathFloorEstimate, aShutWayCountsOnlyWhereNoneIsOpen)
+{
+    const auto shut = told(ClosedLevel, LowestLevel, Start);
+    cr_assert_eq(estimateOf({shut, shut}, Start).floor(), ClosedLevel);
+    const auto estimate = estimateOf({shut, told(levelOf(3), LowestLevel, Start)}, Start);
+    cr_assert_eq(estimate.floor(), levelOf(3));
+    cr_assert_eq(estimate.floorOf(shut), ClosedLevel);
+}
+
+Test(PathFloorEstimate, floorsFallWhileNobodyIsHeardOf)
+{
+    const auto view = told(levelOf(3), LowestLevel, Start);
+    cr_assert_eq(estimateOf({view}, Start + HalfLife).floor(), levelOf(3));
+    cr_assert_lt(estimateOf({view}, Start + HalfLife * 2).floor(), makeLevel(3, 0));
+}
+
+Test(OwnFloorEstimate, theLowerQuartileOfFreshWordsCounts)
+{
+    struct
+    {
+        std::vector<Level> floors;
+        Level floor;
+    } const cases[] = {
+            {{}, LowestLevel},
+            {{levelOf(3)}, levelOf(3)},
+            {{levelOf(3), LowestLevel}, LowestLevel},
+            {{levelOf(3), levelOf(3), levelOf(3), levelOf(3), LowestLevel}, levelOf(3)},
+            {{levelOf(3), levelOf(3), levelOf(3), LowestLevel}, LowestLevel},
+    };
+    for (const auto &it : cases) {
+        auto estimate = OwnFloorEstimate(Key, Start, HalfLife);
+        for (const auto floor : it.floors)
+            estimate.include(told(LowestLevel, floor, Start));
+        estimate.include(
+                told(LowestLevel, LowestLevel, Start - HalfLife - Millisecond)); // Too old.
+        cr_expect_eq(estimate.floor(), it.floor, "%zu words: %u", it.floors.size(),
+                     static_cast<unsigned>(estimate.floor().value));
+    }
+}
