Routing: Say reports where reports are meant, make decisions in one place

Read as a newcomer would: 'word' and 'shut' become report and closed, the three decisions that choose an upstream are made by one function. Behaviour is the same; the suites of routing pass unchanged but for the names.

--- a/include/stairspur/routing/UpstreamPool.h
+++ b/include/stairspur/routing/UpstreamPool.h
@@ -71,8 +71,7 @@
     Duration retryAfter{0};
     std::uint32_t candidates = 0;
     Level pathFloor; ///< Believed to hold below the service, on the request's path.
-    std::optional<Duration>
-            pathFloorAge{}; ///< Of the youngest word of it; nothing: none was heard.
+    std::optional<Duration> pathFloorAge{}; ///< Of the youngest report of it; empty: none came.
 };
 
 /// How an attempt ended, for the view of one upstream.
--- a/source/membership/BackendAnnouncements.cpp
+++ b/source/membership/BackendAnnouncements.cpp
@@ -58,7 +58,8 @@
 }
 
 /// A node that has just started may hear a late announcement of a dead server after the first one of the living, and take
-/// the dead for the newer; and a clock that was set back lets a new life seem earlier than the one before. Late announcements come at once when a cut ends; who announces over some time is alive.
+/// the dead for the newer; and a clock that was set back lets a new life seem earlier than the one before. Late
+/// announcements come at once when a cut ends; who announces over some time is alive.
 auto BackendAnnouncements::isBack(const Announcement &announcement, TimePoint now) -> bool
 {
     /// Share of the timeout for silence: with three announcements in it, two in a row.
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -53,8 +53,8 @@
     m_admission->setDeeperFloors(floors->byRank, floors->byPath);
 }
 
-/// Takes over what the backend server announced. A new one, or the former one after a new start, starts cold; calls that still run keep the
-/// client of the old one.
+/// Takes over what the backend server announced. A new one, or the former one after a new start, starts cold; calls that
+/// still run keep the client of the old one.
 auto Gate::refreshBackend() -> void
 {
     const auto generation = m_board.backend.generation();
--- a/source/routing/CandidateTiers.cpp
+++ b/source/routing/CandidateTiers.cpp
@@ -50,14 +50,15 @@
     return std::max(own, std::min(m_pathFloor.floorOf(view), proven));
 }
 
-/// How long ago the floor was told that stands above the call. That of the path is as young as the last word of any upstream.
+/// How long ago the floor was reported that stands above the call. The path's is as young as the last report of any
+/// upstream.
 auto CandidateTiers::floorAge(const UpstreamView &view) const -> Duration
 {
     const auto ofView = view.floors().age({m_request.level.rank(), m_request.path}, m_now);
     const auto ofPath = m_pathFloor.age();
-    const auto isPathShut =
+    const auto isBelowPathFloor =
             m_request.path != NoPath && ofPath && m_pathFloor.floorOf(view) > m_request.level;
-    return isPathShut ? std::min(ofView, *ofPath) : ofView;
+    return isBelowPathFloor ? std::min(ofView, *ofPath) : ofView;
 }
 
 auto CandidateTiers::tierOf(const UpstreamView &view, Level floor) const -> Tier
--- a/source/routing/OwnFloorEstimate.h
+++ b/source/routing/OwnFloorEstimate.h
@@ -8,10 +8,10 @@
 
 /// The floor that the upstreams of a service hold for their own load, as an entry tells it to those who call through its host.
 ///
-/// Calls go to the upstreams that admit them, so that the lowest floor counts as long as it is the word of a moment ago.
+/// Calls go to the upstreams that admit them, so that the lowest floor counts as long as it was reported a moment ago.
 /// Where an entry hears of each upstream only now and then, the lowest of many old floors is merely the oldest: in a
-/// surge it tells how things stood before. So the floor is the one that a quarter of the words are not above, each
-/// counted by its age.
+/// surge it tells how things stood before. So the floor is the lower quartile of what was reported lately, each report
+/// weighed by its age.
 class OwnFloorEstimate
 {
 public:
@@ -28,16 +28,16 @@
     [[nodiscard]] auto floor() const -> Level;
 
 private:
-    struct Word
+    struct AgedFloor
     {
         Level floor;
-        double weight = 0;
+        double weight = 0; ///< By the age of the report.
     };
 
     FloorKey m_key;
     TimePoint m_now;
     Duration m_halfLife;
-    std::vector<Word> m_words;
+    std::vector<AgedFloor> m_floors;
 };
 
 } // namespace stairspur::routing
--- a/source/routing/PathFloorEstimate.cpp
+++ b/source/routing/PathFloorEstimate.cpp
@@ -53,15 +53,15 @@
 
 auto PathFloorEstimate::floorOf(const UpstreamView &view) const -> Level
 {
-    /// From this weight on an upstream's own word alone decides whether its way is shut.
-    static constexpr auto OwnWordWeight = 0.5;
+    /// From this weight on an upstream's own report alone decides whether its path is closed.
+    static constexpr auto DecisiveWeight = 0.5;
     if (!view.floors().hasReported())
         return floor();
     const auto ofOthers = floor();
     const auto own = view.floors().pathFloor(m_key.path);
     const auto weight = weightOf(view);
     if (own >= ClosedLevel || ofOthers >= ClosedLevel)
-        return weight >= OwnWordWeight ? own : ofOthers;
+        return weight >= DecisiveWeight ? own : ofOthers;
     const auto bottom = makeLevel(m_key.rank, 0);
     const auto level = weight * std::max(own, bottom).value
                        + (1.0 - weight) * std::max(ofOthers, bottom).value;
--- a/source/routing/PathFloorEstimate.h
+++ b/source/routing/PathFloorEstimate.h
@@ -13,8 +13,8 @@
 /// them every eighth of a second; taken one by one most views would be too old to refuse a call.
 ///
 /// Each report counts by its age. The mean is right because upstreams are called evenly: the share of calls that a service
-/// admits is the mean of the shares that its upstreams do. One that tells of a way that is shut altogether is left
-/// out while there are others, since calls go to these.
+/// admits is the mean of the shares that its upstreams do. One whose path is closed altogether is left out
+/// while there are others, since calls go to these.
 class PathFloorEstimate
 {
 public:
--- a/source/routing/PoolState.cpp
+++ b/source/routing/PoolState.cpp
@@ -96,6 +96,16 @@
     return result;
 }
 
+static auto chosen(const UpstreamView &view, RouteReason reason,
+                   const std::vector<std::uint32_t> &candidates) -> RouteDecision
+{
+    auto decision = RouteDecision();
+    decision.node = view.upstream().node;
+    decision.choice = reason;
+    decision.candidates = static_cast<std::uint32_t>(candidates.size());
+    return decision;
+}
+
 auto UpstreamPool::State::choose(const RouteRequest &request, TimePoint now, Random &random)
         -> RouteDecision
 {
@@ -113,7 +123,7 @@
     auto tiers = CandidateTiers(request, m_settings, now, loads, floorBelow);
     for (const auto it : m_subsetIndices)
         tiers.add(m_views[it], it);
-    // What no upstream's way admits is not to be found outside the subset either.
+    // Where the path's floor is above the call, no upstream outside the subset admits it either.
     if (!tiers.hasTimely() && floorBelow.floor() <= request.level)
         widen(tiers);
     if (const auto tier = tiers.best()) {
@@ -121,28 +131,17 @@
         const auto index = *tier == Tier::OldFloor ? leastRecent(members)
                                                    : pickOfTwo(members, loads, now, random);
         const auto &view = m_views[index];
-        return {view.upstream().node, reasonFor(*tier, view, members.size()),     Reason::None,
-                Duration::zero(),     static_cast<std::uint32_t>(members.size()), {}};
+        return chosen(view, reasonFor(*tier, view, members.size()), members);
     }
     const auto &refusing = tiers.members(Tier::BelowFloor);
     if (!refusing.empty() && request.hasBegun) {
         // What the request has cost so far is lost with this call: a floor that is a moment old is no reason to give it up.
         const auto &view = m_views[pickOfTwo(refusing, loads, now, random)];
-        return {view.upstream().node,
-                RouteReason::BegunWork,
-                Reason::None,
-                Duration::zero(),
-                static_cast<std::uint32_t>(refusing.size()),
-                {}};
+        return chosen(view, RouteReason::BegunWork, refusing);
     }
     if (!refusing.empty() && request.mayProbe && randomUnit(random) < m_settings.probeShare) {
         const auto &view = m_views[pickOne(refusing, std::nullopt, now, random)];
-        return {view.upstream().node,
-                RouteReason::Probe,
-                Reason::None,
-                Duration::zero(),
-                static_cast<std::uint32_t>(refusing.size()),
-                {}};
+        return chosen(view, RouteReason::Probe, refusing);
     }
     return refuse(tiers, request, random);
 }
--- a/tests/routing/TestFloorEstimates.cpp
+++ b/tests/routing/TestFloorEstimates.cpp
@@ -35,7 +35,7 @@
     return estimate;
 }
 
-Test(PathFloorEstimate, oneWordSpeaksForAllUpstreams)
+Test(PathFloorEstimate, oneReportSpeaksForAllUpstreams)
 {
     const auto view = told(levelOf(3), LowestLevel, Start);
     const auto estimate = estimateOf({view, viewOf(1), viewOf(2)}, Start);
@@ -53,27 +53,27 @@
     cr_assert_eq(lapsed.floor(), LowestLevel);
 }
 
-Test(PathFloorEstimate, youngerWordsCountMore)
+Test(PathFloorEstimate, youngerReportsCountMore)
 {
     const auto now = Start + Millisecond * 300;
     const auto estimate = estimateOf(
             {told(LowestLevel, LowestLevel, Start), told(levelOf(3), LowestLevel, now)}, now);
     cr_assert_gt(estimate.floor().value, levelOf(3).value - 10);
     cr_assert_lt(estimate.floor(), levelOf(3));
-    // The old word of one is drawn towards the others'.
+    // The old report of one is drawn towards the others'.
     cr_assert_gt(estimate.floorOf(told(LowestLevel, LowestLevel, Start)).value,
                  levelOf(3).value - 20);
     cr_assert_eq(estimate.floorOf(told(makeLevel(3, 0), LowestLevel, now)), makeLevel(3, 0),
-                 "its word of this moment counts alone");
+                 "its report of this moment counts alone");
 }
 
-Test(PathFloorEstimate, aShutWayCountsOnlyWhereNoneIsOpen)
+Test(PathFloorEstimate, aClosedPathCountsOnlyWhereNoneIsOpen)
 {
-    const auto shut = told(ClosedLevel, LowestLevel, Start);
-    cr_assert_eq(estimateOf({shut, shut}, Start).floor(), ClosedLevel);
-    const auto estimate = estimateOf({shut, told(levelOf(3), LowestLevel, Start)}, Start);
+    const auto closed = told(ClosedLevel, LowestLevel, Start);
+    cr_assert_eq(estimateOf({closed, closed}, Start).floor(), ClosedLevel);
+    const auto estimate = estimateOf({closed, told(levelOf(3), LowestLevel, Start)}, Start);
     cr_assert_eq(estimate.floor(), levelOf(3));
-    cr_assert_eq(estimate.floorOf(shut), ClosedLevel);
+    cr_assert_eq(estimate.floorOf(closed), ClosedLevel);
 }
 
 Test(PathFloorEstimate, floorsFallWhileNobodyIsHeardOf)
@@ -83,7 +83,7 @@
     cr_assert_lt(estimateOf({view}, Start + HalfLife * 2).floor(), makeLevel(3, 0));
 }
 
-Test(OwnFloorEstimate, theLowerQuartileOfFreshWordsCounts)
+Test(OwnFloorEstimate, theLowerQuartileOfFreshReportsCounts)
 {
     struct
     {
@@ -102,7 +102,7 @@
             estimate.include(told(LowestLevel, floor, Start));
         estimate.include(
                 told(LowestLevel, LowestLevel, Start - HalfLife - Millisecond)); // Too old.
-        cr_expect_eq(estimate.floor(), it.floor, "%zu words: %u", it.floors.size(),
+        cr_expect_eq(estimate.floor(), it.floor, "%zu reports: %u", it.floors.size(),
                      static_cast<unsigned>(estimate.floor().value));
     }
 }
