--- a/tests/fuzz/heartbeat/main.cpp
+++ b/tests/fuzz/heartbeat/main.cpp
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <string>
 
-#include <platform/ControlApi.h>
+#include "../../../platform/ControlApi.h"
 
 using namespace stairspur;
 
--- a/tests/fuzz/operator_item/main.cpp
+++ b/tests/fuzz/operator_item/main.cpp
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <string>
 
-#include <platform/OperatorItem.h>
+#include "../../../platform/OperatorItem.h"
 #include <stairspur/core/Error.h>
 
 using namespace stairspur;
