--- a/tests/distribution/FakeCluster.h
+++ b/tests/distribution/FakeCluster.h
@@ -13,6 +13,7 @@
 #include <stairspur/distribution/DistributionState.h>
 #include <stairspur/distribution/PublishProtocol.h>
 
+#include "FakeNode.h"
 #include "FakeStore.h"
 
 namespace stairspur::distribution {
@@ -22,30 +23,7 @@
 class FakeCluster
 {
 public:
-    /// A node's watch of the store.
-    struct FakeWatch
-    {
-        bool isOpen = false;
-        bool isDeaf = false;          ///< Its connection has fallen silent for good.
-        bool isHistoryGone = false;   ///< The next one is refused; the one after it is not.
-        std::uint64_t generation = 0; ///< What belongs to an earlier one is void.
-    };
-
-    struct Node
-    {
-        std::unique_ptr<DistributionState<Policy>> state;
-        std::string domain;
-        bool isAlive = true;
-        bool isPaused = false;
-        bool mayReachStore = true;
-        FakeWatch watch;
-        std::vector<std::function<void()>> waiting; ///< Events that came while it was paused.
-        std::vector<std::uint64_t> versions; ///< All that it took into force since its start.
-        std::vector<NewsSource> sources;     ///< How it came by each of them.
-        std::vector<Alarm> alarms;
-        TimePoint lastAdoption{};
-    };
-
+    using Node = FakeNode<Policy>;
     using Cut = std::function<bool(const NodeId &from, const NodeId &to)>;
 
     FakeCluster(int domains, int perDomain, std::uint64_t seed)
