--- a/include/stairspur/core/Outcome.h
+++ b/include/stairspur/core/Outcome.h
@@ -48,10 +48,11 @@
     TooManyConnections,
     DamagedAnswer,
     DeeperCallFailed, ///< It ran and failed after one of its own calls had failed for good.
+    Quarantined,      ///< Backend servers end under this very request.
 };
 
 template <>
-inline constexpr auto enumNames<Reason> = std::array<std::string_view, 29>{"none",
+inline constexpr auto enumNames<Reason> = std::array<std::string_view, 30>{"none",
                                                                            "bad-request",
                                                                            "unauthorized",
                                                                            "class-not-allowed",
@@ -79,6 +80,7 @@
                                                                            "too-large",
                                                                            "too-many-connections",
                                                                            "damaged-answer",
-                                                                           "deeper-call-failed"};
+                                                                           "deeper-call-failed",
+                                                                           "quarantined"};
 
 } // namespace stairspur
--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -7,6 +7,7 @@
 #include <stairspur/store/EtcdStore.h>
 
 #include "ControlMetrics.h"
+#include "QuarantineKeeper.h"
 #include "StatusReport.h"
 
 namespace stairspur::node {
@@ -170,6 +171,9 @@
         it->start();
     m_membership.setViewCallback([this](const auto &view) { didChangeView(view); });
     m_membership.start();
+    m_datagrams.setHandler(QuarantineTopic, [this](const auto &from, const auto &payload) {
+        m_handlers.didHearGate(from, payload);
+    });
     m_distribution->start();
     if (m_rendezvous)
         m_rendezvous->start();
@@ -280,6 +284,11 @@
     });
 }
 
+auto ControlPlane::sendToGate(const NodeId &to, const std::string &payload) -> void
+{
+    m_datagrams.send(to, QuarantineTopic, payload);
+}
+
 auto ControlPlane::announceDraining() -> void
 {
     if (m_announcements.drain())
--- a/source/node/ControlPlane.h
+++ b/source/node/ControlPlane.h
@@ -38,6 +38,8 @@
     std::function<void()> startDrain;
     std::function<void()> didChangeBackend; ///< The blackboard tells of another state of it.
     std::function<void()> didChangeConfiguration;
+    /// A gate of another node tells of requests under which backend servers end.
+    std::function<void(const NodeId &from, const std::string &payload)> didHearGate;
 };
 
 /// What peer links of this node are set to, on each of its threads.
@@ -66,6 +68,9 @@
     /// Binds the control ports. Throws SettingError when one cannot be bound.
     auto start() -> void;
 
+    /// Sends what the local gate tells another one of requests under which backend servers end.
+    auto sendToGate(const NodeId &to, const std::string &payload) -> void;
+
     /// Tells the others that this host takes no new work.
     auto announceDraining() -> void;
 
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -1,10 +1,12 @@
 #include "Gate.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <stairspur/log/Log.h>
 #include <stairspur/transport/EndToEnd.h>
+#include <stairspur/transport/PortProbe.h>
 
 #include "RoutedIntake.h"
 
@@ -12,6 +14,7 @@
 
 using admission::AdmissionController;
 using admission::Refusal;
+using quarantine::Standing;
 using transport::CallAnswer;
 using transport::CallRequest;
 using transport::CancellationPtr;
@@ -21,6 +24,11 @@
 static constexpr auto TickInterval = std::chrono::milliseconds(5);
 /// When to come back to a gate that has no serving backend server: about the time in which entries learn of it.
 static constexpr auto UnavailableRetryAfter = Duration{500'000};
+/// A process on the same host answers a connect, or its kernel refuses it, within a millisecond; a busy host takes some more.
+/// Without an answer by then the backend server is taken to live: the calls that broke go on waiting for a word until then.
+static constexpr auto CrashProbeTimeout = Duration{50'000};
+/// When to come back for a turn of those that run alone: some runs later.
+static constexpr auto TrialRetryAfter = Duration{500'000};
 
 static auto admissionSettings(const CallProtocol *protocol) -> admission::AdmissionSettings
 {
@@ -30,8 +38,8 @@
 }
 
 Gate::Gate(transport::asio::io_context &io, const NodeBoard &board, RunningCalls &running,
-           NodeMetrics &metrics, CallIdSource &callIds, std::uint64_t seed,
-           const CallProtocol *protocol)
+           NodeMetrics &metrics, CallIdSource &callIds, QuarantineKeeper &quarantine,
+           std::uint64_t seed, const CallProtocol *protocol)
     : m_io(io)
     , m_board(board)
     , m_running(running)
@@ -39,6 +47,8 @@
     , m_callIds(callIds)
     , m_random(seed)
     , m_admission(std::make_unique<AdmissionController>(admissionSettings(protocol)))
+    , m_quarantine(quarantine)
+    , m_trials(io)
     , m_ticker(io)
     , m_protocol(protocol)
 {}
@@ -75,20 +85,26 @@
         slots = std::min(slots, limits.maxConcurrency);
     m_admission->setReportedSlots(slots);
     m_admission->setMaxQueue(limits.maxQueue);
+    const auto wasLeaving = isLeaving();
     m_backend = backend;
     if (isReplaced) {
+        if (const auto requests = m_crashes.didReplace(wasLeaving); !requests.empty())
+            m_quarantine.didCrash(requests);
         m_client = makeClient(limits);
         m_admission->didReplaceBackend();
         ++m_backendLives;
     }
-    const auto isLeaving = backend.state == membership::ServingState::Draining
-                           || backend.state == membership::ServingState::Left;
-    if (isLeaving)
+    if (isLeaving())
         apply(m_admission->refuseWaiting(Reason::Draining, monotonicNow(), m_random));
 }
 
-auto Gate::makeClient(const config::ServiceLimits &limits) const
-        -> std::shared_ptr<transport::HttpClient>
+auto Gate::isLeaving() const -> bool
+{
+    return m_backend.state == membership::ServingState::Draining
+           || m_backend.state == membership::ServingState::Left;
+}
+
+auto Gate::makeClient(const config::ServiceLimits &limits) const -> ClientPtr
 {
     auto client = transport::HttpClientSettings();
     client.address = m_backend.address;
@@ -184,9 +200,40 @@
     if (const auto reason = reasonToRefuse(request); reason != Reason::None)
         co_return refusal(request, reason, UnavailableRetryAfter);
 
-    const auto id = newCallId(request);
-    ++m_calls;
+    const auto fingerprint = fingerprintOf(request);
     const auto deadline = now + request.remaining;
+    const auto judgement = m_quarantine.judge(fingerprint);
+    if (judgement.standing == Standing::Refused)
+        co_return refusal(request, Reason::Quarantined, judgement.retryAfter);
+
+    ++m_calls;
+    auto answer = CallAnswer();
+    if (judgement.standing == Standing::OnTrial)
+        answer = co_await handleOnTrial(std::move(request), fingerprint, deadline, cancellation);
+    else
+        answer = co_await admit(std::move(request), fingerprint, deadline, cancellation);
+    --m_calls;
+    finishDrainIfIdle();
+    co_return answer;
+}
+
+auto Gate::handleOnTrial(CallRequest request, Fingerprint fingerprint, TimePoint deadline,
+                         CancellationPtr cancellation) -> Task<CallAnswer>
+{
+    const auto turn = co_await m_trials.enter(deadline, cancellation);
+    if (!turn)
+        co_return refusal(request, Reason::QueueFull, TrialRetryAfter);
+    // What ran before it may have decided its own case.
+    const auto judgement = m_quarantine.judge(fingerprint);
+    if (judgement.standing == Standing::Refused)
+        co_return refusal(request, Reason::Quarantined, judgement.retryAfter);
+    co_return co_await admit(std::move(request), fingerprint, deadline, std::move(cancellation));
+}
+
+auto Gate::admit(CallRequest request, Fingerprint fingerprint, TimePoint deadline,
+                 CancellationPtr cancellation) -> Task<CallAnswer>
+{
+    const auto id = newCallId(request);
     const auto decision = co_await waitForPlace(id,
                                                 {.id = id,
                                                  .level = request.level,
@@ -195,14 +242,10 @@
                                                  .hasBegun = request.isDeeperCall,
                                                  .callsPerRoot = request.callsPerRoot},
                                                 cancellation);
-    auto answer = CallAnswer();
     if (decision.reason != Reason::None)
-        answer = refusal(request, decision.reason, decision.retryAfter);
-    else
-        answer = co_await dispatch(id, std::move(request), deadline, std::move(cancellation));
-    --m_calls;
-    finishDrainIfIdle();
-    co_return answer;
+        co_return refusal(request, decision.reason, decision.retryAfter);
+    co_return co_await dispatch(id, std::move(request), fingerprint, deadline,
+                                std::move(cancellation));
 }
 
 auto Gate::waitForPlace(CallId id, admission::CallOffer offer, CancellationPtr cancellation)
@@ -240,7 +283,42 @@
                                               : verdict.completion;
 }
 
-auto Gate::dispatch(CallId id, CallRequest request, TimePoint deadline,
+auto Gate::noteEnd(CallId id, Fingerprint fingerprint, const BackendVerdict &verdict,
+                   std::optional<transport::HttpFailure> failure, ClientPtr client) -> Task<void>
+{
+    const auto isWhole =
+            !failure
+            && (verdict.outcome == Outcome::Answered || verdict.outcome == Outcome::Failed);
+    if (isWhole) {
+        m_crashes.didAnswer(id);
+        m_quarantine.didAnswer(fingerprint);
+    } else if (failure != transport::HttpFailure::Broken) {
+        m_crashes.didEndOtherwise(id);
+    } else if (m_crashes.didBreak(id)) {
+        co_await lookForCrash(std::move(client));
+    }
+}
+
+auto Gate::lookForCrash(ClientPtr client) -> Task<void>
+{
+    if (client != m_client || isLeaving())
+        co_return;
+    // One connect tells for all calls that broke together; each new one would take a place at a server that lives.
+    if (const auto probe = m_probe) {
+        co_await probe->async_wait(transport::asio::as_tuple(transport::asio::use_awaitable));
+        co_return;
+    }
+    m_probe = std::make_shared<transport::asio::steady_timer>(
+            m_io, transport::asio::steady_timer::time_point::max());
+    const auto address = transport::asio::ip::make_address(m_backend.address);
+    const auto isClosed =
+            co_await transport::isPortClosed(m_io, {address, m_backend.port}, CrashProbeTimeout);
+    if (isClosed && client == m_client)
+        m_quarantine.didCrash(m_crashes.takeCrash());
+    std::exchange(m_probe, nullptr)->cancel();
+}
+
+auto Gate::dispatch(CallId id, CallRequest request, Fingerprint fingerprint, TimePoint deadline,
                     CancellationPtr cancellation) -> Task<CallAnswer>
 {
     const auto start = monotonicNow();
@@ -253,6 +331,8 @@
     const auto client = m_client; // A newer backend server must not end this call's connections.
     auto answer = CallAnswer();
     auto verdict = BackendVerdict();
+    auto failure = std::optional<transport::HttpFailure>();
+    m_crashes.didSend(id, fingerprint);
     try {
         auto sent = writeRequest(std::move(request), id, deadline - start);
         auto response =
@@ -264,8 +344,13 @@
             answer.body = std::move(response.body);
         }
     } catch (const transport::HttpClientError &error) {
+        failure = error.failure();
         verdict = judgeFailure(error.failure());
     }
+    co_await noteEnd(id, fingerprint, verdict, failure, client);
+    // It ended the last backend server that it was to end: nobody may send it on.
+    if (failure && m_quarantine.judge(fingerprint).standing == Standing::Refused)
+        verdict.reason = Reason::Quarantined;
     const auto now = monotonicNow();
     answer.outcome = verdict.outcome;
     answer.reason = verdict.reason;
--- a/source/node/Gate.h
+++ b/source/node/Gate.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
@@ -11,6 +12,7 @@
 #include <stairspur/admission/AdmissionController.h>
 #include <stairspur/core/Random.h>
 #include <stairspur/node/CallProtocol.h>
+#include <stairspur/quarantine/CrashDetector.h>
 #include <stairspur/transport/CallMessages.h>
 #include <stairspur/transport/Cancellation.h>
 #include <stairspur/transport/HttpClient.h>
@@ -20,7 +22,9 @@
 #include "CallIdSource.h"
 #include "NodeBoard.h"
 #include "NodeMetrics.h"
+#include "QuarantineKeeper.h"
 #include "RunningCalls.h"
+#include "TrialLane.h"
 
 namespace stairspur::node {
 
@@ -30,8 +34,8 @@
 {
 public:
     Gate(transport::asio::io_context &io, const NodeBoard &board, RunningCalls &running,
-         NodeMetrics &metrics, CallIdSource &callIds, std::uint64_t seed,
-         const CallProtocol *protocol = nullptr);
+         NodeMetrics &metrics, CallIdSource &callIds, QuarantineKeeper &quarantine,
+         std::uint64_t seed, const CallProtocol *protocol = nullptr);
 
     /// Serves one call: from admission to the backend server's whole answer.
     auto handle(transport::CallRequest request, transport::CancellationPtr cancellation)
@@ -47,6 +51,9 @@
     auto report() -> admission::LoadReport;
 
 private:
+    using Fingerprint = quarantine::RequestFingerprint;
+    using ClientPtr = std::shared_ptr<transport::HttpClient>;
+
     /// A call that waits for a place.
     struct Waiter
     {
@@ -60,8 +67,7 @@
     };
 
     auto refreshBackend() -> void;
-    [[nodiscard]] auto makeClient(const config::ServiceLimits &limits) const
-            -> std::shared_ptr<transport::HttpClient>;
+    [[nodiscard]] auto makeClient(const config::ServiceLimits &limits) const -> ClientPtr;
     auto newCallId(const transport::CallRequest &request) -> CallId;
     [[nodiscard]] auto writeRequest(transport::CallRequest request, CallId id,
                                     Duration remaining) const -> transport::HttpRequest;
@@ -71,9 +77,22 @@
     auto waitForPlace(CallId id, admission::CallOffer offer,
                       transport::CancellationPtr cancellation)
             -> transport::Task<admission::Refusal>;
-    auto dispatch(CallId id, transport::CallRequest request, TimePoint deadline,
-                  transport::CancellationPtr cancellation)
+    /// Serves a call whose request is on trial, when no other one of these runs here.
+    auto handleOnTrial(transport::CallRequest request, Fingerprint fingerprint, TimePoint deadline,
+                       transport::CancellationPtr cancellation)
+            -> transport::Task<transport::CallAnswer>;
+    auto admit(transport::CallRequest request, Fingerprint fingerprint, TimePoint deadline,
+               transport::CancellationPtr cancellation) -> transport::Task<transport::CallAnswer>;
+    auto dispatch(CallId id, transport::CallRequest request, Fingerprint fingerprint,
+                  TimePoint deadline, transport::CancellationPtr cancellation)
             -> transport::Task<transport::CallAnswer>;
+    /// Tells the quarantine how a call ended at the backend server. `failure`: it has no answer.
+    auto noteEnd(CallId id, Fingerprint fingerprint, const BackendVerdict &verdict,
+                 std::optional<transport::HttpFailure> failure, ClientPtr client)
+            -> transport::Task<void>;
+    /// A connection broke: finds out whether the backend server has ended.
+    auto lookForCrash(ClientPtr client) -> transport::Task<void>;
+    [[nodiscard]] auto isLeaving() const -> bool;
     auto apply(const admission::Progress &progress) -> void;
     auto decide(CallId id, const admission::Refusal &refusal) -> void;
     auto refusal(const transport::CallRequest &request, Reason reason, Duration retryAfter)
@@ -94,7 +113,12 @@
     std::uint64_t m_floorsGeneration = 0;
     std::uint64_t m_configurationGeneration = 0;
     std::unique_ptr<admission::AdmissionController> m_admission;
-    std::shared_ptr<transport::HttpClient> m_client;
+    ClientPtr m_client;
+    QuarantineKeeper &m_quarantine;
+    quarantine::CrashDetector m_crashes; ///< Of the present life of the backend server.
+    TrialLane m_trials;
+    /// While it is being found out whether the backend server has ended; cancelled when that is known.
+    std::shared_ptr<transport::asio::steady_timer> m_probe;
     std::unordered_map<CallId, std::shared_ptr<Waiter>> m_waiters;
     transport::asio::steady_timer m_ticker;
     bool m_isTicking = false;
--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -57,7 +57,10 @@
                    peerSettings(settings))
     , m_entry(m_entryThread.io(), m_settings, m_board, m_running, m_metrics, m_entryPeers, m_start,
               seed(), protocol())
-    , m_gate(m_gateThread.io(), m_board, m_running, m_metrics, m_callIds, seed(), protocol())
+    , m_quarantine(m_gateThread.io(), m_board, m_settings.nodeId(), seed(),
+                   [this](const auto &to, const auto &payload) { tellGate(to, payload); })
+    , m_gate(m_gateThread.io(), m_board, m_running, m_metrics, m_callIds, m_quarantine, seed(),
+             protocol())
     , m_entryServer(m_entryThread.io(), entryServerSettings(settings),
                     [this](auto request, auto cancellation) {
                         return m_entry.handle(std::move(request), std::move(cancellation));
@@ -94,6 +97,10 @@
     handlers.didChangeBackend = [this] {
         asio::post(m_gateThread.io(), [this] { m_gate.refreshFromBoard(); });
     };
+    handlers.didHearGate = [this](const NodeId &from, const std::string &payload) {
+        asio::post(m_gateThread.io(),
+                   [this, from, payload] { m_quarantine.receive(from, payload); });
+    };
     handlers.didChangeConfiguration = [this] {
         asio::post(m_entryThread.io(), [this] { didChangeConfiguration(); });
     };
@@ -138,6 +145,7 @@
     m_controlPlane->start();
     m_publishEntry.start();
     m_publishGate.start();
+    m_quarantine.start();
     m_gateThread.start();
     m_entryThread.start();
     m_control.start();
@@ -147,6 +155,12 @@
             .add("peer_port", m_peerServer.port());
 }
 
+/// From the gate's thread to the control thread, which has the datagrams.
+auto Node::tellGate(const NodeId &to, const std::string &payload) -> void
+{
+    asio::post(m_control.io(), [this, to, payload] { m_controlPlane->sendToGate(to, payload); });
+}
+
 /// On the gate's thread: a call for this host's backend server, or one whose key this node may have to bind first.
 auto Node::handleCall(transport::CallRequest request, transport::CancellationPtr cancellation)
         -> transport::Task<transport::CallAnswer>
--- a/source/node/Node.h
+++ b/source/node/Node.h
@@ -61,6 +61,7 @@
     auto drainKeys() -> void;
     auto drainEntry() -> void;
     auto drainPeers() -> void;
+    auto tellGate(const NodeId &to, const std::string &payload) -> void;
     auto finishDrainIfDone() -> void;
     auto finishDrain(bool isWhole) -> void;
 
@@ -77,6 +78,7 @@
     transport::PeerClient m_entryPeers;
     transport::PeerServer m_peerServer;
     Entry m_entry;
+    QuarantineKeeper m_quarantine;
     Gate m_gate;
     std::optional<KeyedGate> m_keyedGate; ///< None without a store, which keeps the placements.
     transport::HttpServer m_entryServer;
--- a/source/node/NodeBoard.h
+++ b/source/node/NodeBoard.h
@@ -9,6 +9,7 @@
 #include <stairspur/core/Level.h>
 #include <stairspur/membership/Announcement.h>
 #include <stairspur/membership/Member.h>
+#include <stairspur/quarantine/QuarantineState.h>
 
 #include "TrafficState.h"
 
@@ -56,6 +57,8 @@
     blackboard::Entry<DeeperFloorsHeard> deeperFloors; ///< Written by the entry.
     blackboard::Entry<EntryState> entryState;          ///< Written by the entry's thread.
     blackboard::Entry<GateState> gateState;            ///< Written by the gate's thread.
+    /// Requests on trial or refused; written by the gate's thread.
+    blackboard::Entry<std::vector<quarantine::QuarantineEntry>> quarantine;
 };
 
 } // namespace stairspur::node
--- /dev/null
+++ b/source/node/TrialLane.cpp
@@ -0,0 +1,45 @@
+#include "TrialLane.h"
+
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace stairspur::node {
+
+namespace asio = transport::asio;
+
+/// How often those that wait look again: a twentieth of a usual run of 100 ms.
+static constexpr auto LookInterval = std::chrono::milliseconds(5);
+/// Each takes the time of a run; who came after so many would hardly be in time.
+static constexpr auto MostWaiting = std::uint32_t{32};
+
+TrialLane::Turn::~Turn()
+{
+    if (m_lane)
+        m_lane->m_isBusy = false;
+}
+
+TrialLane::Turn::Turn(Turn &&other) noexcept
+    : m_lane(std::exchange(other.m_lane, nullptr))
+{}
+
+auto TrialLane::enter(TimePoint deadline, transport::CancellationPtr cancellation)
+        -> transport::Task<Turn>
+{
+    if (m_waiting >= MostWaiting)
+        co_return Turn();
+    ++m_waiting;
+    while (m_isBusy && monotonicNow() < deadline && !cancellation->isCancelled()) {
+        auto timer = asio::steady_timer(m_io, LookInterval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    --m_waiting;
+    if (m_isBusy || cancellation->isCancelled())
+        co_return Turn();
+    m_isBusy = true;
+    co_return Turn(*this);
+}
+
+} // namespace stairspur::node
--- /dev/null
+++ b/source/node/TrialLane.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+
+#include <boost/asio/io_context.hpp>
+
+#include <stairspur/core/Time.h>
+#include <stairspur/transport/Cancellation.h>
+#include <stairspur/transport/Task.h>
+
+namespace stairspur::node {
+
+/// Lets the requests that are on trial run one at a time, so that the next crash names the one that ran. Belongs to the gate's
+/// thread.
+class TrialLane
+{
+public:
+    /// The right to run; given back when it ends. Empty: not got.
+    class Turn
+    {
+    public:
+        Turn() = default;
+        explicit Turn(TrialLane &lane)
+            : m_lane(&lane)
+        {}
+        ~Turn();
+        Turn(const Turn &) = delete;
+        Turn(Turn &&other) noexcept;
+        auto operator=(const Turn &) -> Turn & = delete;
+        auto operator=(Turn &&) -> Turn & = delete;
+
+        explicit operator bool() const { return m_lane != nullptr; }
+
+    private:
+        TrialLane *m_lane = nullptr;
+    };
+
+    explicit TrialLane(transport::asio::io_context &io)
+        : m_io(io)
+    {}
+
+    /// Waits for the lane to be free, until `deadline` or until nobody wants the answer any more.
+    auto enter(TimePoint deadline, transport::CancellationPtr cancellation)
+            -> transport::Task<Turn>;
+
+private:
+    transport::asio::io_context &m_io;
+    bool m_isBusy = false;
+    std::uint32_t m_waiting = 0;
+};
+
+} // namespace stairspur::node
--- /dev/null
+++ b/source/quarantine/Messages.cpp
@@ -0,0 +1,137 @@
+#include <stairspur/quarantine/Messages.h>
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include <stairspur/core/Cbor.h>
+#include <stairspur/core/Error.h>
+
+namespace stairspur::quarantine {
+
+using Json = nlohmann::json;
+
+/// Of the three messages, first in each.
+enum class Kind : std::uint8_t {
+    CrashNews = 1,
+    Digest = 2,
+    Records = 3,
+};
+
+static constexpr auto MostKind = std::uint64_t{255};
+
+static auto toJson(const RequestFingerprint &it) -> Json
+{
+    return Json::array({it.high, it.low});
+}
+
+static auto toJson(const CrashRecord::Crash &it) -> Json
+{
+    return Json::array({it.id, it.isAcquitted});
+}
+
+template <typename Item>
+static auto toJson(const std::vector<Item> &items) -> Json
+{
+    auto array = Json::array();
+    for (const auto &it : items)
+        array.push_back(toJson(it));
+    return array;
+}
+
+static auto toJson(const Records::Item &it) -> Json
+{
+    return Json::array(
+            {toJson(it.request), toJson(it.crashes), static_cast<std::uint64_t>(it.age.count())});
+}
+
+static auto toJson(const CrashNews &it) -> Json
+{
+    return Json::array({Kind::CrashNews, it.crash, it.mayPassOn, toJson(it.requests)});
+}
+
+static auto toJson(const Digest &it) -> Json
+{
+    return Json::array({Kind::Digest, it.hash, it.isReply});
+}
+
+static auto toJson(const Records &it) -> Json
+{
+    return Json::array({Kind::Records, it.mayPassOn, toJson(it.items)});
+}
+
+auto writeMessage(const Message &message) -> std::string
+{
+    return toCbor(std::visit([](const auto &it) { return toJson(it); }, message));
+}
+
+/// The library would convert a fraction, and a negative number, as C++ does.
+static auto readNumber(const Json &json) -> std::uint64_t
+{
+    if (!json.is_number_unsigned())
+        throw InputError("a message of the quarantine has something else in place of a number",
+                         "let only nodes send to the peer port");
+    return json.get<std::uint64_t>();
+}
+
+static auto readFingerprint(const Json &json) -> RequestFingerprint
+{
+    return {readNumber(json.at(0)), readNumber(json.at(1))};
+}
+
+static auto readCrashNews(const Json &json) -> CrashNews
+{
+    auto news = CrashNews();
+    news.crash = readNumber(json.at(1));
+    news.mayPassOn = json.at(2).get<bool>();
+    for (const auto &it : json.at(3))
+        news.requests.push_back(readFingerprint(it));
+    return news;
+}
+
+static auto readItem(const Json &json) -> Records::Item
+{
+    /// A day; more would overflow when it is taken from a time.
+    static constexpr auto MostAge = std::uint64_t{86'400'000'000};
+    auto item = Records::Item();
+    item.request = readFingerprint(json.at(0));
+    for (const auto &it : json.at(1))
+        item.crashes.push_back({readNumber(it.at(0)), it.at(1).get<bool>()});
+    item.age = Duration{std::min(readNumber(json.at(2)), MostAge)};
+    return item;
+}
+
+static auto readRecords(const Json &json) -> Records
+{
+    auto records = Records();
+    records.mayPassOn = json.at(1).get<bool>();
+    for (const auto &it : json.at(2))
+        records.items.push_back(readItem(it));
+    return records;
+}
+
+static auto readKnownKind(const Json &json) -> Message
+{
+    switch (static_cast<Kind>(std::min(readNumber(json.at(0)), MostKind))) {
+    case Kind::CrashNews:
+        return readCrashNews(json);
+    case Kind::Digest:
+        return Digest{readNumber(json.at(1)), json.at(2).get<bool>()};
+    case Kind::Records:
+        return readRecords(json);
+    }
+    throw InputError("a message of the quarantine of an unknown kind",
+                     "let all nodes run versions that know each other");
+}
+
+auto readMessage(std::string_view bytes) -> Message
+{
+    try {
+        return readKnownKind(fromCbor(bytes));
+    } catch (const Json::exception &error) {
+        throw InputError(std::string("no message of the quarantine: ") + error.what(),
+                         "let only nodes send to the peer port");
+    }
+}
+
+} // namespace stairspur::quarantine
--- a/source/retry/RetryPolicy.cpp
+++ b/source/retry/RetryPolicy.cpp
@@ -21,6 +21,8 @@
     // The call below was sent again as often as it may be. To run this one anew would make all of its calls anew: retries
     // that multiply from level to level are what keeps an overload going.
     case Reason::DeeperCallFailed:
+    // Every gate of the service refuses it, and one that has not heard of it yet would lose its backend server.
+    case Reason::Quarantined:
         return true;
     default:
         return false;
--- /dev/null
+++ b/tests/fuzz/quarantine/main.cpp
@@ -0,0 +1,32 @@
+// Datagrams about requests under which backend servers end, after the check of their HMAC.
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include "../Samples.h"
+#include <stairspur/core/Error.h>
+#include <stairspur/quarantine/QuarantineState.h>
+
+using namespace stairspur;
+using namespace stairspur::quarantine;
+
+static auto makeSamples() -> std::vector<std::string>
+{
+    const auto request = RequestFingerprint{1, 2};
+    return {writeMessage(CrashNews{3, true, {request, request}}), writeMessage(Digest{4, false}),
+            writeMessage(Records{true, {{request, {{5, false}, {6, true}}, Duration{7}}}})};
+}
+
+extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size) -> int
+{
+    static const auto start = TimePoint{Duration{1'000'000'000}};
+    auto state = QuarantineState({.node = "a"}, 1, start);
+    state.setPeers({"b", "c"});
+    try {
+        state.receive("b", {reinterpret_cast<const char *>(data), size}, start);
+    } catch (const InputError &) {
+        return 0; // The one error that the keeper expects.
+    }
+    state.tick(start + std::chrono::seconds(1));
+    return 0;
+}
--- a/tests/node/CallPathHarness.h
+++ b/tests/node/CallPathHarness.h
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 
 #include <stairspur/core/Hash.h>
 #include <stairspur/transport/HttpServer.h>
@@ -44,7 +45,12 @@
              const CallProtocol *protocol = nullptr)
             : backend(io, {}, std::move(handler))
             , peerServer(io, "127.0.0.1", 0, {})
-            , gate(io, board, running, metrics, callIds, 7, protocol)
+            , quarantine(io, board, startPeerServer(), peerServer.port(),
+                         [this](const auto &to, const auto &payload) {
+                             if (tellGate)
+                                 tellGate(to, payload);
+                         })
+            , gate(io, board, running, metrics, callIds, quarantine, 7, protocol)
         {
             backend.start();
             board.backend.publish({service, backend.port(), 8, membership::ServingState::Serving});
@@ -52,7 +58,14 @@
                     [this](const NodeId &, transport::CallRequest request, auto cancellation) {
                         return gate.handle(std::move(request), std::move(cancellation));
                     });
+            quarantine.start();
+        }
+
+        /// Binds its port, by which the node is known from then on.
+        auto startPeerServer() -> NodeId
+        {
             peerServer.start();
+            return node();
         }
 
         [[nodiscard]] auto node() const -> NodeId
@@ -66,7 +79,9 @@
         CountedCallIds callIds;
         transport::HttpServer backend;
         transport::PeerServer peerServer;
+        QuarantineKeeper quarantine;
         Gate gate;
+        std::function<void(const NodeId &to, const std::string &payload)> tellGate;
     };
 
     explicit CallPathHarness(const CallProtocol *ownProtocol = nullptr)
@@ -100,10 +115,26 @@
         member.state = membership::ServingState::Serving;
         member.slots = 8;
         view.members.push_back(std::move(member));
+        for (const auto &it : hosts)
+            it->board.members.publish(view);
         board.members.publish(std::move(view));
+        connectGate(*hosts.back());
         return *hosts.back();
     }
 
+    /// Carries what the gate of `host` tells others, as datagrams would.
+    auto connectGate(Host &host) -> void
+    {
+        host.tellGate = [this, from = host.node()](const NodeId &to, const std::string &payload) {
+            transport::asio::post(io, [this, from, to, payload] {
+                for (const auto &it : hosts) {
+                    if (it->node() == to)
+                        it->quarantine.receive(from, payload);
+                }
+            });
+        };
+    }
+
     auto request(const std::string &service, const std::string &body) -> transport::HttpRequest
     {
         auto request = transport::HttpRequest{.method = "POST", .target = "/", .body = body};
--- /dev/null
+++ b/tests/quarantine/TestCrashDetector.cpp
@@ -0,0 +1,58 @@
+#include <stairspur/quarantine/CrashDetector.h>
+
+#include "VirtualFleet.h"
+
+// After the standard headers, whose words its macros take.
+#include <criterion/criterion.h>
+
+using namespace stairspur;
+using namespace stairspur::quarantine;
+
+using Requests = std::vector<RequestFingerprint>;
+
+static auto sorted(Requests requests) -> Requests
+{
+    std::sort(requests.begin(), requests.end());
+    return requests;
+}
+
+Test(CrashDetector, aCrashIsOfAllThatRanOrHadBroken)
+{
+    auto detector = CrashDetector();
+    for (auto n = CallId{1}; n <= 4; ++n)
+        detector.didSend(n, requestOf(n));
+    detector.didAnswer(1);
+    detector.didEndOtherwise(2);
+    cr_assert(detector.didBreak(3));
+    cr_assert_eq(detector.takeCrash(), sorted({requestOf(3), requestOf(4)}));
+    cr_assert(!detector.didBreak(4), "its crash was taken");
+    cr_assert(detector.takeCrash().empty());
+}
+
+Test(CrashDetector, whatBrokeBeforeAnAnswerDidNotEndTheServer)
+{
+    auto detector = CrashDetector();
+    detector.didSend(1, requestOf(1));
+    detector.didBreak(1);
+    detector.didSend(2, requestOf(2));
+    detector.didAnswer(2);
+    cr_assert(detector.didReplace(false).empty());
+}
+
+Test(CrashDetector, anAnswerThatWasUnderWaySaysNothingOfALaterBreak)
+{
+    auto detector = CrashDetector();
+    detector.didSend(1, requestOf(1));
+    detector.didSend(2, requestOf(2));
+    detector.didBreak(1);
+    detector.didAnswer(2);
+    cr_assert_eq(detector.didReplace(false), Requests{requestOf(1)}, "a quick restart explains it");
+}
+
+Test(CrashDetector, aServerThatSaidThatItLeavesEndedUnderNobody)
+{
+    auto detector = CrashDetector();
+    detector.didSend(1, requestOf(1));
+    detector.didBreak(1);
+    cr_assert(detector.didReplace(true).empty());
+}
--- /dev/null
+++ b/tests/quarantine/TestQuarantineMessages.cpp
@@ -0,0 +1,79 @@
+#include <stairspur/core/Error.h>
+#include <stairspur/quarantine/Messages.h>
+
+#include "VirtualFleet.h"
+
+// After the standard headers, whose words its macros take.
+#include <criterion/criterion.h>
+
+using namespace stairspur;
+using namespace stairspur::quarantine;
+
+Test(QuarantineMessages, whatIsWrittenIsRead)
+{
+    const auto news = CrashNews{~std::uint64_t{0}, true, {requestOf(1), requestOf(2)}};
+    const auto readNews = std::get<CrashNews>(readMessage(writeMessage(news)));
+    cr_assert_eq(readNews.crash, news.crash);
+    cr_assert(readNews.mayPassOn);
+    cr_assert_eq(readNews.requests, news.requests);
+
+    const auto digest = std::get<Digest>(readMessage(writeMessage(Digest{7, true})));
+    cr_assert(digest.hash == 7 && digest.isReply);
+
+    auto records = Records{false, {{requestOf(3), {{1, false}, {2, true}}, Duration{5}}}};
+    const auto read = std::get<Records>(readMessage(writeMessage(records)));
+    cr_assert_eq(read.items.size(), 1);
+    cr_assert_eq(read.items[0].request, requestOf(3));
+    cr_assert_eq(read.items[0].crashes, records.items[0].crashes);
+    cr_assert_eq(read.items[0].age.count(), 5);
+}
+
+Test(QuarantineMessages, sizesAreBounded)
+{
+    auto news = CrashNews{~std::uint64_t{0}, true, {}};
+    auto item = Records::Item{requestOf(1), {}, Duration{86'400'000'000}};
+    for (auto n = std::uint64_t{0}; n < 12; ++n) {
+        news.requests.push_back({~n, ~n});
+        item.crashes.push_back({~n, true});
+    }
+    item.request = {~std::uint64_t{0}, ~std::uint64_t{0}};
+    cr_assert_leq(writeMessage(news).size(), BytesOfFrame + 12 * BytesOfRequest);
+    cr_assert_leq(writeMessage(Records{true, {item}}).size(), BytesOfFrame + bytesOfItem(12));
+}
+
+Test(QuarantineMessages, whatIsNoMessageIsRefused)
+{
+    const auto digest = writeMessage(Digest{7, true});
+    for (auto n = std::size_t{0}; n < digest.size(); ++n)
+        cr_expect_throw(readMessage(digest.substr(0, n)), InputError);
+    cr_expect_throw(readMessage(""), InputError);
+    cr_expect_throw(readMessage("\x83\x09\x07\xf5"), InputError, "unknown kind");
+    cr_expect_throw(readMessage("\x83\x02\x20\xf5"), InputError, "negative");
+    cr_expect_throw(readMessage("\x83\x02\xf9\x3e\x01\xf5"), InputError, "fraction");
+    cr_expect_throw(readMessage("\xa0"), InputError, "map");
+}
+
+Test(RequestFingerprint, tellsRequestsApartByAllThatTheirCallersSay)
+{
+    const auto same = RequestIdentity{.service = "menu",
+                                      .caller = "c",
+                                      .method = "GET",
+                                      .host = "h",
+                                      .target = "/a?x=1",
+                                      .body = "b"};
+    auto cases = std::vector<RequestIdentity>(6, same);
+    cases[0].service = "maps";
+    cases[1].caller = "d";
+    cases[2].method = "POST";
+    cases[3].host = "i";
+    cases[4].target = "/a?x=2";
+    cases[5].body = "";
+    for (const auto &it : cases)
+        cr_expect_neq(fingerprintOf(it), fingerprintOf(same));
+    cr_expect_eq(fingerprintOf(same), fingerprintOf(RequestIdentity(same)));
+    auto shifted = same;
+    shifted.method = "GETh";
+    shifted.host = "";
+    cr_expect_neq(fingerprintOf(shifted), fingerprintOf(same), "parts do not run together");
+    cr_expect_eq(fingerprintOf(same).name().size(), 12);
+}
