--- a/include/stairspur/distribution/ConfigurationPublisher.h
+++ b/include/stairspur/distribution/ConfigurationPublisher.h
@@ -3,7 +3,6 @@
 #include <string>
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -13,6 +12,7 @@
 #include <stairspur/store/Backoff.h>
 #include <stairspur/store/PlatformStore.h>
 #include <stairspur/transport/Task.h>
+#include <stairspur/transport/Timer.h>
 
 namespace stairspur::distribution {
 
@@ -95,7 +95,7 @@
 
     static auto pause(Duration time) -> transport::Task<void>
     {
-        auto timer = boost::asio::steady_timer(co_await boost::asio::this_coro::executor, time);
+        auto timer = transport::Timer(co_await boost::asio::this_coro::executor, time);
         co_await timer.async_wait(boost::asio::use_awaitable);
     }
 
--- a/include/stairspur/keyed/KeyedRouterCode.h
+++ b/include/stairspur/keyed/KeyedRouterCode.h
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <stairspur/core/Hex.h>
@@ -14,6 +13,7 @@
 #include <stairspur/keyed/KeyHome.h>
 #include <stairspur/keyed/KeyedRouter.h>
 #include <stairspur/log/Log.h>
+#include <stairspur/transport/Timer.h>
 
 namespace stairspur::keyed {
 
@@ -188,7 +188,7 @@
 auto KeyedRouter<Peers>::pause(Journey &journey, Duration delay) -> transport::Task<RouteAction>
 {
     auto ec = boost::system::error_code();
-    auto timer = boost::asio::steady_timer(m_io);
+    auto timer = transport::Timer(m_io);
     timer.expires_at(std::min(monotonicNow() + delay, journey.deadline));
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
     co_return journey.route.didWait();
--- a/include/stairspur/keyed/KeyedService.h
+++ b/include/stairspur/keyed/KeyedService.h
@@ -12,7 +12,6 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <stairspur/config/Configuration.h>
 #include <stairspur/core/Error.h>
@@ -25,6 +24,7 @@
 #include <stairspur/transport/CallMessages.h>
 #include <stairspur/transport/Cancellation.h>
 #include <stairspur/transport/Task.h>
+#include <stairspur/transport/Timer.h>
 
 namespace stairspur::keyed {
 
@@ -122,7 +122,7 @@
 
         transport::CallRequest request;
         TimePoint deadline;
-        boost::asio::steady_timer wakeUp;
+        transport::Timer wakeUp;
         bool isQuery = false;
         std::optional<Reply> reply{};
     };
@@ -160,7 +160,7 @@
     Peers &m_peers;
     DispatchFunction m_dispatch;
     Random m_random;
-    boost::asio::steady_timer m_timer;
+    transport::Timer m_timer;
     std::map<std::string, std::unique_ptr<Keeper>> m_keepers;
     std::unordered_map<std::uint64_t, std::shared_ptr<Call>> m_calls;
     std::uint64_t m_lastCall = 0;
--- a/include/stairspur/membership/MembershipService.h
+++ b/include/stairspur/membership/MembershipService.h
@@ -8,11 +8,11 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <stairspur/membership/MembershipState.h>
 #include <stairspur/membership/ViewPacer.h>
 #include <stairspur/transport/DatagramChannel.h>
+#include <stairspur/transport/Timer.h>
 
 namespace stairspur::membership {
 
@@ -73,7 +73,7 @@
     Duration m_tickInterval;
     ViewPacer m_viewPacer;
     MembershipState m_state;
-    boost::asio::steady_timer m_timer;
+    transport::Timer m_timer;
     std::shared_ptr<bool> m_isRunning; ///< Outlives the service in callbacks that are under way.
     std::shared_ptr<const MembershipView> m_view;
     ViewCallback m_didChange;
--- a/source/cli/StatusWatch.cpp
+++ b/source/cli/StatusWatch.cpp
@@ -5,7 +5,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
+
+#include <stairspur/transport/Timer.h>
 
 namespace stairspur::cli {
 
@@ -47,7 +48,7 @@
 private:
     asio::io_context m_io{1};
     asio::signal_set m_signals{m_io, SIGINT, SIGTERM};
-    asio::steady_timer m_timer{m_io};
+    transport::Timer m_timer{m_io};
     bool m_isInterrupted = false;
 };
 
--- a/source/distribution/DistributionService.cpp
+++ b/source/distribution/DistributionService.cpp
@@ -5,13 +5,13 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <stairspur/config/Sections.h>
 #include <stairspur/core/Error.h>
 #include <stairspur/core/Hex.h>
 #include <stairspur/log/Log.h>
+#include <stairspur/transport/Timer.h>
 
 #include "StoreReading.h"
 
@@ -305,7 +305,7 @@
     asio::io_context &m_control;
     DistributionParts m_parts;
     DistributionState<> m_state;
-    asio::steady_timer m_ticker;
+    transport::Timer m_ticker;
     std::shared_ptr<const membership::MembershipView> m_view;
     transport::CancellationPtr m_watch;
     store::Revision m_watchRevision = 0; ///< Where the next watch begins; 0: with the present head.
--- a/source/node/ControlPlane.h
+++ b/source/node/ControlPlane.h
@@ -8,7 +8,6 @@
 #include <string>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <stairspur/distribution/DistributionService.h>
 #include <stairspur/membership/BackendAnnouncements.h>
@@ -21,6 +20,7 @@
 #include <stairspur/transport/HttpServer.h>
 #include <stairspur/transport/PeerClient.h>
 #include <stairspur/transport/PeerServer.h>
+#include <stairspur/transport/Timer.h>
 
 #include "AdminApi.h"
 #include "AnnouncementRefusals.h"
@@ -112,8 +112,8 @@
     AdminApi m_adminApi;
     transport::HttpServer m_adminServer;
     std::vector<std::unique_ptr<transport::HttpServer>> m_listeners; ///< Those of the adapter.
-    transport::asio::steady_timer m_timer;
-    transport::asio::steady_timer m_leaveTimer;
+    transport::Timer m_timer;
+    transport::Timer m_leaveTimer;
 };
 
 } // namespace stairspur::node
--- a/source/node/FloorTeller.h
+++ b/source/node/FloorTeller.h
@@ -3,10 +3,10 @@
 #include <functional>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <stairspur/core/Level.h>
 #include <stairspur/core/Time.h>
+#include <stairspur/transport/Timer.h>
 
 #include "NodeBoard.h"
 #include "ObservedCalls.h"
@@ -39,7 +39,7 @@
     NodeBoard &m_board;
     const ObservedCalls &m_observedCalls;
     FloorAt m_floorAt;
-    boost::asio::steady_timer m_timer;
+    transport::Timer m_timer;
     bool m_hasTimer = false;
     DeeperFloorsHeard m_told;
     TimePoint m_toldAt;
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -308,8 +308,7 @@
         co_await probe->async_wait(transport::asio::as_tuple(transport::asio::use_awaitable));
         co_return;
     }
-    m_probe = std::make_shared<transport::asio::steady_timer>(
-            m_io, transport::asio::steady_timer::time_point::max());
+    m_probe = std::make_shared<transport::Timer>(m_io, transport::Timer::time_point::max());
     const auto address = transport::asio::ip::make_address(m_backend.address);
     const auto isClosed =
             co_await transport::isPortClosed(m_io, {address, m_backend.port}, CrashProbeTimeout);
--- a/source/node/Gate.h
+++ b/source/node/Gate.h
@@ -7,7 +7,6 @@
 #include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <stairspur/admission/AdmissionController.h>
 #include <stairspur/core/Random.h>
@@ -17,6 +16,7 @@
 #include <stairspur/transport/Cancellation.h>
 #include <stairspur/transport/HttpClient.h>
 #include <stairspur/transport/Task.h>
+#include <stairspur/transport/Timer.h>
 
 #include "BackendAnswer.h"
 #include "CallIdSource.h"
@@ -58,10 +58,10 @@
     struct Waiter
     {
         explicit Waiter(transport::asio::io_context &io)
-            : wakeUp(io, transport::asio::steady_timer::time_point::max())
+            : wakeUp(io, transport::Timer::time_point::max())
         {}
 
-        transport::asio::steady_timer wakeUp;
+        transport::Timer wakeUp;
         bool isDecided = false;
         admission::Refusal refusal; ///< Reason::None: dispatch.
     };
@@ -118,9 +118,9 @@
     quarantine::CrashDetector m_crashes; ///< Of the present life of the backend server.
     TrialLane m_trials;
     /// While it is being found out whether the backend server has ended; cancelled when that is known.
-    std::shared_ptr<transport::asio::steady_timer> m_probe;
+    std::shared_ptr<transport::Timer> m_probe;
     std::unordered_map<CallId, std::shared_ptr<Waiter>> m_waiters;
-    transport::asio::steady_timer m_ticker;
+    transport::Timer m_ticker;
     bool m_isTicking = false;
     bool m_isDraining = false;
     std::uint32_t m_calls = 0; ///< Handled now, waiting ones included.
--- a/source/node/KeyedGate.h
+++ b/source/node/KeyedGate.h
@@ -6,13 +6,13 @@
 #include <string>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <stairspur/keyed/KeyedService.h>
 #include <stairspur/node/NodeSettings.h>
 #include <stairspur/store/EtcdStore.h>
 #include <stairspur/transport/PeerClient.h>
 #include <stairspur/transport/PeerServer.h>
+#include <stairspur/transport/Timer.h>
 
 #include "NodeBoard.h"
 
@@ -62,7 +62,7 @@
     store::EtcdStore m_store;
     transport::PeerClient m_peers;
     Service m_service;
-    transport::asio::steady_timer m_timer;
+    transport::Timer m_timer;
     std::uint64_t m_membersGeneration = 0;
     std::uint64_t m_configurationGeneration = 0;
     std::function<void(bool)> m_didHandOver;
--- a/source/node/Node.h
+++ b/source/node/Node.h
@@ -85,8 +85,8 @@
     PeriodicTask m_publishEntry;
     PeriodicTask m_publishGate;
     std::unique_ptr<ControlPlane> m_controlPlane;
-    transport::asio::steady_timer m_drainTimer;
-    transport::asio::steady_timer m_noticeTimer;
+    transport::Timer m_drainTimer;
+    transport::Timer m_noticeTimer;
     bool m_isDraining = false;
     bool m_arePeersDrained = false;
     bool m_hasLeft = false; ///< The other nodes have been told that this one goes.
--- a/source/node/PeriodicTask.h
+++ b/source/node/PeriodicTask.h
@@ -3,9 +3,8 @@
 #include <functional>
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <stairspur/core/Time.h>
+#include <stairspur/transport/Timer.h>
 
 namespace stairspur::node {
 
@@ -31,7 +30,7 @@
     }
 
 private:
-    boost::asio::steady_timer m_timer;
+    transport::Timer m_timer;
     Duration m_interval;
     std::function<void()> m_task;
 };
--- a/source/node/QuarantineKeeper.h
+++ b/source/node/QuarantineKeeper.h
@@ -7,10 +7,10 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <stairspur/quarantine/QuarantineState.h>
 #include <stairspur/transport/CallMessages.h>
+#include <stairspur/transport/Timer.h>
 
 #include "NodeBoard.h"
 
@@ -64,7 +64,7 @@
     quarantine::QuarantineState m_state;
     Send m_send;
     Save m_save;
-    boost::asio::steady_timer m_timer;
+    transport::Timer m_timer;
     TimePoint m_nextTick;
     std::uint64_t m_membersGeneration = 0;
     std::uint64_t m_backendGeneration = 0;
--- a/source/node/RendezvousKeeper.h
+++ b/source/node/RendezvousKeeper.h
@@ -7,12 +7,11 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <stairspur/core/Identifiers.h>
 #include <stairspur/membership/RendezvousSlots.h>
 #include <stairspur/store/AnyStore.h>
 #include <stairspur/transport/Task.h>
+#include <stairspur/transport/Timer.h>
 
 namespace stairspur::node {
 
@@ -59,7 +58,7 @@
     TimePoint m_nextLook;
     Duration m_lookDelay{250'000}; ///< Doubles with each look that finds none.
 
-    transport::asio::steady_timer m_timer;
+    transport::Timer m_timer;
 };
 
 } // namespace stairspur::node
--- a/source/node/TrialLane.cpp
+++ b/source/node/TrialLane.cpp
@@ -3,9 +3,10 @@
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <stairspur/transport/Timer.h>
+
 namespace stairspur::node {
 
 namespace asio = transport::asio;
@@ -32,7 +33,7 @@
         co_return Turn();
     ++m_waiting;
     while (m_isBusy && monotonicNow() < deadline && !cancellation->isCancelled()) {
-        auto timer = asio::steady_timer(m_io, LookInterval);
+        auto timer = transport::Timer(m_io, LookInterval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
     --m_waiting;
--- a/source/store/StoreCaller.cpp
+++ b/source/store/StoreCaller.cpp
@@ -2,11 +2,11 @@
 
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <stairspur/log/Log.h>
 #include <stairspur/store/Backoff.h>
+#include <stairspur/transport/Timer.h>
 
 namespace stairspur::store {
 
@@ -100,7 +100,7 @@
 
 auto StoreCaller::sleep(Duration time) -> Task<void>
 {
-    auto timer = asio::steady_timer(m_io, time);
+    auto timer = transport::Timer(m_io, time);
     co_await timer.async_wait(asio::use_awaitable);
 }
 
--- a/source/transport/HttpClientConnection.h
+++ b/source/transport/HttpClientConnection.h
@@ -8,7 +8,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -17,6 +16,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <stairspur/transport/HttpClient.h>
+#include <stairspur/transport/Timer.h>
 
 #include "HttpWire.h"
 #include "SilenceDetection.h"
@@ -211,7 +211,7 @@
     }
 
     asio::ip::tcp::socket m_socket;
-    asio::steady_timer m_timer;
+    Timer m_timer;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     std::uint64_t m_generation = 0;
--- a/source/transport/HttpConnection.h
+++ b/source/transport/HttpConnection.h
@@ -10,7 +10,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ssl/stream.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -20,6 +19,7 @@
 #include <stairspur/core/Outcome.h>
 #include <stairspur/log/Log.h>
 #include <stairspur/transport/HttpServer.h>
+#include <stairspur/transport/Timer.h>
 
 #include "HttpConnectionBase.h"
 #include "HttpRefusal.h"
@@ -169,7 +169,7 @@
         m_parser->body_limit(m_context->settings.maxBodyBytes);
         m_parser->eager(true);
         m_isContinueSent = false;
-        const auto begin = std::chrono::steady_clock::now();
+        const auto begin = HostClock::now();
         while (true) {
             refusal = parseBuffer();
             if (refusal)
@@ -204,7 +204,7 @@
         if (m_isDraining)
             co_return false;
         m_isIdle = true;
-        const auto begin = std::chrono::steady_clock::now();
+        const auto begin = HostClock::now();
         auto idleTimeout = m_context->settings.idleTimeout;
         auto result = co_await readMore(begin + idleTimeout);
         // The limit may have grown while the connection was idle.
@@ -217,7 +217,7 @@
     }
 
     /// Waits until more bytes are in the buffer.
-    auto readMore(std::chrono::steady_clock::time_point deadline) -> Task<ReadResult>
+    auto readMore(HostClock::time_point deadline) -> Task<ReadResult>
     {
         const auto size = m_buffer.size();
         m_timer.expires_at(deadline);
@@ -372,14 +372,14 @@
             co_return;
         auto ec = boost::system::error_code();
         m_stream.lowest_layer().shutdown(asio::socket_base::shutdown_send, ec);
-        const auto deadline = std::chrono::steady_clock::now() + LingerTime;
+        const auto deadline = HostClock::now() + LingerTime;
         m_buffer.consume(m_buffer.size());
         while (co_await readMore(deadline) == ReadResult::Ready)
             m_buffer.consume(m_buffer.size());
     }
 
     Stream m_stream;
-    asio::steady_timer m_timer;
+    Timer m_timer;
     std::shared_ptr<const HttpConnectionContext> m_context;
     std::string m_remoteAddress;
     std::array<char, ReadBytes> m_chunk;
--- a/source/transport/LinkWaiter.h
+++ b/source/transport/LinkWaiter.h
@@ -3,7 +3,8 @@
 #include <optional>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
+
+#include <stairspur/transport/Timer.h>
 
 #include "PeerLink.h"
 
@@ -25,7 +26,7 @@
     bool isCancelled = false;
 
 private:
-    asio::steady_timer m_timer;
+    Timer m_timer;
 };
 
 } // namespace stairspur::transport
--- a/source/transport/PeerClient.cpp
+++ b/source/transport/PeerClient.cpp
@@ -4,9 +4,8 @@
 #include <unordered_map>
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <stairspur/core/Random.h>
+#include <stairspur/transport/Timer.h>
 
 #include "PeerClientLink.h"
 
@@ -100,7 +99,7 @@
         /// a host that may be dead.
         bool isDown = false;
         TimePoint lastWanted;
-        std::shared_ptr<asio::steady_timer> reconnect;
+        std::shared_ptr<Timer> reconnect;
     };
 
     static auto refuse(const CallRequest &request, Reason reason) -> CallAnswer
@@ -180,8 +179,7 @@
 
     auto scheduleReconnect(const NodeId &node, Entry &entry) -> void
     {
-        entry.reconnect =
-                std::make_shared<asio::steady_timer>(m_context->io, backoff(entry.failures));
+        entry.reconnect = std::make_shared<Timer>(m_context->io, backoff(entry.failures));
         entry.reconnect->async_wait([weak = weak_from_this(), node](auto ec) {
             const auto self = weak.lock();
             if (self && !ec)
--- a/source/transport/PeerClientLink.h
+++ b/source/transport/PeerClientLink.h
@@ -7,9 +7,9 @@
 #include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <stairspur/transport/PeerClient.h>
+#include <stairspur/transport/Timer.h>
 
 #include "LinkWaiter.h"
 #include "PeerLink.h"
@@ -95,7 +95,7 @@
     DidReady m_didReady;
     DidIdle m_didIdle;
     asio::ip::tcp::socket m_socket;
-    asio::steady_timer m_timer; ///< Ends a connect that takes too long, later looks for idleness.
+    Timer m_timer; ///< Ends a connect that takes too long, later looks for idleness.
     TimePoint m_lastUsed;
     std::shared_ptr<PeerLink> m_link;
     std::set<LinkWaiter *> m_waitersForReady;
--- a/source/transport/PeerLink.h
+++ b/source/transport/PeerLink.h
@@ -6,12 +6,11 @@
 #include <string>
 #include <unordered_map>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <stairspur/core/Identifiers.h>
 #include <stairspur/core/Outcome.h>
 #include <stairspur/transport/PeerSettings.h>
 #include <stairspur/transport/Task.h>
+#include <stairspur/transport/Timer.h>
 
 #include "Frames.h"
 #include "WebSocketStream.h"
@@ -149,7 +148,7 @@
     Observer &m_observer;
     Role m_role;
     std::shared_ptr<WebSocketStream> m_stream;
-    asio::steady_timer m_timer;
+    Timer m_timer;
     std::deque<Outgoing> m_outgoing;
     std::unordered_map<CallId, Incoming> m_incoming;
     NodeId m_farNode;
--- a/source/transport/PortProbe.cpp
+++ b/source/transport/PortProbe.cpp
@@ -1,16 +1,17 @@
 #include <stairspur/transport/PortProbe.h>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <stairspur/transport/Timer.h>
+
 namespace stairspur::transport {
 
 auto isPortClosed(asio::io_context &io, asio::ip::tcp::endpoint endpoint, Duration timeout)
         -> Task<bool>
 {
     const auto socket = std::make_shared<asio::ip::tcp::socket>(io);
-    auto timer = asio::steady_timer(io, timeout);
+    auto timer = Timer(io, timeout);
     timer.async_wait([socket](const boost::system::error_code &ec) {
         auto ignored = boost::system::error_code();
         if (!ec)
--- a/source/transport/TcpListener.h
+++ b/source/transport/TcpListener.h
@@ -7,7 +7,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
+
+#include <stairspur/transport/Timer.h>
 
 namespace stairspur::transport {
 
@@ -35,7 +36,7 @@
     auto restThenAccept(boost::system::error_code why) -> void;
 
     boost::asio::ip::tcp::acceptor m_acceptor;
-    boost::asio::steady_timer m_rest;
+    Timer m_rest;
     std::uint16_t m_port = 0;
     DidAccept m_didAccept;
 };
--- a/tests/node/TestCallPath.cpp
+++ b/tests/node/TestCallPath.cpp
@@ -34,9 +34,9 @@
     struct Held
     {
         explicit Held(asio::io_context &io)
-            : timer(io, asio::steady_timer::time_point::max())
+            : timer(io, transport::Timer::time_point::max())
         {}
-        asio::steady_timer timer;
+        transport::Timer timer;
         std::string body;
         bool wasCancelled = false;
     };
--- a/tests/standins/caller/Caller.cpp
+++ b/tests/standins/caller/Caller.cpp
@@ -6,6 +6,7 @@
 #include <stairspur/core/EnumNames.h>
 #include <stairspur/core/Outcome.h>
 #include <stairspur/transport/HeaderList.h>
+#include <stairspur/transport/Timer.h>
 
 #include "../shared/Answer.h"
 #include "../shared/Endpoint.h"
@@ -59,7 +60,7 @@
     const auto &settings = m_settings.streams[stream];
     Random random(hash64(settings.name, m_settings.seed));
     std::exponential_distribution<double> gap(settings.rate);
-    asio::steady_timer timer(m_io);
+    transport::Timer timer(m_io);
     const auto end = m_startedAt + Duration(static_cast<Duration::rep>(m_settings.seconds * 1e6));
     auto dueAt = m_startedAt;
     while (!m_isStopped) {
@@ -92,7 +93,7 @@
                 m_settings.honoursRetryAfter ? std::max(call.retryAfter, hardPause) : hardPause;
         if (monotonicNow() + pause >= deadline)
             break;
-        asio::steady_timer timer(m_io, pause);
+        transport::Timer timer(m_io, pause);
         co_await timer.async_wait(asTuple);
         ++m_reports[call.stream].retries;
     }
--- a/tests/standins/shared/HttpPool.h
+++ b/tests/standins/shared/HttpPool.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 #include <vector>
 
+#include <stairspur/core/Time.h>
+
 #include "HttpListener.h"
 
 namespace stairspur::standins {
@@ -26,7 +29,7 @@
 class HttpPool
 {
 public:
-    using Clock = std::chrono::steady_clock;
+    using Clock = HostClock;
 
     HttpPool(asio::io_context &io, tcp::endpoint endpoint)
         : m_io(io)
@@ -47,7 +50,7 @@
         auto connection = takeIdle();
         if (!connection) {
             connection = std::make_unique<Connection>(m_io);
-            connection->stream.expires_at(deadline);
+            connection->stream.expires_after(timeUntil(deadline));
             const auto [ec] = co_await connection->stream.async_connect(m_endpoint, asTuple);
             if (ec) {
                 result.end = ExchangeEnd::NotConnected;
@@ -82,10 +85,15 @@
 
     static constexpr std::uint64_t maxBodyBytes = 64U << 20U;
 
+    static auto timeUntil(Clock::time_point deadline) -> Clock::duration
+    {
+        return std::max(deadline - Clock::now(), Clock::duration::zero());
+    }
+
     static auto transfer(Connection &connection, Request &request, Clock::time_point deadline,
                          Exchange &result) -> Task<void>
     {
-        connection.stream.expires_at(deadline);
+        connection.stream.expires_after(timeUntil(deadline));
         request.set(http::field::host, "standin");
         request.prepare_payload();
         const auto [writeError, n] =
