--- a/include/stairspur/cli/AdminClient.h
+++ b/include/stairspur/cli/AdminClient.h
@@ -15,6 +15,11 @@
 /// A sender that blocks until the answer is there or `timeout` has passed.
 auto makeAdminSender(Endpoint admin, Duration timeout) -> AdminSender;
 
+/// Posts `body` to `target` and returns the answer of a node that agrees. Throws CommandError when it cannot be reached, gives no
+/// answer (`ifUnknown`: what to do then), or refuses.
+auto postToNode(const AdminSender &send, const std::string &target, const std::string &body,
+                const std::string &ifUnknown) -> transport::HttpResponse;
+
 /// The sender that the flags --admin and --admin-timeout ask for. Throws SettingError.
 auto makeAdminSenderFromFlags() -> AdminSender;
 
--- a/include/stairspur/cli/Command.h
+++ b/include/stairspur/cli/Command.h
@@ -15,6 +15,7 @@
     Check,
     Status,
     Drain,
+    Release,
     Version,
     Help,
 };
@@ -41,5 +42,5 @@
 
 template <>
 inline constexpr auto stairspur::enumNames<stairspur::cli::Command> =
-        std::array<std::string_view, 7>{"node",  "apply",   "check", "status",
-                                        "drain", "version", "help"};
+        std::array<std::string_view, 8>{"node",  "apply",   "check",   "status",
+                                        "drain", "release", "version", "help"};
--- a/include/stairspur/cli/NodeSummary.h
+++ b/include/stairspur/cli/NodeSummary.h
@@ -33,6 +33,15 @@
     std::optional<double> heardSecondsAgo;
 };
 
+/// A request of the node's service under which backend servers have ended.
+struct QuarantinedRequest
+{
+    std::string request;
+    std::string standing;
+    std::uint64_t crashes = 0;
+    double retryAfterSeconds = 0;
+};
+
 /// What a node's `GET /status` says.
 struct NodeSummary
 {
@@ -46,6 +55,7 @@
     /// By failure domain.
     std::map<std::string, DomainMembers> members;
     std::vector<JudgedNode> judged; ///< Without those that left by their own word.
+    std::vector<QuarantinedRequest> quarantine;
 };
 
 /// Reads the body of `GET /status`. Throws InputError when it is no such answer.
--- a/source/cli/Command.cpp
+++ b/source/cli/Command.cpp
@@ -34,7 +34,7 @@
 static constexpr auto CheckFlags = std::to_array<std::string_view>({"json"});
 static constexpr auto StatusFlags = std::to_array<std::string_view>(
         {"store", "store-timeout", "admin", "admin-timeout", "watch", "json"});
-static constexpr auto DrainFlags =
+static constexpr auto AdminFlags =
         std::to_array<std::string_view>({"admin", "admin-timeout", "json"});
 static constexpr auto VersionFlags = std::to_array<std::string_view>({"json"});
 
@@ -44,7 +44,10 @@
         {Command::Check, "FILE", true, "check a configuration, offline", CheckFlags},
         {Command::Status, "", false, "show which configuration is in force where, and who is alive",
          StatusFlags},
-        {Command::Drain, "", false, "let a node end its running calls and leave", DrainFlags},
+        {Command::Drain, "", false, "let a node end its running calls and leave", AdminFlags},
+        {Command::Release, "REQUEST", true,
+         "let a request run again that was stopped because backend servers ended under it",
+         AdminFlags},
         {Command::Version, "", false, "show the version of this program", VersionFlags},
         {Command::Help, "COMMAND", false, "show the commands, or the flags of one", {}},
 });
--- a/source/cli/NodeSummary.cpp
+++ b/source/cli/NodeSummary.cpp
@@ -63,6 +63,16 @@
     }
 }
 
+/// Nodes of earlier versions know of none.
+static auto readQuarantine(const nlohmann::json &status, NodeSummary &summary) -> void
+{
+    if (!status.contains("quarantine"))
+        return;
+    for (const auto &it : status.at("quarantine"))
+        summary.quarantine.push_back({it.at("request"), it.at("standing"), it.at("crashes"),
+                                      it.at("retryAfterSeconds")});
+}
+
 auto readNodeSummary(const std::string &body) -> NodeSummary
 {
     try {
@@ -78,6 +88,7 @@
         for (const auto &it : json.at("domains"))
             summary.members.emplace(it.at("failureDomain"), readDomain(it));
         readJudged(json.at("members"), summary);
+        readQuarantine(json, summary);
         return summary;
     } catch (const nlohmann::json::exception &) {
         throw InputError("the node's status cannot be read",
--- a/source/cli/Run.cpp
+++ b/source/cli/Run.cpp
@@ -8,6 +8,7 @@
 #include <stairspur/cli/Flags.h>
 #include <stairspur/cli/HelpCommand.h>
 #include <stairspur/cli/NodeSettingsReader.h>
+#include <stairspur/cli/ReleaseCommand.h>
 #include <stairspur/cli/StatusCommand.h>
 #include <stairspur/cli/StatusWatch.h>
 #include <stairspur/cli/StoreCommands.h>
@@ -54,6 +55,8 @@
         return runStatusOnceOrWatch(streams);
     case Command::Drain:
         return runDrain();
+    case Command::Release:
+        return runRelease(line.operand);
     case Command::Version:
         return reportVersion();
     case Command::Help:
--- a/source/cli/StatusTable.cpp
+++ b/source/cli/StatusTable.cpp
@@ -148,9 +148,25 @@
     return '\n' + renderColumns(rows) + describeRest(node.judged.size(), MaxNodeRows, "nodes");
 }
 
+static auto renderQuarantine(const NodeSummary &node) -> std::string
+{
+    if (node.quarantine.empty())
+        return {};
+    auto rows = std::vector<Row>{{"REQUEST THAT ENDS SERVERS", "IS", "CRASHES", "RUNS AGAIN"}};
+    for (const auto &it : node.quarantine) {
+        if (rows.size() > MaxNodeRows)
+            break;
+        const auto seconds = static_cast<std::uint64_t>(it.retryAfterSeconds);
+        rows.push_back({it.request, it.standing, std::to_string(it.crashes),
+                        seconds > 0 ? "in " + std::to_string(seconds) + " s" : "alone"});
+    }
+    return '\n' + renderColumns(rows)
+           + describeRest(node.quarantine.size(), MaxNodeRows, "requests");
+}
+
 auto renderStatusTable(const NodeSummary &node) -> std::string
 {
-    return renderDomains(node) + renderJudged(node);
+    return renderDomains(node) + renderJudged(node) + renderQuarantine(node);
 }
 
 } // namespace stairspur::cli
--- a/source/node/AdminApi.cpp
+++ b/source/node/AdminApi.cpp
@@ -42,6 +42,15 @@
     return jsonResponse(200, {{"accepted", true}});
 }
 
+auto AdminApi::release(const HttpRequest &request) -> HttpResponse
+{
+    if (!m_hooks.release(request.body))
+        return problem(404,
+                       "no request of that name is on trial or refused at this node's service; "
+                       "see `stairspur status` at a node of the service");
+    return jsonResponse(202, {{"released", true}});
+}
+
 auto AdminApi::readiness() -> HttpResponse
 {
     const auto isReady = m_hooks.isReady();
@@ -59,6 +68,8 @@
         m_hooks.startDrain();
         return jsonResponse(202, {{"draining", true}});
     }
+    if (isPost && path == "/release")
+        return release(request);
     if (isGet && path == "/healthz")
         return jsonResponse(200, {{"alive", true}});
     if (isGet && path == "/readyz")
@@ -68,11 +79,12 @@
     if (isGet && path == "/metrics")
         return textResponse(200, "text/plain; version=0.0.4", m_hooks.renderMetrics());
     if (path == "/announce" || path == "/drain" || path == "/healthz" || path == "/readyz"
-        || path == "/status" || path == "/metrics")
+        || path == "/status" || path == "/metrics" || path == "/release")
         return problem(405, "the method does not fit this path; see docs/INTERFACES.md");
     return problem(
             404,
-            "there is no such path; use /healthz, /readyz, /status, /metrics, /drain or /announce");
+            "there is no such path; use /healthz, /readyz, /status, /metrics, /drain, /release or "
+            "/announce");
 }
 
 } // namespace stairspur::node
--- a/source/node/AdminApi.h
+++ b/source/node/AdminApi.h
@@ -15,6 +15,8 @@
     /// The backend server announces itself. Throws Error, with the remedy, on a body that is no announcement.
     std::function<void(const std::string &body)> didAnnounce;
     std::function<void()> startDrain;
+    /// An operator lets a request run again; whether one of that name is on trial or refused here.
+    std::function<bool(const std::string &name)> release;
     std::function<bool()> isReady;
     std::function<std::string()> renderStatus;  ///< JSON.
     std::function<std::string()> renderMetrics; ///< Prometheus text.
@@ -33,6 +35,7 @@
 
 private:
     auto announce(const transport::HttpRequest &request) -> transport::HttpResponse;
+    auto release(const transport::HttpRequest &request) -> transport::HttpResponse;
     auto readiness() -> transport::HttpResponse;
 
     AdminHooks m_hooks;
--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -111,6 +111,9 @@
         auto didRead = [this](const std::vector<NodeId> &hints) { m_membership.addHints(hints); };
         m_rendezvous.emplace(io, *m_store, settings.nodeId(), settings.failureDomain,
                              settings.rendezvousSpread, std::move(didRead), seed + 2);
+        m_quarantineArchive.emplace(io, *m_store, [this](const std::string &saved) {
+            m_handlers.restoreQuarantine(saved);
+        });
     }
     makeDistribution(io, seed + 3);
     makeListeners(io);
@@ -185,6 +188,7 @@
     return {
             [this](const std::string &body) { didAnnounce(membership::parseAnnouncement(body)); },
             [this] { m_handlers.startDrain(); },
+            [this](const std::string &request) { return release(request); },
             [this] { return isReady(); },
             [this] { return renderStatus(); },
             [this] { return renderMetrics(); },
@@ -257,6 +261,8 @@
     if (m_handlers.didChangeBackend)
         m_handlers.didChangeBackend();
     m_membership.setSelf(current->service, current->slots, current->state);
+    if (m_quarantineArchive)
+        m_quarantineArchive->setService(current->service);
     log::Line(log::Severity::Info, "backend")
             .add("service", current->service)
             .add("port", current->port)
@@ -289,6 +295,22 @@
     m_datagrams.send(to, QuarantineTopic, payload);
 }
 
+auto ControlPlane::saveQuarantine(const std::string &name, const std::string &saved) -> void
+{
+    if (m_quarantineArchive)
+        m_quarantineArchive->save(name, saved);
+}
+
+auto ControlPlane::release(const std::string &request) -> bool
+{
+    const auto entries = m_board.quarantine.read();
+    const auto isKnown = std::any_of(entries->begin(), entries->end(),
+                                     [&](const auto &it) { return it.request.name() == request; });
+    if (isKnown)
+        m_handlers.release(request);
+    return isKnown;
+}
+
 auto ControlPlane::announceDraining() -> void
 {
     if (m_announcements.drain())
--- a/source/node/ControlPlane.h
+++ b/source/node/ControlPlane.h
@@ -27,6 +27,7 @@
 #include "LivenessHistory.h"
 #include "NodeBoard.h"
 #include "NodeMetrics.h"
+#include "QuarantineArchive.h"
 #include "RendezvousKeeper.h"
 #include "VersionsHeard.h"
 
@@ -38,6 +39,10 @@
     std::function<void()> startDrain;
     std::function<void()> didChangeBackend; ///< The blackboard tells of another state of it.
     std::function<void()> didChangeConfiguration;
+    /// An operator lets a request run again.
+    std::function<void(const std::string &request)> release;
+    /// What the store kept of requests under which backend servers ended.
+    std::function<void(const std::string &saved)> restoreQuarantine;
     /// A gate of another node tells of requests under which backend servers end.
     std::function<void(const NodeId &from, const std::string &payload)> didHearGate;
 };
@@ -71,6 +76,9 @@
     /// Sends what the local gate tells another one of requests under which backend servers end.
     auto sendToGate(const NodeId &to, const std::string &payload) -> void;
 
+    /// Keeps what has to outlive all nodes, or, with an empty text, no longer.
+    auto saveQuarantine(const std::string &name, const std::string &saved) -> void;
+
     /// Tells the others that this host takes no new work.
     auto announceDraining() -> void;
 
@@ -89,6 +97,7 @@
     auto didPublish(config::ConfigurationPtr configuration) -> void;
     auto makeDistribution(transport::asio::io_context &io, std::uint64_t seed) -> void;
     auto scheduleTick() -> void;
+    auto release(const std::string &request) -> bool;
     [[nodiscard]] auto isReady() const -> bool;
     [[nodiscard]] auto renderStatus() const -> std::string;
     [[nodiscard]] auto renderMetrics() const -> std::string;
@@ -103,6 +112,7 @@
     std::optional<store::AnyStore> m_store;
     membership::MembershipService m_membership;
     std::optional<RendezvousKeeper> m_rendezvous;
+    std::optional<QuarantineArchive> m_quarantineArchive; ///< None without a store.
     std::set<std::string> m_servicesOfInterest;
     std::optional<distribution::DistributionService> m_distribution;
     VersionsHeard m_versionsHeard;
--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -101,6 +101,12 @@
         asio::post(m_gateThread.io(),
                    [this, from, payload] { m_quarantine.receive(from, payload); });
     };
+    handlers.release = [this](const std::string &request) {
+        asio::post(m_gateThread.io(), [this, request] { m_quarantine.release(request); });
+    };
+    handlers.restoreQuarantine = [this](const std::string &saved) {
+        asio::post(m_gateThread.io(), [this, saved] { m_quarantine.restore(saved); });
+    };
     handlers.didChangeConfiguration = [this] {
         asio::post(m_entryThread.io(), [this] { didChangeConfiguration(); });
     };
@@ -145,6 +151,10 @@
     m_controlPlane->start();
     m_publishEntry.start();
     m_publishGate.start();
+    m_quarantine.setSaveHandler([this](const std::string &name, const std::string &saved) {
+        asio::post(m_control.io(),
+                   [this, name, saved] { m_controlPlane->saveQuarantine(name, saved); });
+    });
     m_quarantine.start();
     m_gateThread.start();
     m_entryThread.start();
--- a/source/node/StatusReport.cpp
+++ b/source/node/StatusReport.cpp
@@ -110,6 +110,19 @@
     };
 }
 
+/// Requests of this node's service that are on trial or refused.
+static auto quarantineReport(const NodeBoard &board) -> nlohmann::json
+{
+    auto reports = nlohmann::json::array();
+    const auto entries = board.quarantine.read();
+    for (const auto &it : *entries)
+        reports.push_back({{"request", it.request.name()},
+                           {"standing", nameOf(it.judgement.standing)},
+                           {"crashes", it.crashes},
+                           {"retryAfterSeconds", toSeconds(it.judgement.retryAfter)}});
+    return reports;
+}
+
 auto statusReport(const NodeSettings &settings, const NodeBoard &board, const HeardVersions &heard,
                   const LivenessHistory &history, TimePoint now) -> std::string
 {
@@ -124,6 +137,7 @@
             {"configuration", configurationReport(settings, board, heard)},
             {"backend", backendReport(*board.backend.read())},
             {"domains", domainReports(*view, heard, settings.nodeId())},
+            {"quarantine", quarantineReport(board)},
             {"members", std::move(members)},
     };
     return report.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
--- a/tests/cli/TestAdminCommands.cpp
+++ b/tests/cli/TestAdminCommands.cpp
@@ -1,6 +1,7 @@
 #include <criterion/criterion.h>
 
 #include <stairspur/cli/DrainCommand.h>
+#include <stairspur/cli/ReleaseCommand.h>
 #include <stairspur/cli/StatusCommand.h>
 #include <stairspur/transport/HttpClient.h>
 
@@ -90,6 +91,32 @@
     }
 }
 
+Test(Release, namesTheRequestToTheNode)
+{
+    auto node = FakeNode{{202, {}, ""}, {}};
+    cr_assert(release(node.sender(), "0123456789ab").exitCode == ExitCode::Ok);
+    cr_assert_eq(node.request.method, "POST");
+    cr_assert_eq(node.request.target, "/release");
+    cr_assert_eq(node.request.body, "0123456789ab");
+    auto ignorant = FakeNode{{404, {}, "no such request"}, {}};
+    cr_assert_throw(release(ignorant.sender(), "0123456789ab"), CommandError);
+}
+
+Test(Status, showsRequestsUnderWhichBackendServersEnd)
+{
+    auto text = std::string(NodeStatus);
+    text.insert(text.find("\"members\""),
+                R"("quarantine": [{"request": "0123456789ab", "standing": "refused", "crashes": 3,
+                 "retryAfterSeconds": 284.5}, {"request": "ba9876543210", "standing": "on-trial",
+                 "crashes": 2, "retryAfterSeconds": 0.0}], )");
+    auto node = FakeNode{{200, {}, text}, {}};
+    const auto report = status(readHead, node.sender());
+    cr_assert_neq(report.text.find("0123456789ab               refused   3        in 284 s"),
+                  std::string::npos, "%s", report.text.c_str());
+    cr_assert_neq(report.text.find("ba9876543210               on-trial  2        alone"),
+                  std::string::npos, "%s", report.text.c_str());
+}
+
 Test(Status, showsTheHeadAndTheVersionsInForce)
 {
     auto node = FakeNode{{200, {}, NodeStatus}, {}};
--- a/tests/node/TestAdminApi.cpp
+++ b/tests/node/TestAdminApi.cpp
@@ -18,6 +18,7 @@
                     ++announcements;
                 },
                 [this] { ++drains; },
+                [](const std::string &name) { return name == "0123456789ab"; },
                 [this] { return isReady; },
                 [] { return std::string("{\"node\": \"n\"}\n"); },
                 [] { return std::string("a_total 1\n"); },
@@ -47,17 +48,14 @@
         const char *method;
         std::uint32_t status;
     } cases[] = {
-            {"/healthz", "GET", 200},    {"/readyz", "GET", 200},
-            {"/status", "GET", 200},     {"/metrics", "GET", 200},
-            {"/drain", "POST", 202},     {"/announce", "POST", 200},
-            {"/status?x=1", "GET", 200}, {"/healthz", "POST", 405},
-            {"/readyz", "POST", 405},    {"/status", "POST", 405},
-            {"/metrics", "PUT", 405},    {"/drain", "GET", 405},
-            {"/announce", "GET", 405},   {"/drain", "DELETE", 405},
-            {"/", "GET", 404},           {"", "GET", 404},
-            {"/drain/", "POST", 404},    {"/statusx", "GET", 404},
-            {"//status", "GET", 404},    {"/STATUS", "GET", 404},
-            {"/healthz%20", "GET", 404}, {"?/status", "GET", 404},
+            {"/healthz", "GET", 200},  {"/readyz", "GET", 200},     {"/status", "GET", 200},
+            {"/metrics", "GET", 200},  {"/drain", "POST", 202},     {"/announce", "POST", 200},
+            {"/release", "POST", 404}, {"/release", "GET", 405},    {"/status?x=1", "GET", 200},
+            {"/healthz", "POST", 405}, {"/readyz", "POST", 405},    {"/status", "POST", 405},
+            {"/metrics", "PUT", 405},  {"/drain", "GET", 405},      {"/announce", "GET", 405},
+            {"/drain", "DELETE", 405}, {"/", "GET", 404},           {"", "GET", 404},
+            {"/drain/", "POST", 404},  {"/statusx", "GET", 404},    {"//status", "GET", 404},
+            {"/STATUS", "GET", 404},   {"/healthz%20", "GET", 404}, {"?/status", "GET", 404},
     };
     for (const auto &it : cases) {
         auto node = FakeNode();
@@ -100,3 +98,10 @@
     cr_assert_eq(ask(node, "GET", "/healthz").status, 200);
     cr_assert_eq(ask(node, "GET", "/status").status, 200);
 }
+
+Test(AdminApi, anOperatorReleasesAKnownRequest)
+{
+    auto node = FakeNode();
+    cr_assert_eq(ask(node, "POST", "/release", "0123456789ab").status, 202);
+    cr_assert_eq(ask(node, "POST", "/release", "another").status, 404);
+}
--- a/tests/quarantine/TestQuarantineFleet.cpp
+++ b/tests/quarantine/TestQuarantineFleet.cpp
@@ -158,3 +158,87 @@
     fleet.runFor(std::chrono::seconds(10));
     cr_assert_eq(fleet.refusing(requestOf(Deadly)), 0);
 }
+
+/// All nodes start at once: what the store kept spares the three backend servers that finding it out anew would cost.
+Test(QuarantineFleet, whatWasSavedHoldsAfterAllNodesStartAnew)
+{
+    auto fleet = VirtualFleet(15, 7);
+    fleet.deadly = {requestOf(Deadly)};
+    auto others = std::uint64_t{0};
+    playFor(fleet, std::chrono::seconds(5), {Deadly}, others);
+    const auto saved = fleet.state(0).save(requestOf(Deadly), fleet.now());
+    for (auto host = std::size_t{0}; host < fleet.size(); ++host)
+        fleet.startNode(host);
+    cr_assert_eq(fleet.refusing(requestOf(Deadly)), 0);
+    fleet.state(4).restore(saved, fleet.now());
+    fleet.runFor(std::chrono::seconds(3));
+    cr_assert_eq(fleet.refusing(requestOf(Deadly)), 15, "one that could read it tells the others");
+}
+
+static auto stateOf(const NodeId &node, TimePoint now) -> QuarantineState
+{
+    auto settings = QuarantineSettings();
+    settings.node = node;
+    auto state = QuarantineState(settings, 1, now);
+    state.setPeers({"peer"});
+    return state;
+}
+
+/// A host that was suspended may have missed everything: by its own clock, which counts that time, it asks its peers anew.
+Test(QuarantineState, whoStoodStillAsksItsPeers)
+{
+    auto now = TimePoint{Duration{1'000'000'000}};
+    auto state = stateOf("a", now);
+    const auto second = std::chrono::seconds(1);
+    for (auto n = 0; n < 12; ++n)
+        state.tick(now += second);
+    state.takeDatagrams();
+    state.tick(now += second);
+    cr_assert(state.takeDatagrams().empty(), "nothing to ask any more");
+    state.tick(now += 30 * second);
+    cr_assert(!state.takeDatagrams().empty());
+}
+
+/// Thousands of different suspects push out what has fewer crashes first.
+Test(QuarantineState, whatIsRememberedIsBounded)
+{
+    auto now = TimePoint{Duration{1'000'000'000}};
+    auto state = stateOf("a", now);
+    const auto guilty = requestOf(Deadly);
+    for (auto n = 0; n < 3; ++n)
+        state.didCrash({guilty}, now);
+    auto request = std::uint64_t{0};
+    for (auto crash = 0; crash < 200; ++crash) {
+        auto ran = std::vector<RequestFingerprint>();
+        for (auto n = 0; n < 60; ++n)
+            ran.push_back(requestOf(request++));
+        state.didCrash(ran, now += std::chrono::milliseconds(10));
+    }
+    cr_assert_eq(state.size(), QuarantineSettings().mostRecords);
+    cr_assert(state.judge(guilty, now).standing == Standing::Refused);
+    now += std::chrono::hours(3);
+    state.tick(now);
+    cr_assert_eq(state.size(), 0, "all is forgotten in the end");
+}
+
+/// A request that ends servers and is never answered stays refused however often it is tried.
+Test(QuarantineState, holdsGrowWithEachTrialThatFails)
+{
+    auto now = TimePoint{Duration{1'000'000'000}};
+    auto state = stateOf("a", now);
+    state.setPeers({});
+    const auto settings = QuarantineSettings();
+    auto expected = settings.firstHold;
+    for (auto n = 0; n < 2; ++n)
+        state.didCrash({requestOf(1)}, now);
+    for (auto n = 0; n < 20; ++n) {
+        state.didCrash({requestOf(1)}, now);
+        const auto judgement = state.judge(requestOf(1), now);
+        cr_assert(judgement.standing == Standing::Refused);
+        cr_assert_eq(judgement.retryAfter.count(), expected.count(), "crash %d", n);
+        expected = std::min(2 * expected, settings.longestHold);
+        now += judgement.retryAfter;
+        state.tick(now);
+        cr_assert(state.judge(requestOf(1), now).standing == Standing::OnTrial);
+    }
+}
