--- a/source/node/TrialLane.cpp
+++ b/source/node/TrialLane.cpp
@@ -16,15 +16,17 @@
 /// Each takes the time of a run; who came after so many would hardly be in time.
 static constexpr auto MostWaiting = std::uint32_t{32};
 
-TrialLane::Turn::~Turn()
+TrialLane::Turn::Turn(std::shared_ptr<bool> isBusy)
+    : m_isBusy(std::move(isBusy))
 {
-    if (m_lane)
-        m_lane->m_isBusy = false;
+    *m_isBusy = true;
 }
 
-TrialLane::Turn::Turn(Turn &&other) noexcept
-    : m_lane(std::exchange(other.m_lane, nullptr))
-{}
+TrialLane::Turn::~Turn()
+{
+    if (m_isBusy)
+        *m_isBusy = false;
+}
 
 auto TrialLane::enter(TimePoint deadline, transport::CancellationPtr cancellation)
         -> transport::Task<Turn>
@@ -32,15 +34,14 @@
     if (m_waiting >= MostWaiting)
         co_return Turn();
     ++m_waiting;
-    while (m_isBusy && monotonicNow() < deadline && !cancellation->isCancelled()) {
+    while (*m_isBusy && monotonicNow() < deadline && !cancellation->isCancelled()) {
         auto timer = transport::Timer(m_io, LookInterval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
     --m_waiting;
-    if (m_isBusy || cancellation->isCancelled())
+    if (*m_isBusy || cancellation->isCancelled())
         co_return Turn();
-    m_isBusy = true;
-    co_return Turn(*this);
+    co_return Turn(m_isBusy);
 }
 
 } // namespace stairspur::node
--- a/source/node/TrialLane.h
+++ b/source/node/TrialLane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 
 #include <boost/asio/io_context.hpp>
 
@@ -20,19 +21,17 @@
     {
     public:
         Turn() = default;
-        explicit Turn(TrialLane &lane)
-            : m_lane(&lane)
-        {}
+        explicit Turn(std::shared_ptr<bool> isBusy);
         ~Turn();
         Turn(const Turn &) = delete;
-        Turn(Turn &&other) noexcept;
+        Turn(Turn &&other) noexcept = default;
         auto operator=(const Turn &) -> Turn & = delete;
         auto operator=(Turn &&) -> Turn & = delete;
 
-        explicit operator bool() const { return m_lane != nullptr; }
+        explicit operator bool() const { return m_isBusy != nullptr; }
 
     private:
-        TrialLane *m_lane = nullptr;
+        std::shared_ptr<bool> m_isBusy; ///< Outlives the lane in calls that are under way.
     };
 
     explicit TrialLane(transport::asio::io_context &io)
@@ -45,7 +44,7 @@
 
 private:
     transport::asio::io_context &m_io;
-    bool m_isBusy = false;
+    std::shared_ptr<bool> m_isBusy = std::make_shared<bool>(false);
     std::uint32_t m_waiting = 0;
 };
 
