--- a/include/stairspur/transport/Timer.h
+++ b/include/stairspur/transport/Timer.h
@@ -15,14 +15,16 @@
 /// would otherwise sleep (20 to 50 us each).
 inline constexpr auto LongestSleep = std::chrono::milliseconds(250);
 
-/// What Asio asks about the host's clock (its WaitTraits).
+/// What Asio asks about the host's clock. Its WaitTraits requirements give the functions their names.
 struct HostClockWait
 {
+    // NOLINTNEXTLINE(readability-identifier-naming)
     static auto to_wait_duration(const HostClock::duration &left) -> HostClock::duration
     {
         return std::min<HostClock::duration>(left, LongestSleep);
     }
 
+    // NOLINTNEXTLINE(readability-identifier-naming)
     static auto to_wait_duration(const HostClock::time_point &due) -> HostClock::duration
     {
         return to_wait_duration(due - HostClock::now());
--- a/tests/fuzz/quarantine/main.cpp
+++ b/tests/fuzz/quarantine/main.cpp
@@ -30,3 +30,10 @@
     state.tick(start + std::chrono::seconds(1));
     return 0;
 }
+
+extern "C" auto LLVMFuzzerCustomMutator(std::uint8_t *data, std::size_t size, std::size_t maxSize,
+                                        unsigned seed) -> std::size_t
+{
+    static const auto samples = makeSamples();
+    return fuzz::mutateOrSample(samples, data, size, maxSize, seed);
+}
--- a/tests/quarantine/TestQuarantineFleet.cpp
+++ b/tests/quarantine/TestQuarantineFleet.cpp
@@ -242,3 +242,23 @@
         cr_assert(state.judge(requestOf(1), now).standing == Standing::OnTrial);
     }
 }
+
+/// The word of a crash may come after the next run of what ran there.
+Test(QuarantineState, anAnswerSpeaksAgainstACrashThatIsHeardOfLater)
+{
+    auto now = TimePoint{Duration{1'000'000'000}};
+    auto first = stateOf("a", now);
+    auto second = stateOf("b", now);
+    second.didAnswer(requestOf(1), now);
+    now += std::chrono::milliseconds(1);
+    for (auto n = 0; n < 3; ++n)
+        first.didCrash({requestOf(1), requestOf(2)}, now);
+    for (const auto &it : first.takeDatagrams())
+        second.receive("a", it.payload, now);
+    cr_assert(second.judge(requestOf(1), now).standing == Standing::Clear);
+    cr_assert(second.judge(requestOf(2), now).standing == Standing::Refused);
+    // Its own backend server's end is no proof against what that has just answered either.
+    second.didCrash({requestOf(1)}, now);
+    second.didCrash({requestOf(1)}, now);
+    cr_assert(second.judge(requestOf(1), now).standing == Standing::Clear);
+}
