--- a/include/stairspur/quarantine/Messages.h
+++ b/include/stairspur/quarantine/Messages.h
@@ -45,14 +45,11 @@
 
 using Message = std::variant<CrashNews, Digest, Records>;
 
-/// Bytes of one request in CrashNews, and of one item in Records with `crashes` crashes, at most.
-inline constexpr auto BytesOfRequest = std::size_t{20};
-constexpr auto bytesOfItem(std::size_t crashes) -> std::size_t
-{
-    return 40 + 12 * crashes;
-}
-/// Bytes of a message without requests and items, at most.
-inline constexpr auto BytesOfFrame = std::size_t{32};
+/// `news` in messages of `mostBytes` each, at most.
+auto splitNews(const CrashNews &news, std::size_t mostBytes) -> std::vector<CrashNews>;
+
+/// `records` in messages of `mostBytes` each, at most.
+auto splitRecords(const Records &records, std::size_t mostBytes) -> std::vector<Records>;
 
 auto writeMessage(const Message &message) -> std::string;
 
--- a/include/stairspur/quarantine/QuarantineSettings.h
+++ b/include/stairspur/quarantine/QuarantineSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 
@@ -25,6 +26,16 @@
     /// mended, costs its callers minutes.
     Duration firstHold{300'000'000};
     Duration longestHold{3'600'000'000};
+
+    /// How long a request is refused after its last crash.
+    [[nodiscard]] auto holdAfter(std::uint32_t crashes) const -> Duration
+    {
+        auto hold = firstHold;
+        for (auto n = crashesToRefuse; n < crashes && hold < longestHold; ++n)
+            hold *= 2;
+        return std::min(hold, longestHold);
+    }
+
     /// How long a suspicion lasts without another crash. A client that comes back does so within seconds or minutes.
     Duration suspicionTime{600'000'000};
 
--- a/include/stairspur/quarantine/QuarantineState.h
+++ b/include/stairspur/quarantine/QuarantineState.h
@@ -115,15 +115,14 @@
     auto sendDigest(TimePoint now) -> void;
     auto sendAnswers(TimePoint now) -> void;
     auto sendBinding(const NodeId &to, TimePoint now) -> void;
-    auto sendNews(CrashId crash, const std::vector<RequestFingerprint> &requests) -> void;
-    auto sendRecords(const std::vector<NodeId> &to, const std::vector<Records::Item> &items,
-                     bool mayPassOn, std::uint32_t mostDatagrams) -> void;
+    auto sendNews(CrashId crash, std::vector<RequestFingerprint> requests) -> void;
+    auto sendRecords(const std::vector<NodeId> &to, const Records &records,
+                     std::size_t mostDatagrams) -> void;
     auto send(const std::vector<NodeId> &to, const Message &message) -> void;
     auto forget(TimePoint now) -> void;
     auto makeRoom() -> void;
 
     [[nodiscard]] auto isBinding(const CrashRecord &record) const -> bool;
-    [[nodiscard]] auto holdFor(std::uint32_t crashes) const -> Duration;
     [[nodiscard]] auto ownsTrial(const RequestFingerprint &request) const -> bool;
     [[nodiscard]] auto digest() const -> std::uint64_t;
     [[nodiscard]] auto itemOf(const RequestFingerprint &request, const CrashRecord &record,
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -1,12 +1,10 @@
 #include "Gate.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <stairspur/log/Log.h>
 #include <stairspur/transport/EndToEnd.h>
-#include <stairspur/transport/PortProbe.h>
 
 #include "RoutedIntake.h"
 
@@ -24,9 +22,6 @@
 static constexpr auto TickInterval = std::chrono::milliseconds(5);
 /// When to come back to a gate that has no serving backend server: about the time in which entries learn of it.
 static constexpr auto UnavailableRetryAfter = Duration{500'000};
-/// A process on the same host answers a connect, or its kernel refuses it, within a millisecond; a busy host takes some more.
-/// Without an answer by then the backend server is taken to live: the calls that broke go on waiting for a word until then.
-static constexpr auto CrashProbeTimeout = Duration{50'000};
 /// When to come back for a turn of those that run alone: some runs later.
 static constexpr auto TrialRetryAfter = Duration{500'000};
 
@@ -48,6 +43,7 @@
     , m_random(seed)
     , m_admission(std::make_unique<AdmissionController>(admissionSettings(protocol)))
     , m_quarantine(quarantine)
+    , m_crashes(io, quarantine)
     , m_trials(io)
     , m_ticker(io)
     , m_protocol(protocol)
@@ -85,25 +81,17 @@
         slots = std::min(slots, limits.maxConcurrency);
     m_admission->setReportedSlots(slots);
     m_admission->setMaxQueue(limits.maxQueue);
-    const auto wasLeaving = isLeaving();
-    m_backend = backend;
+    const auto former = std::exchange(m_backend, backend);
     if (isReplaced) {
-        if (const auto requests = m_crashes.didReplace(wasLeaving); !requests.empty())
-            m_quarantine.didCrash(requests);
+        m_crashes.didReplace(former);
         m_client = makeClient(limits);
         m_admission->didReplaceBackend();
         ++m_backendLives;
     }
-    if (isLeaving())
+    if (isLeaving(m_backend))
         apply(m_admission->refuseWaiting(Reason::Draining, monotonicNow(), m_random));
 }
 
-auto Gate::isLeaving() const -> bool
-{
-    return m_backend.state == membership::ServingState::Draining
-           || m_backend.state == membership::ServingState::Left;
-}
-
 auto Gate::makeClient(const config::ServiceLimits &limits) const -> ClientPtr
 {
     auto client = transport::HttpClientSettings();
@@ -283,40 +271,6 @@
                                               : verdict.completion;
 }
 
-auto Gate::noteEnd(CallId id, Fingerprint fingerprint, const BackendVerdict &verdict,
-                   std::optional<transport::HttpFailure> failure, ClientPtr client) -> Task<void>
-{
-    const auto isWhole =
-            !failure
-            && (verdict.outcome == Outcome::Answered || verdict.outcome == Outcome::Failed);
-    if (isWhole) {
-        m_crashes.didAnswer(id);
-        m_quarantine.didAnswer(fingerprint);
-    } else if (failure != transport::HttpFailure::Broken) {
-        m_crashes.didEndOtherwise(id);
-    } else if (m_crashes.didBreak(id)) {
-        co_await lookForCrash(std::move(client));
-    }
-}
-
-auto Gate::lookForCrash(ClientPtr client) -> Task<void>
-{
-    if (client != m_client || isLeaving())
-        co_return;
-    // One connect tells for all calls that broke together; each new one would take a place at a server that lives.
-    if (const auto probe = m_probe) {
-        co_await probe->async_wait(transport::asio::as_tuple(transport::asio::use_awaitable));
-        co_return;
-    }
-    m_probe = std::make_shared<transport::Timer>(m_io, transport::Timer::time_point::max());
-    const auto address = transport::asio::ip::make_address(m_backend.address);
-    const auto isClosed =
-            co_await transport::isPortClosed(m_io, {address, m_backend.port}, CrashProbeTimeout);
-    if (isClosed && client == m_client)
-        m_quarantine.didCrash(m_crashes.takeCrash());
-    std::exchange(m_probe, nullptr)->cancel();
-}
-
 auto Gate::dispatch(CallId id, CallRequest request, Fingerprint fingerprint, TimePoint deadline,
                     CancellationPtr cancellation) -> Task<CallAnswer>
 {
@@ -346,7 +300,7 @@
         failure = error.failure();
         verdict = judgeFailure(error.failure());
     }
-    co_await noteEnd(id, fingerprint, verdict, failure, client);
+    co_await m_crashes.didEnd(id, fingerprint, verdict, failure, m_backend);
     // It ended the last backend server that it was to end: nobody may send it on.
     if (failure && m_quarantine.judge(fingerprint).standing == Standing::Refused)
         verdict.reason = Reason::Quarantined;
--- a/source/node/Gate.h
+++ b/source/node/Gate.h
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
@@ -11,7 +10,6 @@
 #include <stairspur/admission/AdmissionController.h>
 #include <stairspur/core/Random.h>
 #include <stairspur/node/CallProtocol.h>
-#include <stairspur/quarantine/CrashDetector.h>
 #include <stairspur/transport/CallMessages.h>
 #include <stairspur/transport/Cancellation.h>
 #include <stairspur/transport/HttpClient.h>
@@ -20,6 +18,7 @@
 
 #include "BackendAnswer.h"
 #include "CallIdSource.h"
+#include "CrashWatch.h"
 #include "NodeBoard.h"
 #include "NodeMetrics.h"
 #include "QuarantineKeeper.h"
@@ -86,13 +85,6 @@
     auto dispatch(CallId id, transport::CallRequest request, Fingerprint fingerprint,
                   TimePoint deadline, transport::CancellationPtr cancellation)
             -> transport::Task<transport::CallAnswer>;
-    /// Tells the quarantine how a call ended at the backend server. `failure`: it has no answer.
-    auto noteEnd(CallId id, Fingerprint fingerprint, const BackendVerdict &verdict,
-                 std::optional<transport::HttpFailure> failure, ClientPtr client)
-            -> transport::Task<void>;
-    /// A connection broke: finds out whether the backend server has ended.
-    auto lookForCrash(ClientPtr client) -> transport::Task<void>;
-    [[nodiscard]] auto isLeaving() const -> bool;
     auto apply(const admission::Progress &progress) -> void;
     auto decide(CallId id, const admission::Refusal &refusal) -> void;
     auto refusal(const transport::CallRequest &request, Reason reason, Duration retryAfter)
@@ -115,10 +107,8 @@
     std::unique_ptr<admission::AdmissionController> m_admission;
     ClientPtr m_client;
     QuarantineKeeper &m_quarantine;
-    quarantine::CrashDetector m_crashes; ///< Of the present life of the backend server.
+    CrashWatch m_crashes;
     TrialLane m_trials;
-    /// While it is being found out whether the backend server has ended; cancelled when that is known.
-    std::shared_ptr<transport::Timer> m_probe;
     std::unordered_map<CallId, std::shared_ptr<Waiter>> m_waiters;
     transport::Timer m_ticker;
     bool m_isTicking = false;
--- a/source/node/NodeBoard.h
+++ b/source/node/NodeBoard.h
@@ -26,6 +26,13 @@
     membership::BackendLife life{};
 };
 
+/// Whether its end, or its silence, is planned.
+inline auto isLeaving(const LocalBackend &backend) -> bool
+{
+    return backend.state == membership::ServingState::Draining
+           || backend.state == membership::ServingState::Left;
+}
+
 /// The floors of the services below this host's, as its entry sees them.
 struct DeeperFloorsHeard
 {
--- a/source/quarantine/Messages.cpp
+++ b/source/quarantine/Messages.cpp
@@ -60,6 +60,43 @@
     return Json::array({Kind::Records, it.mayPassOn, toJson(it.items)});
 }
 
+/// Bytes of one request in CrashNews, and of one item in Records with `crashes` crashes, at most.
+static constexpr auto BytesOfRequest = std::size_t{20};
+static constexpr auto bytesOfItem(std::size_t crashes) -> std::size_t
+{
+    return 40 + 12 * crashes;
+}
+/// Bytes of a message without requests and items, at most.
+static constexpr auto BytesOfFrame = std::size_t{32};
+
+auto splitNews(const CrashNews &news, std::size_t mostBytes) -> std::vector<CrashNews>
+{
+    const auto perMessage = (mostBytes - BytesOfFrame) / BytesOfRequest;
+    auto parts = std::vector<CrashNews>();
+    for (const auto &it : news.requests) {
+        if (parts.empty() || parts.back().requests.size() >= perMessage)
+            parts.push_back({news.crash, news.mayPassOn, {}});
+        parts.back().requests.push_back(it);
+    }
+    return parts;
+}
+
+auto splitRecords(const Records &records, std::size_t mostBytes) -> std::vector<Records>
+{
+    auto parts = std::vector<Records>();
+    auto bytes = std::size_t{0};
+    for (const auto &it : records.items) {
+        const auto size = bytesOfItem(it.crashes.size());
+        if (parts.empty() || bytes + size > mostBytes) {
+            parts.push_back({records.mayPassOn, {}});
+            bytes = BytesOfFrame;
+        }
+        bytes += size;
+        parts.back().items.push_back(it);
+    }
+    return parts;
+}
+
 auto writeMessage(const Message &message) -> std::string
 {
     return toCbor(std::visit([](const auto &it) { return toJson(it); }, message));
--- a/source/quarantine/QuarantineState.cpp
+++ b/source/quarantine/QuarantineState.cpp
@@ -1,7 +1,6 @@
 #include <stairspur/quarantine/QuarantineState.h>
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -31,7 +30,7 @@
         takeCrash(it, crash, now, true);
         suspects.push_back(it);
     }
-    sendNews(crash, suspects);
+    sendNews(crash, std::move(suspects));
     makeRoom();
 }
 
@@ -116,7 +115,7 @@
     const auto n = it->second.count();
     if (n < m_settings.crashesToRefuse)
         return {Standing::OnTrial, Duration::zero()};
-    const auto until = it->second.lastCrash() + holdFor(n);
+    const auto until = it->second.lastCrash() + m_settings.holdAfter(n);
     if (now < until)
         return {Standing::Refused, until - now};
     // One node tries it: all of them at once would lose a backend server each.
@@ -130,14 +129,6 @@
     return record.count() >= m_settings.crashesToTrial;
 }
 
-auto QuarantineState::holdFor(std::uint32_t crashes) const -> Duration
-{
-    auto hold = m_settings.firstHold;
-    for (auto n = m_settings.crashesToRefuse; n < crashes && hold < m_settings.longestHold; ++n)
-        hold *= 2;
-    return std::min(hold, m_settings.longestHold);
-}
-
 /// Highest random weight (Thaler and Ravishankar, 1998): nodes that know the same peers name the same one.
 auto QuarantineState::ownsTrial(const RequestFingerprint &request) const -> bool
 {
@@ -184,14 +175,13 @@
 auto QuarantineState::receiveRecords(const NodeId &from, Records records, TimePoint now) -> void
 {
     auto isNews = false;
-    auto missing = std::vector<Records::Item>();
+    auto missing = Records();
     for (const auto &it : records.items) {
         isNews = takeItem(it, now) || isNews;
         if (knowsMoreThan(it))
-            missing.push_back(itemOf(it.request, m_records.at(it.request), now));
+            missing.items.push_back(itemOf(it.request, m_records.at(it.request), now));
     }
-    if (!missing.empty())
-        sendRecords({from}, missing, false, m_settings.recordDatagrams);
+    sendRecords({from}, missing, m_settings.recordDatagrams);
     if (isNews && records.mayPassOn)
         send(somePeers(), records);
 }
@@ -257,14 +247,14 @@
 
 auto QuarantineState::sendAnswers(TimePoint now) -> void
 {
-    auto items = std::vector<Records::Item>();
+    auto answers = Records{!areAllPeersSome(), {}};
     for (const auto &it : std::exchange(m_answered, {})) {
         const auto record = m_records.find(it);
         if (record != m_records.end())
-            items.push_back(itemOf(it, record->second, now));
+            answers.items.push_back(itemOf(it, record->second, now));
     }
     m_answersDue.reset();
-    sendRecords(somePeers(), items, !areAllPeersSome(), std::numeric_limits<std::uint32_t>::max());
+    sendRecords(somePeers(), answers, answers.items.size());
 }
 
 /// The gravest first: there may be more than a few datagrams hold.
@@ -278,50 +268,27 @@
     std::sort(binding.begin(), binding.end(), [](const auto &a, const auto &b) {
         return std::tie(b.first, a.second.request) < std::tie(a.first, b.second.request);
     });
-    auto items = std::vector<Records::Item>();
+    auto records = Records();
     for (auto &it : binding)
-        items.push_back(std::move(it.second));
-    sendRecords({to}, items, false, m_settings.recordDatagrams);
+        records.items.push_back(std::move(it.second));
+    sendRecords({to}, records, m_settings.recordDatagrams);
 }
 
-auto QuarantineState::sendNews(CrashId crash, const std::vector<RequestFingerprint> &requests)
-        -> void
+auto QuarantineState::sendNews(CrashId crash, std::vector<RequestFingerprint> requests) -> void
 {
-    const auto perDatagram = (m_settings.mostPayloadBytes - BytesOfFrame) / BytesOfRequest;
     const auto peers = somePeers();
-    for (auto begin = std::size_t{0}; begin < requests.size(); begin += perDatagram) {
-        const auto end = std::min(requests.size(), begin + perDatagram);
-        const auto at = [&](std::size_t index) {
-            return requests.begin() + static_cast<std::ptrdiff_t>(index);
-        };
-        send(peers, CrashNews{crash, !areAllPeersSome(), {at(begin), at(end)}});
-    }
+    const auto news = CrashNews{crash, !areAllPeersSome(), std::move(requests)};
+    for (const auto &it : splitNews(news, m_settings.mostPayloadBytes))
+        send(peers, it);
 }
 
-auto QuarantineState::sendRecords(const std::vector<NodeId> &to,
-                                  const std::vector<Records::Item> &items, bool mayPassOn,
-                                  std::uint32_t mostDatagrams) -> void
-{
-    auto records = Records{mayPassOn, {}};
-    auto bytes = BytesOfFrame;
-    const auto flush = [&] {
-        if (records.items.empty() || mostDatagrams == 0)
-            return;
-        send(to, records);
-        records.items.clear();
-        bytes = BytesOfFrame;
-        --mostDatagrams;
-    };
-    for (const auto &it : items) {
-        const auto size = bytesOfItem(it.crashes.size());
-        if (bytes + size > m_settings.mostPayloadBytes)
-            flush();
-        bytes += size;
-        records.items.push_back(it);
-        if (mostDatagrams == 0)
-            return;
-    }
-    flush();
+auto QuarantineState::sendRecords(const std::vector<NodeId> &to, const Records &records,
+                                  std::size_t mostDatagrams) -> void
+{
+    auto parts = splitRecords(records, m_settings.mostPayloadBytes);
+    parts.resize(std::min(parts.size(), mostDatagrams));
+    for (const auto &it : parts)
+        send(to, it);
 }
 
 auto QuarantineState::send(const std::vector<NodeId> &to, const Message &message) -> void
@@ -365,7 +332,8 @@
         const auto &record = it.second;
         const auto isVerdict = record.count() >= m_settings.crashesToRefuse;
         // Beyond its hold, for whoever tries it then: a crash that is forgotten would have to be seen again.
-        const auto kept = isVerdict ? 2 * holdFor(record.count()) : m_settings.suspicionTime;
+        const auto kept =
+                isVerdict ? 2 * m_settings.holdAfter(record.count()) : m_settings.suspicionTime;
         return now - record.lastCrash() >= kept;
     });
 }
--- a/tests/quarantine/TestQuarantineMessages.cpp
+++ b/tests/quarantine/TestQuarantineMessages.cpp
@@ -28,17 +28,41 @@
     cr_assert_eq(read.items[0].age.count(), 5);
 }
 
-Test(QuarantineMessages, sizesAreBounded)
+/// Numbers that take the most bytes.
+static auto longest(std::uint64_t n) -> RequestFingerprint
 {
+    return {~n, ~n};
+}
+
+Test(QuarantineMessages, longOnesAreSplitWithinTheirBound)
+{
+    static constexpr auto MostBytes = std::size_t{1'200};
     auto news = CrashNews{~std::uint64_t{0}, true, {}};
-    auto item = Records::Item{requestOf(1), {}, Duration{86'400'000'000}};
-    for (auto n = std::uint64_t{0}; n < 12; ++n) {
-        news.requests.push_back({~n, ~n});
-        item.crashes.push_back({~n, true});
+    auto records = Records{true, {}};
+    for (auto n = std::uint64_t{0}; n < 200; ++n) {
+        news.requests.push_back(longest(n));
+        auto item = Records::Item{longest(n), {}, Duration{86'400'000'000}};
+        for (auto crash = std::uint64_t{0}; crash < n % 13; ++crash)
+            item.crashes.push_back({~crash, true});
+        records.items.push_back(std::move(item));
+    }
+    auto requests = std::vector<RequestFingerprint>();
+    for (const auto &it : splitNews(news, MostBytes)) {
+        cr_expect_leq(writeMessage(it).size(), MostBytes);
+        cr_expect(it.crash == news.crash && it.mayPassOn);
+        requests.insert(requests.end(), it.requests.begin(), it.requests.end());
+    }
+    cr_expect_eq(requests, news.requests);
+    auto items = std::vector<RequestFingerprint>();
+    for (const auto &it : splitRecords(records, MostBytes)) {
+        cr_expect_leq(writeMessage(it).size(), MostBytes);
+        cr_expect(it.mayPassOn);
+        for (const auto &item : it.items)
+            items.push_back(item.request);
     }
-    item.request = {~std::uint64_t{0}, ~std::uint64_t{0}};
-    cr_assert_leq(writeMessage(news).size(), BytesOfFrame + 12 * BytesOfRequest);
-    cr_assert_leq(writeMessage(Records{true, {item}}).size(), BytesOfFrame + bytesOfItem(12));
+    cr_expect_eq(items, news.requests);
+    cr_expect(splitNews({}, MostBytes).empty());
+    cr_expect(splitRecords({}, MostBytes).empty());
 }
 
 Test(QuarantineMessages, whatIsNoMessageIsRefused)
