Tests: Show that a version comes into force late after all connections fell silent (fails)

What callers saw: requests handled by an older version, or refused with 404 though the route was there, more than 2 s after a newer one had been acknowledged.

The fake cluster now has connections that can fall silent: watches, kept connections to the store (two a host, each given up 1.5 s after a request was sent on it) and links between hosts (given up after three ping intervals of 250 ms). The scenario silences all of them at once, on 15 hosts, and writes a version 0 to 2.7 s later; it has to be in force 2 s after its acknowledgement, and no sooner than 3 s after the event.

--- a/tests/distribution/FakeCluster.h
+++ b/tests/distribution/FakeCluster.h
@@ -5,7 +5,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <set>
 #include <string>
 #include <vector>
@@ -15,13 +14,13 @@
 
 #include "FakeNode.h"
 #include "FakeStore.h"
-#include "VirtualEvent.h"
+#include "VirtualClock.h"
 
 namespace stairspur::distribution {
 
 /// A few nodes with a fake store and a fake network on a virtual clock, for the tests of the distribution.
 template <typename Policy>
-class FakeCluster
+class FakeCluster : public VirtualClock
 {
 public:
     using Node = FakeNode<Policy>;
@@ -127,19 +126,24 @@
             node.watch.isDeaf = node.watch.isOpen;
     }
 
+    /// Every connection that is open now carries nothing more; nobody is told. New ones work.
+    auto silenceConnections() -> void
+    {
+        silenceWatches();
+        for (auto &[id, node] : nodes) {
+            node.connections.silentToStore = FakeConnections::KeptToStore;
+            for (const auto &[peer, other] : nodes)
+                node.connections.silentLinks.insert(peer);
+        }
+    }
+
     auto run(Duration time) -> void
     {
         const auto end = now + time;
         while (now < end) {
             if (now >= m_nextTick)
                 tick();
-            const auto next = m_events.empty() ? end : m_events.top().at;
-            now = std::min({end, m_nextTick, std::max(next, now)});
-            while (!m_events.empty() && m_events.top().at <= now) {
-                const auto event = m_events.top().run;
-                m_events.pop();
-                event();
-            }
+            advanceTo(std::min(end, m_nextTick));
         }
     }
 
@@ -189,7 +193,6 @@
     FakeStore store;
     DistributionSettings settings;
     Random random;
-    TimePoint now{Duration{1'000'000}};
     Cut isCut = [](const auto &, const auto &) { return false; };
     double lossShare = 0;
     double duplicateShare = 0;
@@ -205,11 +208,6 @@
     static constexpr auto TickInterval = Duration{100'000};
     static constexpr auto TicksPerProbe = 10U;
 
-    auto schedule(Duration delay, std::function<void()> event) -> void
-    {
-        m_events.push({now + delay, ++m_order, std::move(event)});
-    }
-
     auto latency() -> Duration
     {
         const auto span = static_cast<std::uint64_t>((maxLatency - minLatency).count()) + 1;
@@ -279,7 +277,12 @@
     auto carryOut(const NodeId &id, const SendRequest &action) -> void
     {
         const auto isAnswered = std::make_shared<bool>(false);
-        const auto isLost = isCut(id, action.to) || isCut(action.to, id);
+        auto &links = nodes[id].connections.silentLinks;
+        const auto isSilent = links.contains(action.to);
+        if (isSilent)
+            schedule(FakeConnections::LinkGivenUpAfter,
+                     [&links, to = action.to] { links.erase(to); });
+        const auto isLost = isSilent || isCut(id, action.to) || isCut(action.to, id);
         if (!isLost) {
             deliver(action.to, [this, id, action, isAnswered] {
                 const auto reply = nodes[action.to].state->serve(action.payload);
@@ -300,7 +303,8 @@
     auto carryOut(const NodeId &id, const ReadHead &) -> void
     {
         ++storeReads;
-        schedule(storeLatency, [this, id, sentAt = clockOf(id)] {
+        const auto silence = nodes[id].connections.timeToRead();
+        schedule(silence + storeLatency, [this, id, sentAt = clockOf(id)] {
             const auto isOk = !isStoreDown && nodes[id].mayReachStore;
             arrive(id, [this, id, head = store.head(), isOk, sentAt] {
                 nodes[id].didReadHead(head, isOk, sentAt, clockOf(id));
@@ -384,8 +388,6 @@
         nodes[id].alarms.push_back(alarm);
     }
 
-    std::priority_queue<VirtualEvent> m_events;
-    std::uint64_t m_order = 0;
     std::uint64_t m_ticks = 0;
     TimePoint m_nextTick{};
 };
--- a/tests/distribution/FakeNode.h
+++ b/tests/distribution/FakeNode.h
@@ -8,6 +8,8 @@
 
 #include <stairspur/distribution/DistributionState.h>
 
+#include "FakeConnections.h"
+
 namespace stairspur::distribution {
 
 /// A node's watch of the store.
@@ -30,6 +32,7 @@
     bool mayReachStore = true;
     Duration clockOffset{0}; ///< Of its own clock against the cluster's.
     FakeWatch watch;
+    FakeConnections connections;
     std::vector<std::function<void()>> waiting; ///< Events that came while it was paused.
     std::vector<std::uint64_t> versions;        ///< All that it took into force since its start.
     std::vector<NewsSource> sources;            ///< How it came by each of them.
--- a/tests/distribution/TestDistributionBound.cpp
+++ b/tests/distribution/TestDistributionBound.cpp
@@ -185,6 +185,37 @@
     });
 }
 
+/// Whose connections were disturbed is held to the bound again after this time (`stable_s` of the smallest deployments).
+static constexpr auto CalmAfter = Duration{3s};
+
+/// Sections of `bytes` each: one of them fits into a datagram, or none does.
+static auto runSilentConnections(std::size_t bytes) -> Violations
+{
+    return overSeeds("silent connections", 3, 5, [bytes](Cluster &cluster, Violations &found) {
+        for (auto round = 0; round < 10; ++round) {
+            cluster.run(11s);
+            cluster.silenceConnections();
+            const auto calm = cluster.now + CalmAfter;
+            cluster.run(round * 300ms);
+            auto sections = sectionsOf(0);
+            for (auto &[name, text] : sections)
+                text = std::string(bytes, static_cast<char>('a' + round));
+            cluster.apply(sections, "apply-" + std::to_string(round));
+            const auto bound = std::max(cluster.now + SmallFleetBound, calm);
+            check(cluster, bound - cluster.now, "silent connections", found);
+        }
+    });
+}
+
+Test(DistributionBound, aVersionIsInForceInTimeAfterAllConnectionsFellSilent)
+{
+    for (const auto bytes : {std::size_t{20}, std::size_t{2000}}) {
+        const auto found = runSilentConnections(bytes);
+        cr_expect(found.empty(), "sections of %zu bytes: %zu violations, first: %s", bytes,
+                  found.size(), found.empty() ? "" : found[0].c_str());
+    }
+}
+
 struct BoundScenario
 {
     const char *name;
