Store, HttpClient: Answer reads over a fresh connection when a kept one has fallen silent

Cause: a read of the head on a kept connection that carried nothing any more ended 1.5 s later, by the kernel; the next try took the next kept connection, as dead as the first. HttpClient closes the idle connections of a silent one's age, but only when its own timer had ended the request, never when the kernel was first.

Now a repeatable call (reads, renewals of leases) whose answer takes longer than twice the latest one, but 0.2 to 1 s, goes out once more on a fresh connection; the first answer counts, and tells of the silence. A silent connection takes the idle ones of its age with it, whoever noticed.

Why it works: reads do no harm when they are sent twice, and a new connection works where old ones are silent. A slow store is not asked twice for long, since the delay follows its answers (HedgeDelay).

--- a/include/stairspur/store/StoreCaller.h
+++ b/include/stairspur/store/StoreCaller.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <stairspur/core/Random.h>
+#include <stairspur/store/HedgeDelay.h>
 #include <stairspur/store/StoreCounters.h>
 #include <stairspur/store/StoreSettings.h>
 #include <stairspur/store/TokenBucket.h>
@@ -24,6 +25,8 @@
     nlohmann::json answer{};
     std::string detail{};
     std::uint32_t httpStatus = 0; ///< Of the response; 0 without one.
+    /// A fresh connection brought the answer while a kept one said nothing.
+    bool hasFoundSilence = false;
 };
 
 /// Calls to a store over HTTP, whatever its protocol: the rate limit, further attempts where they do no harm, counters
@@ -54,8 +57,17 @@
     [[nodiscard]] auto io() const -> boost::asio::io_context & { return m_io; }
 
 private:
+    struct Race;
+
+    /// One attempt at a repeatable call, of which a second copy goes out when the answer is late. The first answer counts.
+    auto callHedged(StoreCall kind, transport::HttpRequest request)
+            -> transport::Task<StoreAttempt>;
+    /// One copy of a hedged call, on a connection whose last answer is no older than `maxAge`.
+    auto enterRace(std::shared_ptr<Race> race, transport::HttpRequest request, Duration maxAge)
+            -> transport::Task<void>;
     auto tryOnce(transport::HttpRequest request, Duration timeout,
-                 transport::CancellationPtr cancellation) -> transport::Task<StoreAttempt>;
+                 transport::CancellationPtr cancellation, Duration maxAge)
+            -> transport::Task<StoreAttempt>;
     auto sleep(Duration time) -> transport::Task<void>;
     auto didEnd(StoreCall kind, const StoreAttempt &attempt) -> void;
 
@@ -64,6 +76,7 @@
     ReadFunction m_read;
     transport::HttpClient m_client;
     TokenBucket m_bucket;
+    HedgeDelay m_hedgeDelay;
     Random m_random;
     StoreCounters m_counters;
     std::uint32_t m_inLine = 0;
@@ -76,7 +89,7 @@
     if (attempt.status != StoreStatus::Ok)
         return {attempt.status, {}, attempt.detail};
     try {
-        return {StoreStatus::Ok, decode(attempt.answer), {}};
+        return {StoreStatus::Ok, decode(attempt.answer), {}, attempt.hasFoundSilence};
     } catch (const std::exception &error) {
         return {StoreStatus::Unknown, {}, error.what()};
     }
--- a/include/stairspur/store/StoreTypes.h
+++ b/include/stairspur/store/StoreTypes.h
@@ -40,6 +40,8 @@
     StoreStatus status = StoreStatus::Unknown;
     Value value{};
     std::string detail; ///< What went wrong, for the log; empty when nothing did.
+    /// The answer came over a fresh connection while a kept one said nothing: others of its age may be as dead.
+    bool hasFoundSilence = false;
 
     [[nodiscard]] auto isOk() const -> bool { return status == StoreStatus::Ok; }
 };
--- a/include/stairspur/transport/HttpClient.h
+++ b/include/stairspur/transport/HttpClient.h
@@ -44,6 +44,9 @@
     std::uint32_t maxIdleConnections = 64;
     std::uint64_t maxAnswerBytes = 8U << 20U;
     Duration connectTimeout{1'000'000};
+    /// Bytes that the server's kernel has not acknowledged for this long break the connection. Three retransmissions on a
+    /// link of a few milliseconds (RFC 6298: the first after 200 ms on Linux, then doubled), so that a lost packet does not.
+    Duration unacknowledgedTimeout{1'500'000};
     /// Whether an answer belongs to the request. One that does not is dropped, and the next one on the connection is
     /// read in its place. Empty: each answer does.
     std::function<bool(const HttpRequest &, const HttpResponse &)> isAnswerTo{};
@@ -51,6 +54,9 @@
 
 /// HTTP/1.1 to one server over kept connections, one request at a time on each.
 ///
+/// A kept connection may fall silent without a word: packets of an older connection are dropped on the way while new
+/// connections work. One that is found silent makes those suspect that have not been heard from since; they are closed.
+///
 /// A kept connection that turns out closed before any byte of the answer came is only replaced by a fresh one when no
 /// byte of the request can have been read: it is probed for its end before use, and never sent twice.
 class HttpClient
@@ -63,10 +69,17 @@
     auto operator=(const HttpClient &) -> HttpClient & = delete;
     auto operator=(HttpClient &&) -> HttpClient & = delete;
 
+    /// No kept connection is too old for a request.
+    static constexpr auto AnyAge = Duration::max();
+
     /// Sends one request and reads its whole answer. Throws HttpClientError. A cancellation closes the connection, which
-    /// tells the server that nobody waits; it may be null.
-    auto send(HttpRequest request, Duration timeout, CancellationPtr cancellation)
-            -> Task<HttpResponse>;
+    /// tells the server that nobody waits; it may be null. A kept connection is used only if its last answer is no older
+    /// than `maxAge`; zero: the request goes out on a fresh one.
+    auto send(HttpRequest request, Duration timeout, CancellationPtr cancellation,
+              Duration maxAge = AnyAge) -> Task<HttpResponse>;
+
+    /// Closes the idle connections whose last answer is older than `time`.
+    auto closeUnusedSince(TimePoint time) -> void;
 
 private:
     class Pool;
--- a/source/transport/HttpClient.cpp
+++ b/source/transport/HttpClient.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <vector>
 
+#include <stairspur/log/Log.h>
+
 #include "HttpClientConnection.h"
 
 namespace stairspur::transport {
@@ -47,20 +49,21 @@
         , m_host(m_settings.address + ":" + std::to_string(m_settings.port))
     {}
 
-    auto send(HttpRequest request, Duration timeout, CancellationPtr cancellation)
+    auto send(HttpRequest request, Duration timeout, CancellationPtr cancellation, Duration maxAge)
             -> Task<HttpResponse>
     {
         const auto self = shared_from_this();
         const auto deadline = monotonicNow() + timeout;
         const auto head = makeRequestHead(request, m_host);
         ensureNotCancelled(cancellation);
-        while (auto connection = takeIdle()) {
+        while (auto connection = takeIdle(maxAge)) {
             // Only a request of which no byte was sent goes on to another connection.
             if (auto response = co_await tryKept(connection, head, request, deadline, cancellation))
                 co_return std::move(*response);
             ensureNotCancelled(cancellation);
         }
-        auto connection = std::make_shared<HttpClientConnection>(m_io);
+        auto connection =
+                std::make_shared<HttpClientConnection>(m_io, m_settings.unacknowledgedTimeout);
         const auto guard = CancellationGuard(cancellation, connection);
         co_await connection->connect(
                 m_endpoint, std::min(deadline - monotonicNow(), m_settings.connectTimeout));
@@ -69,6 +72,11 @@
 
     auto closeIdle() -> void { m_idle.clear(); }
 
+    auto closeUnusedSince(TimePoint time) -> void
+    {
+        std::erase_if(m_idle, [time](const auto &it) { return it->lastUsed() < time; });
+    }
+
 private:
     static auto ensureNotCancelled(const CancellationPtr &cancellation) -> void
     {
@@ -95,19 +103,25 @@
         try {
             co_return co_await exchange(connection, head, request, deadline);
         } catch (const HttpClientError &error) {
-            if (error.failure() == HttpFailure::TimedOut)
-                dropUnusedSince(begin);
+            if (connection->hasFallenSilent())
+                didFindSilence(*connection, begin);
             if (error.failure() != HttpFailure::NotConnected)
                 throw;
         }
         co_return std::nullopt;
     }
 
-    /// A kept connection that gives no answer may have been forgotten on the way, and then others have been too: those that
-    /// have answered nothing since are not trusted with another request.
-    auto dropUnusedSince(TimePoint time) -> void
+    /// What silenced one kept connection may have silenced others: those that have answered nothing since are not trusted
+    /// with another request.
+    auto didFindSilence(const HttpClientConnection &connection, TimePoint begin) -> void
     {
-        std::erase_if(m_idle, [time](const auto &it) { return it->lastUsed() < time; });
+        const auto before = m_idle.size();
+        closeUnusedSince(begin);
+        log::Line(log::Severity::Warning, "connection-silent")
+                .add("server", m_host)
+                .add("idle_ms", toMilliseconds(begin - connection.lastUsed()))
+                .add("waited_ms", toMilliseconds(monotonicNow() - begin))
+                .add("closed_others", before - m_idle.size());
     }
 
     auto exchange(const ConnectionPtr &connection, const std::string &head,
@@ -121,12 +135,13 @@
     }
 
     /// The kept connection that was used last, which is the least likely to have been closed meanwhile.
-    auto takeIdle() -> ConnectionPtr
+    auto takeIdle(Duration maxAge) -> ConnectionPtr
     {
-        while (!m_idle.empty()) {
+        const auto now = monotonicNow();
+        while (!m_idle.empty() && now - m_idle.back()->lastUsed() <= maxAge) {
             auto connection = std::move(m_idle.back());
             m_idle.pop_back();
-            if (!connection->isStale(monotonicNow()) && connection->isUsable())
+            if (!connection->isStale(now) && connection->isUsable())
                 return connection;
         }
         return nullptr;
@@ -148,10 +163,15 @@
     m_pool->closeIdle();
 }
 
-auto HttpClient::send(HttpRequest request, Duration timeout, CancellationPtr cancellation)
-        -> Task<HttpResponse>
+auto HttpClient::send(HttpRequest request, Duration timeout, CancellationPtr cancellation,
+                      Duration maxAge) -> Task<HttpResponse>
+{
+    return m_pool->send(std::move(request), timeout, std::move(cancellation), maxAge);
+}
+
+auto HttpClient::closeUnusedSince(TimePoint time) -> void
 {
-    return m_pool->send(std::move(request), timeout, std::move(cancellation));
+    m_pool->closeUnusedSince(time);
 }
 
 } // namespace stairspur::transport
--- a/source/transport/HttpClientConnection.h
+++ b/source/transport/HttpClientConnection.h
@@ -27,9 +27,10 @@
 class HttpClientConnection : public std::enable_shared_from_this<HttpClientConnection>
 {
 public:
-    explicit HttpClientConnection(asio::io_context &io)
+    HttpClientConnection(asio::io_context &io, Duration unacknowledgedTimeout)
         : m_socket(io)
         , m_timer(io)
+        , m_unacknowledgedTimeout(unacknowledgedTimeout)
     {}
 
     /// Whether the server has left this kept connection alone, so that a request may be sent on it.
@@ -52,7 +53,7 @@
         auto ignored = boost::system::error_code();
         m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         m_socket.non_blocking(true, ignored);
-        detectSilence(m_socket);
+        detectSilence(m_socket, m_unacknowledgedTimeout);
     }
 
     /// Sends `head` and the request's body, and reads the answer.
@@ -86,6 +87,9 @@
     /// When the last answer came.
     [[nodiscard]] auto lastUsed() const -> TimePoint { return m_lastUsed; }
 
+    /// Whether a request got no answer and no end either: the server is slow, or the connection carries nothing any more.
+    [[nodiscard]] auto hasFallenSilent() const -> bool { return m_hasFallenSilent; }
+
     /// Closes; a request that runs ends with the failure that is given here.
     auto giveUp(HttpFailure failure) -> void
     {
@@ -147,8 +151,10 @@
             m_parser->skip(method == "HEAD");
             const auto [ec, n] = co_await boost::beast::http::async_read(
                     m_socket, m_buffer, *m_parser, asio::as_tuple(asio::use_awaitable));
-            if (ec)
+            if (ec) {
+                m_hasFallenSilent = ec == asio::error::timed_out;
                 fail(HttpFailure::Broken, ec.message());
+            }
             const auto status = m_parser->get().result_int();
             if (status == SwitchingProtocols)
                 fail(HttpFailure::Broken, "it switched protocols");
@@ -200,6 +206,7 @@
                                   "check that the server runs and is reachable");
         if (m_isGivenUp)
             failure = m_failure;
+        m_hasFallenSilent = m_hasFallenSilent || failure == HttpFailure::TimedOut;
         if (failure == HttpFailure::TimedOut)
             throw HttpClientError(failure, "the server did not answer in time",
                                   "check its load, or allow more time");
@@ -212,11 +219,13 @@
 
     asio::ip::tcp::socket m_socket;
     Timer m_timer;
+    Duration m_unacknowledgedTimeout;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     std::uint64_t m_generation = 0;
     HttpFailure m_failure = HttpFailure::Broken;
     bool m_isGivenUp = false;
+    bool m_hasFallenSilent = false;
     bool m_mayBeKept = false;
     bool m_isKeptAlive = false; ///< By the last answer, whatever follows it.
     TimePoint m_lastUsed;
