Distribution: Open a relay's watch anew when a read found a silent connection

What callers saw: the same late versions; for 11 s after the event no relay heard of a version by its watch, since all nine watches waited on connections that carried nothing.

Cause: a silent watch cannot be told from a quiet one, and each connection was judged by itself.

Now a read that was answered over a fresh connection while a kept one said nothing tells the schedule; a watch that was open when the read was sent is closed and opened anew without a pause. One call to the store for each relay and event.

--- a/include/stairspur/distribution/DistributionState.h
+++ b/include/stairspur/distribution/DistributionState.h
@@ -163,6 +163,13 @@
         m_freshness.didFailToReadHead(now);
     }
 
+    /// A read that was sent at `sentAt` found that a connection to the store has fallen silent; the watch may wait on another.
+    auto didFindSilence(TimePoint sentAt) -> void
+    {
+        if (m_watch.didFindSilence(sentAt))
+            m_context.actions.emplace_back(CloseWatch{});
+    }
+
     /// A message of a relay's watch.
     auto didWatchHead(const Head &head, TimePoint now) -> void
     {
--- a/include/stairspur/distribution/WatchSchedule.h
+++ b/include/stairspur/distribution/WatchSchedule.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 
 #include <stairspur/core/Random.h>
 #include <stairspur/core/Time.h>
@@ -63,6 +64,17 @@
         return WatchStep::Open;
     }
 
+    /// A connection to the store had fallen silent by `time`, so that a watch that was open then may have too. True: it is to
+    /// be closed, and next() opens another as soon as it has ended.
+    auto didFindSilence(TimePoint time) -> bool
+    {
+        if (m_stage != Stage::Open || m_openedAt >= time)
+            return false;
+        m_stage = Stage::Closing;
+        m_isRenewing = true;
+        return true;
+    }
+
     /// The watch has ended. Returns the pause before the next one.
     auto didEnd(WatchEnding ending, TimePoint now) -> Duration
     {
@@ -87,6 +99,8 @@
     /// loses it again and again is not asked without a pause.
     auto pauseAfter(WatchEnding ending) -> Duration
     {
+        if (std::exchange(m_isRenewing, false))
+            return Duration{0};
         if (ending == WatchEnding::HistoryLost && !m_didRepeatAtOnce) {
             m_didRepeatAtOnce = true;
             return Duration{0};
@@ -108,6 +122,7 @@
     Stage m_stage = Stage::Closed;
     TimePoint m_notBefore{};
     TimePoint m_openedAt{};
+    bool m_isRenewing = false;      ///< It was closed in order to be opened anew.
     bool m_didRepeatAtOnce = false; ///< Since a watch last held for a while.
 };
 
--- a/source/distribution/DistributionService.cpp
+++ b/source/distribution/DistributionService.cpp
@@ -252,6 +252,8 @@
             m_state.didFailToReadHead(monotonicNow());
         if (reading.isOk && reading.head)
             m_state.didProveHead(*reading.head, sentAt, monotonicNow());
+        if (answer.hasFoundSilence)
+            m_state.didFindSilence(sentAt);
         carryOut();
     }
 
--- a/tests/distribution/TestWatchSchedule.cpp
+++ b/tests/distribution/TestWatchSchedule.cpp
@@ -87,3 +87,16 @@
     schedule.didEnd(WatchEnding::HistoryLost, Start + 3s);
     cr_expect(schedule.next(true, Start + 3s) == WatchStep::Open, "later ones do not wait");
 }
+
+Test(WatchSchedule, aWatchIsOpenedAnewAtOnceWhenAnotherConnectionWasFoundSilent)
+{
+    auto schedule = WatchSchedule(1);
+    cr_assert(schedule.next(true, Start) == WatchStep::Open);
+    cr_expect_not(schedule.didFindSilence(Start), "it was opened on a new connection since");
+    cr_expect(schedule.didFindSilence(Start + 5s));
+    cr_expect_not(schedule.didFindSilence(Start + 5s), "its end is still to come");
+    cr_expect(schedule.didEnd(WatchEnding::Other, Start + 6s) == Duration{0});
+    cr_expect(schedule.next(true, Start + 6s) == WatchStep::Open);
+    cr_expect(schedule.didEnd(WatchEnding::Other, Start + 7s) > Duration{0},
+              "later ends have a pause");
+}
