Gate: Break a silent connection to the backend server after half a second

What callers saw: after connections fell silent, requests that ended as 502 or 504, 1.5 s or more after they were sent to the backend server of their host.

Cause: bytes that the backend server's kernel does not acknowledge broke a connection after 1.5 s, a bound for links between hosts that lose packets. The way to the backend server is the host itself, where no packet is lost. Ruled out: trying a request that was sent on such a connection again, since nobody can say that it did not run.

--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -25,6 +25,9 @@
 /// When to come back for a turn of those that run alone: some runs later.
 static constexpr auto TrialRetryAfter = Duration{500'000};
 
+/// The backend server is on this host: no packet on the way there is lost, so that one retransmission (200 ms) tells enough.
+static constexpr auto BackendUnacknowledgedTimeout = Duration{500'000};
+
 static auto admissionSettings(const CallProtocol *protocol) -> admission::AdmissionSettings
 {
     auto settings = admission::AdmissionSettings();
@@ -98,6 +101,7 @@
     client.address = m_backend.address;
     client.port = m_backend.port;
     client.maxAnswerBytes = limits.maxAnswerBytes;
+    client.unacknowledgedTimeout = BackendUnacknowledgedTimeout;
     if (m_protocol)
         client.isAnswerTo = m_protocol->isAnswerTo;
     return std::make_shared<transport::HttpClient>(m_io, client);
