Transport: Replace links that fall silent, and settle which of their calls never arrived

What callers saw: the last host took a version into force 2.6 s after its acknowledgement; and requests that ended as 502, or as 504 at their deadline, though they had reached no backend server.

Cause: a link between hosts whose packets are dropped was found dead by itself, three ping intervals (0.75 s) after its next use, a resting one only then; a host that pulled a version tried one dead link after the other. A call on such a link was in doubt, since nobody could say that it had not arrived.

Now a ping without an answer within its interval makes the connecting end open a second link to the same node. If that opens while the first is silent, it takes its place, control requests are sent again over it, and the other links are pinged at once. A control request pings with itself. Over the new link the listening end tells up to which id calls have arrived, and takes no later one from the old link: those calls are not-run and go elsewhere. The old link lives on for the calls that had arrived, until it answers or its third interval has passed, so that a link that was only slow loses nothing.

Why it works: whatever silences one connection silences others of its age, and new ones work; that a newer handshake was answered first tells a dead connection from a slow peer. Ruled out: shorter ping intervals, which cost bytes on each link and break healthy ones under loss.

--- a/include/stairspur/transport/PeerClient.h
+++ b/include/stairspur/transport/PeerClient.h
@@ -50,7 +50,8 @@
     /// A cancellation is passed on to the gate and gives `unknown` with Cancelled.
     auto call(NodeId node, CallRequest request, CancellationPtr cancellation) -> Task<CallAnswer>;
 
-    /// Sends a control request and waits for the reply. Throws PeerError.
+    /// Sends a control request and waits for the reply. Throws PeerError. It is sent again when its link falls silent while
+    /// another can be opened, so that handlers must be idempotent.
     auto request(NodeId node, std::string topic, std::string payload, Duration timeout)
             -> Task<std::string>;
 
--- a/include/stairspur/transport/PeerServer.h
+++ b/include/stairspur/transport/PeerServer.h
@@ -20,7 +20,7 @@
 public:
     /// Answers one call. The cancellation fires when the entry gives the call up or its link breaks.
     using CallHandler = std::function<Task<CallAnswer>(NodeId from, CallRequest, CancellationPtr)>;
-    /// Answers one control request. What it throws reaches the requester as a PeerError with the message.
+    /// Answers one control request, which may come twice. What it throws reaches the requester as a PeerError with the message.
     using RequestHandler = std::function<Task<std::string>(NodeId from, std::string payload)>;
 
     PeerServer(asio::io_context &io, std::string address, std::uint16_t port,
--- a/source/transport/LinkWaiter.h
+++ b/source/transport/LinkWaiter.h
@@ -24,6 +24,8 @@
 
     std::optional<LinkMessage> answer;
     bool isCancelled = false;
+    bool isRequest = false;   ///< It waits for a reply, not for a call's answer.
+    bool isUnarrived = false; ///< The far end never got its call, and never will.
 
 private:
     Timer m_timer;
--- a/source/transport/PeerClient.cpp
+++ b/source/transport/PeerClient.cpp
@@ -4,9 +4,15 @@
 #include <unordered_map>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <stairspur/core/Random.h>
+#include <stairspur/log/Log.h>
 #include <stairspur/transport/Timer.h>
 
+#include "CborReader.h"
+#include "LinkFence.h"
 #include "PeerClientLink.h"
 
 namespace stairspur::transport {
@@ -43,11 +49,16 @@
             -> Task<std::string>
     {
         const auto self = shared_from_this();
-        const auto link = obtain(node);
-        if (!link)
-            throw PeerError(false, "the link to " + node + " is down",
-                            "check that the node runs and is reachable");
-        co_return co_await link->request(std::move(topic), std::move(payload), timeout);
+        const auto deadline = monotonicNow() + timeout;
+        while (true) {
+            const auto link = obtain(node);
+            if (!link)
+                throw PeerError(false, "the link to " + node + " is down",
+                                "check that the node runs and is reachable");
+            auto reply = co_await link->request(topic, payload, deadline - monotonicNow());
+            if (reply)
+                co_return std::move(*reply);
+        }
     }
 
     auto release(const NodeId &node) -> void
@@ -56,14 +67,13 @@
         if (it == m_entries.end())
             return;
         const auto link = std::move(it->second.link);
+        const auto spare = std::move(it->second.spare);
         const auto wasDown = it->second.isDown;
         m_entries.erase(it); // Its timer ends with it.
         if (wasDown)
             tell(node, true);
-        if (!link)
-            return;
-        m_leaving.emplace(link.get(), link);
-        link->release();
+        letGo(link);
+        letGo(spare);
     }
 
     auto setObserver(LinkObserver observer) -> void { m_observer = std::move(observer); }
@@ -78,6 +88,8 @@
         for (const auto &[node, entry] : entries) {
             if (entry.link)
                 entry.link->abort();
+            if (entry.spare)
+                entry.spare->abort();
         }
     }
 
@@ -94,6 +106,8 @@
     struct Entry
     {
         std::shared_ptr<PeerClientLink> link;
+        /// Opened when the link fell silent: packets of old connections may be dropped while those of new ones arrive.
+        std::shared_ptr<PeerClientLink> spare;
         std::uint32_t failures = 0;
         /// The last link was lost and no other is open yet. Calls are refused meanwhile: they do not wait for a connect to
         /// a host that may be dead.
@@ -119,25 +133,106 @@
     }
 
     auto open(const NodeId &node, Entry &entry) -> std::shared_ptr<PeerClientLink>
+    {
+        entry.link = makeLink(node);
+        entry.link->start();
+        return entry.link;
+    }
+
+    auto makeLink(const NodeId &node) -> std::shared_ptr<PeerClientLink>
     {
         auto link = std::make_shared<PeerClientLink>(m_context, node);
-        link->setDidClose([weak = weak_from_this(), node, key = link.get()](LinkEnd end) {
+        const auto weak = weak_from_this();
+        const auto *key = link.get();
+        link->setDidClose([weak, node, key](LinkEnd end) {
             if (const auto self = weak.lock())
                 self->didClose(node, key, end);
         });
-        link->setDidReady([weak = weak_from_this(), node, key = link.get()] {
+        link->setDidReady([weak, node, key] {
             if (const auto self = weak.lock())
                 self->didOpen(node, key);
         });
-        link->setDidIdle([weak = weak_from_this(), node, key = link.get()] {
+        link->setDidIdle([weak, node, key] {
             if (const auto self = weak.lock())
                 self->didIdle(node, key);
         });
-        entry.link = link;
-        link->start();
+        link->setDidFallSilent([weak, node, key] {
+            if (const auto self = weak.lock())
+                self->didFallSilent(node, key);
+        });
         return link;
     }
 
+    auto letGo(const std::shared_ptr<PeerClientLink> &link) -> void
+    {
+        if (!link)
+            return;
+        m_leaving.emplace(link.get(), link);
+        link->release();
+    }
+
+    auto didFallSilent(const NodeId &node, const PeerClientLink *link) -> void
+    {
+        const auto it = m_entries.find(node);
+        if (it == m_entries.end() || it->second.link.get() != link || it->second.spare)
+            return;
+        it->second.spare = makeLink(node);
+        it->second.spare->start();
+    }
+
+    /// The spare is open. The silent link goes on until its calls have been answered or it is found dead.
+    auto didOpenSpare(const NodeId &node, Entry &entry) -> void
+    {
+        const auto spare = std::move(entry.spare);
+        if (entry.link && !entry.link->isSilent()) {
+            letGo(spare);
+            return;
+        }
+        const auto silent = std::exchange(entry.link, spare);
+        if (!silent)
+            return didReachAgain(node, entry);
+        log::Line(log::Severity::Warning, "link-replaced").add("peer", node);
+        m_leaving.emplace(silent.get(), silent);
+        silent->retire();
+        if (silent->hasCalls())
+            asio::co_spawn(m_context->io, settle(node, silent), asio::detached);
+        verifyOthers();
+    }
+
+    auto didReachAgain(const NodeId &node, Entry &entry) -> void
+    {
+        entry.failures = 0;
+        if (std::exchange(entry.isDown, false))
+            tell(node, true);
+    }
+
+    /// What silenced one link may have silenced all of its age.
+    auto verifyOthers() -> void
+    {
+        for (const auto &[node, entry] : m_entries) {
+            if (entry.link)
+                entry.link->verify();
+        }
+    }
+
+    /// Finds out which calls of a silent link never arrived, so that they can be sent elsewhere, whatever they do.
+    auto settle(NodeId node, std::shared_ptr<PeerClientLink> silent) -> Task<void>
+    {
+        const auto self = shared_from_this();
+        try {
+            const auto reply = co_await request(node, std::string(FenceTopic), silent->farNonce(),
+                                                m_context->settings.connectTimeout);
+            const auto unarrived = silent->settle(CborReader(reply).readUnsigned());
+            log::Line(log::Severity::Info, "link-settled")
+                    .add("peer", node)
+                    .add("calls_not_arrived", unarrived);
+        } catch (const Error &error) {
+            log::Line(log::Severity::Warning, "link-not-settled")
+                    .add("peer", node)
+                    .add("error", error.what());
+        }
+    }
+
     auto didIdle(const NodeId &node, const PeerClientLink *link) -> void
     {
         const auto it = m_entries.find(node);
@@ -148,27 +243,34 @@
     auto didOpen(const NodeId &node, const PeerClientLink *link) -> void
     {
         const auto it = m_entries.find(node);
-        if (it == m_entries.end() || it->second.link.get() != link)
+        if (it == m_entries.end())
             return;
-        it->second.failures = 0;
-        if (std::exchange(it->second.isDown, false))
-            tell(node, true);
+        if (it->second.spare.get() == link)
+            return didOpenSpare(node, it->second);
+        if (it->second.link.get() == link)
+            didReachAgain(node, it->second);
     }
 
     auto didClose(const NodeId &node, const PeerClientLink *link, LinkEnd end) -> void
     {
         m_leaving.erase(link);
         const auto it = m_entries.find(node);
-        if (it == m_entries.end() || it->second.link.get() != link)
-            return; // Released meanwhile, and perhaps replaced.
+        if (it == m_entries.end())
+            return;
         auto &entry = it->second;
+        const auto wasSpare = entry.spare.get() == link;
+        if (wasSpare)
+            entry.spare.reset();
+        if (wasSpare ? entry.link != nullptr : entry.link.get() != link)
+            return; // Released meanwhile, and perhaps replaced; or a spare that is not needed yet.
         entry.link.reset();
         if (end == LinkEnd::Graceful)
             return;
         entry.failures = std::min(entry.failures + 1, MaxDoublings);
         if (!std::exchange(entry.isDown, true))
             tell(node, false);
-        scheduleReconnect(node, entry);
+        if (!entry.spare) // One that is still being opened is the next try.
+            scheduleReconnect(node, entry);
     }
 
     auto tell(const NodeId &node, bool isReachable) const -> void
--- a/source/transport/PeerClientLink.cpp
+++ b/source/transport/PeerClientLink.cpp
@@ -10,58 +10,11 @@
 #include <stairspur/log/Log.h>
 
 #include "CallCodec.h"
+#include "LinkGuards.h"
 #include <stairspur/transport/NodeAddress.h>
 
 namespace stairspur::transport {
 
-/// Takes an entry out of a container again, also when the waiting coroutine is destroyed.
-template <typename Container, typename Key>
-class EntryGuard
-{
-public:
-    EntryGuard(Container &container, Key key)
-        : m_container(container)
-        , m_key(key)
-    {}
-    ~EntryGuard() { m_container.erase(m_key); }
-    EntryGuard(const EntryGuard &) = delete;
-    EntryGuard(EntryGuard &&) = delete;
-    auto operator=(const EntryGuard &) -> EntryGuard & = delete;
-    auto operator=(EntryGuard &&) -> EntryGuard & = delete;
-
-private:
-    Container &m_container;
-    Key m_key;
-};
-
-/// Wakes a waiter up upon cancellation, for as long as it waits.
-class WakeUpGuard
-{
-public:
-    WakeUpGuard(CancellationPtr cancellation, LinkWaiter &waiter)
-        : m_cancellation(std::move(cancellation))
-    {
-        if (!m_cancellation)
-            return;
-        m_cancellation->onCancel([&waiter] {
-            waiter.isCancelled = true;
-            waiter.wakeUp();
-        });
-    }
-    ~WakeUpGuard()
-    {
-        if (m_cancellation && !m_cancellation->isCancelled())
-            m_cancellation->onCancel(nullptr);
-    }
-    WakeUpGuard(const WakeUpGuard &) = delete;
-    WakeUpGuard(WakeUpGuard &&) = delete;
-    auto operator=(const WakeUpGuard &) -> WakeUpGuard & = delete;
-    auto operator=(WakeUpGuard &&) -> WakeUpGuard & = delete;
-
-private:
-    CancellationPtr m_cancellation;
-};
-
 PeerClientLink::PeerClientLink(std::shared_ptr<PeerClientContext> context, NodeId node)
     : m_context(std::move(context))
     , m_node(std::move(node))
@@ -116,6 +69,31 @@
     closeIfReleased();
 }
 
+auto PeerClientLink::retire() -> void
+{
+    for (const auto &[id, it] : m_pending) {
+        if (!it->isRequest)
+            continue;
+        it->isCancelled = true;
+        it->wakeUp();
+    }
+    release();
+}
+
+auto PeerClientLink::settle(CallId lastArrived) -> std::size_t
+{
+    m_lastArrived = lastArrived;
+    auto n = std::size_t{0};
+    for (const auto &[id, it] : m_pending) {
+        if (id <= lastArrived || it->answer)
+            continue;
+        it->isUnarrived = true;
+        it->wakeUp();
+        ++n;
+    }
+    return n;
+}
+
 auto PeerClientLink::call(CallRequest request, CancellationPtr cancellation) -> Task<CallAnswer>
 {
     const auto self = shared_from_this();
@@ -166,7 +144,8 @@
 
 auto PeerClientLink::waitForAnswer(LinkWaiter &waiter) -> Task<Ending>
 {
-    while (!waiter.answer && !waiter.isCancelled && m_state == State::Ready) {
+    while (!waiter.answer && !waiter.isCancelled && !waiter.isUnarrived
+           && m_state == State::Ready) {
         const auto isLate = co_await waiter.wait();
         if (isLate && !waiter.answer)
             co_return Ending::TimedOut;
@@ -179,7 +158,7 @@
 /// The answer of a call that has none. `id` is 0 when it was never handed to the link.
 auto PeerClientLink::endCall(const CallRequest &request, Ending ending, CallId id) -> CallAnswer
 {
-    auto isNotRun = id == 0 || m_hasFarEndGone;
+    auto isNotRun = id == 0 || m_hasFarEndGone || (m_lastArrived && id > *m_lastArrived);
     if (id != 0 && m_link) {
         isNotRun = m_link->withdraw(FrameKind::Call, id) || isNotRun;
         m_link->forget(id);
@@ -214,10 +193,11 @@
 }
 
 auto PeerClientLink::request(std::string topic, std::string payload, Duration timeout)
-        -> Task<std::string>
+        -> Task<std::optional<std::string>>
 {
     const auto self = shared_from_this();
     auto waiter = LinkWaiter(m_context->io, timeout);
+    waiter.isRequest = true;
     if (co_await waitUntilReady(waiter) != Ending::Answered)
         throw PeerError(false, "the link to " + m_node + " could not be opened",
                         "check that the node runs and is reachable");
@@ -229,12 +209,15 @@
     {
         const auto entry = EntryGuard(m_pending, id);
         m_link->send(FrameKind::Request, id, writeRequest(topic), std::move(payload));
+        m_link->verify(); // A reply takes no longer than a pong, so that silence tells something sooner than with calls.
         ending = co_await waitForAnswer(waiter);
     }
     m_lastUsed = monotonicNow();
     const auto isUnsent = m_link->withdraw(FrameKind::Request, id);
     m_link->forget(id);
     closeIfReleased();
+    if (ending == Ending::Cancelled)
+        co_return std::nullopt;
     if (ending != Ending::Answered)
         throw PeerError(!isUnsent, m_node + " sent no reply about '" + topic + "'",
                         "check its log, or ask later");
@@ -328,6 +311,18 @@
                      "check that the peer runs an unchanged stairspur");
 }
 
+auto PeerClientLink::didFallSilent() -> void
+{
+    if (m_didFallSilent)
+        m_didFallSilent();
+}
+
+auto PeerClientLink::verify() -> void
+{
+    if (m_state == State::Ready)
+        m_link->verify();
+}
+
 auto PeerClientLink::didFlush() -> void {}
 
 auto PeerClientLink::didClose(bool isGraceful, const std::string &why) -> void
--- a/source/transport/PeerClientLink.h
+++ b/source/transport/PeerClientLink.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -40,6 +41,7 @@
     using DidClose = std::function<void(LinkEnd)>;
     using DidReady = std::function<void()>;
     using DidIdle = std::function<void()>;
+    using DidFallSilent = std::function<void()>;
 
     PeerClientLink(std::shared_ptr<PeerClientContext> context, NodeId node);
 
@@ -52,13 +54,34 @@
     /// Told once, when nobody has used the link for idleLinkTimeout.
     auto setDidIdle(DidIdle didIdle) -> void { m_didIdle = std::move(didIdle); }
 
+    /// Told each time a ping has had no answer within its interval.
+    auto setDidFallSilent(DidFallSilent didFallSilent) -> void
+    {
+        m_didFallSilent = std::move(didFallSilent);
+    }
+
     auto start() -> void;
     auto abort() -> void;
+    /// Pings the far end at once.
+    auto verify() -> void;
+    [[nodiscard]] auto isReady() const -> bool { return m_state == State::Ready; }
+    /// Whether a ping is due to have been answered and nothing has come since.
+    [[nodiscard]] auto isSilent() const -> bool { return m_link && m_link->isSilent(); }
     /// Closes once nobody waits any more.
     auto release() -> void;
+    /// The same for a link that another has taken the place of. Control requests end, so that they are sent again.
+    auto retire() -> void;
+    /// Ends the calls with ids beyond `lastArrived`: the far end says that it never got them, and never will. Returns their
+    /// number.
+    auto settle(CallId lastArrived) -> std::size_t;
+    [[nodiscard]] auto hasCalls() const -> bool { return !m_pending.empty(); }
+    /// What the far end knows the link by, once it is ready.
+    [[nodiscard]] auto farNonce() const -> std::string { return m_link->farNonce(); }
 
     auto call(CallRequest request, CancellationPtr cancellation) -> Task<CallAnswer>;
-    auto request(std::string topic, std::string payload, Duration timeout) -> Task<std::string>;
+    /// Returns the reply; nothing when the link was retired before it came. Throws PeerError.
+    auto request(std::string topic, std::string payload, Duration timeout)
+            -> Task<std::optional<std::string>>;
 
 private:
     enum class State { Connecting, Ready, Closed };
@@ -72,6 +95,7 @@
     auto didRefuse(FrameKind kind, CallId id, Reason reason) -> void override;
     auto didCancel(CallId id) -> void override;
     [[nodiscard]] auto isAwaitingAnswer() const -> bool override { return !m_pending.empty(); }
+    auto didFallSilent() -> void override;
     auto didFlush() -> void override;
     auto didClose(bool isGraceful, const std::string &why) -> void override;
 
@@ -94,6 +118,7 @@
     DidClose m_didClose;
     DidReady m_didReady;
     DidIdle m_didIdle;
+    DidFallSilent m_didFallSilent;
     asio::ip::tcp::socket m_socket;
     Timer m_timer; ///< Ends a connect that takes too long, later looks for idleness.
     TimePoint m_lastUsed;
@@ -101,6 +126,8 @@
     std::set<LinkWaiter *> m_waitersForReady;
     std::unordered_map<CallId, LinkWaiter *> m_pending;
     CallId m_lastId = 0;
+    std::optional<CallId>
+            m_lastArrived; ///< Calls with greater ids never reached the far end, and never will.
     State m_state = State::Connecting;
     bool m_hasFarEndGone = false;
     bool m_isReleased = false;
--- a/source/transport/PeerLink.cpp
+++ b/source/transport/PeerLink.cpp
@@ -90,6 +90,19 @@
     return m_incoming.erase(id) > 0;
 }
 
+auto PeerLink::verify() -> void
+{
+    // A link that was silent already is pinged and looked at by its ticks; each verification would put off the next.
+    if (!m_isReady || m_isClosing || m_isClosed || m_silentTicks > 0)
+        return;
+    m_isResting = false;
+    m_silentTicks = 1;
+    m_receivedAtTick = m_stream->bytesReceived();
+    m_stream->ping();
+    countControl();
+    scheduleTick(m_settings.pingInterval);
+}
+
 auto PeerLink::close() -> void
 {
     if (m_isClosing || m_isClosed)
@@ -335,6 +348,8 @@
         breakOff("the peer is silent");
         return;
     }
+    if (m_silentTicks == SuspectSilentTicks)
+        m_observer.didFallSilent();
     // One end's pings show life to both, so the listening end only pings when it has heard none.
     if (isSilent && (m_role == Role::Client || m_silentTicks > 1))
         m_stream->ping();
--- a/source/transport/PeerLink.h
+++ b/source/transport/PeerLink.h
@@ -48,6 +48,8 @@
         virtual auto didCancel(CallId id) -> void = 0;
         /// Whether a call or a control request waits for its answer.
         [[nodiscard]] virtual auto isAwaitingAnswer() const -> bool = 0;
+        /// A ping had no answer within its interval. The link lives on, but whoever can had better use another.
+        virtual auto didFallSilent() -> void = 0;
         /// All that was sent is out.
         virtual auto didFlush() -> void = 0;
         /// The last event.
@@ -81,6 +83,9 @@
     /// Forgets what has come of a message. Whether it had begun.
     auto forget(CallId id) -> bool;
 
+    /// Pings the far end at once, and looks for its answer after an interval, rest or not.
+    auto verify() -> void;
+
     /// Says that this end goes away and closes. Calls that were not answered by then are known never to run.
     auto close() -> void;
 
@@ -93,6 +98,15 @@
     {
         return m_outgoing.empty() && m_stream->waitingBytes() == 0;
     }
+    /// Whether nothing has come since a ping that should have been answered by now.
+    [[nodiscard]] auto isSilent() const -> bool
+    {
+        return m_silentTicks >= SuspectSilentTicks && m_stream->bytesReceived() == m_receivedAtTick;
+    }
+    /// What the far end knows this link by.
+    [[nodiscard]] auto farNonce() const -> const std::string & { return m_farNonce; }
+    /// What the far end calls farNonce().
+    [[nodiscard]] auto ownNonce() const -> const std::string & { return m_ownNonce; }
     [[nodiscard]] auto farNode() const -> const NodeId & { return m_farNode; }
     [[nodiscard]] auto remoteAddress() const -> const std::string &
     {
@@ -100,6 +114,9 @@
     }
 
 private:
+    /// Intervals without a byte: the first ends with a ping, the second without its answer.
+    static constexpr auto SuspectSilentTicks = 2U;
+
     /// A message on its way out.
     struct Outgoing
     {
--- a/source/transport/PeerServer.cpp
+++ b/source/transport/PeerServer.cpp
@@ -1,6 +1,7 @@
 #include <stairspur/transport/PeerServer.h>
 
-#include <optional>
+#include <algorithm>
+#include <deque>
 #include <unordered_map>
 
 #include <boost/asio/post.hpp>
@@ -8,11 +9,16 @@
 #include <stairspur/core/Error.h>
 #include <stairspur/log/Log.h>
 
+#include "CborWriter.h"
+#include "LinkFence.h"
 #include "PeerServerLink.h"
 #include "TcpListener.h"
 
 namespace stairspur::transport {
 
+/// Ended links that are remembered, for connecting ends that ask what has arrived on them.
+static constexpr auto MaxEndedLinks = std::size_t{256};
+
 class PeerServer::Acceptor : public std::enable_shared_from_this<PeerServer::Acceptor>
 {
 public:
@@ -34,6 +40,14 @@
             if (const auto self = weak.lock())
                 self->didEnd(it);
         };
+        m_context->requestHandlers.insert_or_assign(
+                std::string(FenceTopic),
+                [weak = weak_from_this()](NodeId from, std::string nonce) -> Task<std::string> {
+                    const auto self = weak.lock();
+                    if (!self)
+                        throw Error("the node stops", "ask another node");
+                    co_return self->fence(from, nonce);
+                });
         m_tcp->listen(m_address, m_port);
         m_tcp->accept([self = shared_from_this()](auto socket) { self->serve(std::move(socket)); });
     }
@@ -71,8 +85,38 @@
         link->start();
     }
 
+    /// What is kept of a link that has ended.
+    struct EndedLink
+    {
+        NodeId farNode;
+        std::string nonce;
+        CallId lastId = 0;
+    };
+
+    /// Closes the link of `from` that is known by `nonce` to further calls. Returns the last id that came over it.
+    auto fence(const NodeId &from, const std::string &nonce) -> std::string
+    {
+        const auto isMeant = [&](const auto &it) {
+            return it.second->nonce() == nonce && it.second->farNode() == from;
+        };
+        auto reply = std::string();
+        if (const auto it = std::ranges::find_if(m_links, isMeant); it != m_links.end()) {
+            it->second->fence();
+            CborWriter(reply).addUnsigned(it->second->lastId());
+            return reply;
+        }
+        const auto ended = std::ranges::find(m_ended, nonce, &EndedLink::nonce);
+        if (ended == m_ended.end() || ended->farNode != from)
+            throw Error("no link of that nonce is known", "take its calls for in doubt");
+        CborWriter(reply).addUnsigned(ended->lastId);
+        return reply;
+    }
+
     auto didEnd(PeerServerLink *link) -> void
     {
+        m_ended.push_back({link->farNode(), link->nonce(), link->lastId()});
+        if (m_ended.size() > MaxEndedLinks)
+            m_ended.pop_front();
         m_links.erase(link);
         finishIfDrained();
     }
@@ -88,6 +132,7 @@
     std::uint16_t m_port;
     std::shared_ptr<PeerServerContext> m_context;
     std::unordered_map<PeerServerLink *, std::shared_ptr<PeerServerLink>> m_links;
+    std::deque<EndedLink> m_ended;
     std::function<void()> m_didFinish;
     bool m_isDraining = false;
 };
--- a/source/transport/PeerServerLink.cpp
+++ b/source/transport/PeerServerLink.cpp
@@ -50,6 +50,8 @@
     if ((kind != FrameKind::Call && kind != FrameKind::Request) || id <= m_lastId)
         throw InputError("a call has an id that was used before, or is an answer",
                          "check that the peer runs an unchanged stairspur");
+    if (m_isFenced)
+        return false;
     m_lastId = id;
     return true;
 }
--- a/source/transport/PeerServerLink.h
+++ b/source/transport/PeerServerLink.h
@@ -44,6 +44,14 @@
     auto drain() -> void;
     auto abort() -> void;
 
+    /// By what the link's other end names it.
+    [[nodiscard]] auto nonce() const -> const std::string & { return m_link->ownNonce(); }
+    [[nodiscard]] auto farNode() const -> const NodeId & { return m_link->farNode(); }
+    /// The greatest id of a call or request of which a byte has come. Ids grow.
+    [[nodiscard]] auto lastId() const -> CallId { return m_lastId; }
+    /// Takes no further calls and requests. What runs goes on.
+    auto fence() -> void { m_isFenced = true; }
+
 private:
     // Sending may end the link, upon which the server lets go of it; each event keeps it until it has been handled.
     auto didBecomeReady() -> void override;
@@ -55,6 +63,7 @@
     {
         return !m_running.empty() || m_runningRequests > 0;
     }
+    auto didFallSilent() -> void override {} // The connecting end opens another link.
     auto didFlush() -> void override;
     auto didClose(bool isGraceful, const std::string &why) -> void override;
 
@@ -73,6 +82,7 @@
     std::unordered_map<CallId, CancellationPtr> m_running;
     std::uint32_t m_runningRequests = 0;
     CallId m_lastId = 0;
+    bool m_isFenced = false;
     bool m_isDraining = false;
     bool m_isClosed = false;
 };
--- a/tests/distribution/FakeNode.h
+++ b/tests/distribution/FakeNode.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <stairspur/distribution/DistributionState.h>
@@ -48,6 +49,8 @@
         state->didReadHead(isThere ? std::optional(head) : std::nullopt, now);
         if (isThere)
             state->didProveHead(head, sentAt, now);
+        if (std::exchange(connections.isStoreSilent, false))
+            state->didFindSilence(sentAt);
     }
 };
 
--- a/tests/distribution/FakeStore.h
+++ b/tests/distribution/FakeStore.h
@@ -79,6 +79,17 @@
         return it == pairs.end() ? std::nullopt : std::optional(it->second.value);
     }
 
+    /// All values by their hash.
+    [[nodiscard]] auto blobs() const -> std::map<std::string, std::string>
+    {
+        auto all = std::map<std::string, std::string>();
+        for (const auto &[key, pair] : pairs) {
+            if (key.starts_with(SectionPrefix))
+                all[key.substr(SectionPrefix.size())] = pair.value;
+        }
+        return all;
+    }
+
     /// All sections that `head` names, or nothing when one of them is not there.
     [[nodiscard]] auto sectionsOf(const Head &head) const -> std::optional<config::Sections>
     {
