Node: Let all threads verify their links when one connection was found silent

What callers saw: calls and configuration pulls that waited a further quarter of a second on a dead link, up to eleven seconds after the others of their host had been replaced.

Cause: entry, control plane and the gate of keyed calls have a client of peers each, on a thread of its own; what one of them found out the others did not hear.

Now a client tells when it has replaced a silent link, a relay when a read found a silent connection to the store; Node has each client ping its links. Test: SilentLinks::otherClientsThatAreToldOfSilenceReplaceTheirLinksBeforeUse (new functions; without the observer the other client's second link is never opened).

--- a/include/stairspur/distribution/DistributionService.h
+++ b/include/stairspur/distribution/DistributionService.h
@@ -54,6 +54,8 @@
     std::optional<WholeItemSource> source{}; ///< None: the head and sections that `apply` writes.
     /// Called on the control thread when the configuration in force is proved to have been the newest later than before.
     std::function<void(TimePoint provenAt)> didProve{};
+    /// Called on the control thread when a connection to the store was found silent while a fresh one works.
+    std::function<void()> didFindSilence{};
 };
 
 /// Runs DistributionState on the control thread: its datagrams, control requests, store reads and watch.
--- a/include/stairspur/transport/PeerClient.h
+++ b/include/stairspur/transport/PeerClient.h
@@ -59,6 +59,14 @@
     using LinkObserver = std::function<void(const NodeId &node, bool isReachable)>;
     auto setLinkObserver(LinkObserver observer) -> void;
 
+    /// Told when a link has fallen silent while another to the same node could be opened: other connections of this host may
+    /// be as dead.
+    using SilenceObserver = std::function<void()>;
+    auto setSilenceObserver(SilenceObserver observer) -> void;
+
+    /// Pings all links at once, so that silent ones are replaced before they are used.
+    auto verifyLinks() -> void;
+
     /// Closes links to nodes that are no longer needed, once their calls have ended.
     auto release(const NodeId &node) -> void;
 
--- a/source/distribution/DistributionService.cpp
+++ b/source/distribution/DistributionService.cpp
@@ -253,10 +253,17 @@
         if (reading.isOk && reading.head)
             m_state.didProveHead(*reading.head, sentAt, monotonicNow());
         if (answer.hasFoundSilence)
-            m_state.didFindSilence(sentAt);
+            didFindSilence(sentAt);
         carryOut();
     }
 
+    auto didFindSilence(TimePoint sentAt) -> void
+    {
+        m_state.didFindSilence(sentAt);
+        if (m_parts.didFindSilence)
+            m_parts.didFindSilence();
+    }
+
     auto carryOut(ReadSections action) -> void { spawn(loadSections(std::move(action))); }
 
     auto loadSections(ReadSections action) -> Task<void>
--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -137,7 +137,9 @@
             [this] { return m_membership.view(); },
             [this](config::ConfigurationPtr it) { didPublish(std::move(it)); },
             m_adapter.configuration,
-            [this](TimePoint provenAt) { m_board.configurationProof.publish({provenAt}); }};
+            [this](TimePoint provenAt) { m_board.configurationProof.publish({provenAt}); },
+            m_handlers.didFindSilence};
+    m_peers.setSilenceObserver(m_handlers.didFindSilence);
     auto settings = distribution::DistributionSettings();
     settings.isProvingFreshness = m_settings.revocationBound > Duration::zero();
     m_distribution.emplace(io, m_settings.nodeId(), m_settings.failureDomain, settings,
--- a/source/node/ControlPlane.h
+++ b/source/node/ControlPlane.h
@@ -48,6 +48,8 @@
     std::function<void(const NodeId &from, const std::string &payload)> didHearGate;
     /// The local entry's ask for tokens has been answered.
     std::function<void(const quota::TokenGrant &grant)> didGrant;
+    /// A connection to the store or to a peer has fallen silent while new ones work.
+    std::function<void()> didFindSilence;
 };
 
 /// What peer links of this node are set to, on each of its threads.
@@ -88,6 +90,9 @@
     /// Keeps what has to outlive all nodes, or, with an empty text, no longer.
     auto saveQuarantine(const std::string &name, const std::string &saved) -> void;
 
+    /// Looks for links that have fallen silent.
+    auto verifyLinks() -> void { m_peers.verifyLinks(); }
+
     /// Tells the others that this host takes no new work.
     auto announceDraining() -> void;
 
--- a/source/node/KeyedGate.h
+++ b/source/node/KeyedGate.h
@@ -46,6 +46,14 @@
     /// survivors of the pairs take over as if this node had failed.
     auto handOver(std::function<void(bool isWhole)> didFinish) -> void;
 
+    /// Called on the gate's thread when a link of its own has fallen silent while another could be opened.
+    auto setSilenceObserver(std::function<void()> observer) -> void
+    {
+        m_peers.setSilenceObserver(std::move(observer));
+    }
+    /// Looks for links that have fallen silent.
+    auto verifyLinks() -> void { m_peers.verifyLinks(); }
+
     /// Of the links of its own.
     [[nodiscard]] auto traffic() const -> transport::PeerTraffic { return m_peers.traffic(); }
     [[nodiscard]] auto storeCounters() const -> const store::StoreCounters &
--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -72,6 +72,7 @@
     , m_drainTimer(m_control.io())
     , m_noticeTimer(m_control.io())
 {
+    m_entryPeers.setSilenceObserver([this] { didFindSilence(); });
     m_controlPlane = std::make_unique<ControlPlane>(m_control.io(), m_settings, m_adapter, m_board,
                                                     m_metrics, handlers(), m_start, seed());
     // Surroundings with a protocol of their own send no idempotency keys.
@@ -83,6 +84,7 @@
                 return placeBoundCall(std::move(request), std::move(cancellation));
             },
             seed());
+    m_keyedGate->setSilenceObserver([this] { didFindSilence(); });
 }
 
 Node::~Node()
@@ -112,6 +114,7 @@
     handlers.restoreQuarantine = [this](const std::string &saved) {
         asio::post(m_gateThread.io(), [this, saved] { m_quarantine.restore(saved); });
     };
+    handlers.didFindSilence = [this] { didFindSilence(); };
     handlers.didChangeConfiguration = [this] {
         asio::post(m_entryThread.io(), [this] { didChangeConfiguration(); });
     };
@@ -123,6 +126,15 @@
     return m_adapter.calls ? &*m_adapter.calls : nullptr;
 }
 
+/// On any thread. What silenced one connection of this host may have silenced those of its other threads.
+auto Node::didFindSilence() -> void
+{
+    asio::post(m_entryThread.io(), [this] { m_entryPeers.verifyLinks(); });
+    asio::post(m_control.io(), [this] { m_controlPlane->verifyLinks(); });
+    if (m_keyedGate)
+        asio::post(m_gateThread.io(), [this] { m_keyedGate->verifyLinks(); });
+}
+
 /// On the entry's thread.
 auto Node::didChangeConfiguration() -> void
 {
--- a/source/node/Node.h
+++ b/source/node/Node.h
@@ -48,6 +48,7 @@
     auto handlers() -> ControlHandlers;
     [[nodiscard]] auto protocol() const -> const CallProtocol *;
     auto didChangeConfiguration() -> void;
+    auto didFindSilence() -> void;
     auto setIngressLimits(const config::IngressLimits &limits) -> void;
     auto stopTakingCallers() -> void;
     auto stopTakingWork() -> void;
--- a/source/transport/PeerClient.cpp
+++ b/source/transport/PeerClient.cpp
@@ -77,10 +77,23 @@
     }
 
     auto setObserver(LinkObserver observer) -> void { m_observer = std::move(observer); }
+    auto setSilenceObserver(SilenceObserver observer) -> void
+    {
+        m_silenceObserver = std::move(observer);
+    }
+
+    auto verifyLinks() -> void
+    {
+        for (const auto &[node, entry] : m_entries) {
+            if (entry.link)
+                entry.link->verify();
+        }
+    }
 
     auto abort() -> void
     {
         m_observer = nullptr;
+        m_silenceObserver = nullptr;
         const auto leaving = std::exchange(m_leaving, {});
         for (const auto &[key, link] : leaving)
             link->abort();
@@ -196,7 +209,10 @@
         silent->retire();
         if (silent->hasCalls())
             asio::co_spawn(m_context->io, settle(node, silent), asio::detached);
-        verifyOthers();
+        // What silenced one link may have silenced all of its age.
+        verifyLinks();
+        if (m_silenceObserver)
+            m_silenceObserver();
     }
 
     auto didReachAgain(const NodeId &node, Entry &entry) -> void
@@ -206,15 +222,6 @@
             tell(node, true);
     }
 
-    /// What silenced one link may have silenced all of its age.
-    auto verifyOthers() -> void
-    {
-        for (const auto &[node, entry] : m_entries) {
-            if (entry.link)
-                entry.link->verify();
-        }
-    }
-
     /// Finds out which calls of a silent link never arrived, so that they can be sent elsewhere, whatever they do.
     auto settle(NodeId node, std::shared_ptr<PeerClientLink> silent) -> Task<void>
     {
@@ -312,6 +319,7 @@
 
     std::shared_ptr<PeerClientContext> m_context;
     LinkObserver m_observer;
+    SilenceObserver m_silenceObserver;
     Random m_random;
     std::unordered_map<NodeId, Entry> m_entries;
     /// Released links, until the far end has closed too: a link that is let go of before may lose that it was closed.
@@ -344,6 +352,16 @@
     m_links->setObserver(std::move(observer));
 }
 
+auto PeerClient::setSilenceObserver(SilenceObserver observer) -> void
+{
+    m_links->setSilenceObserver(std::move(observer));
+}
+
+auto PeerClient::verifyLinks() -> void
+{
+    m_links->verifyLinks();
+}
+
 auto PeerClient::release(const NodeId &node) -> void
 {
     m_links->release(node);
--- a/tests/transport/TestSilentLinks.cpp
+++ b/tests/transport/TestSilentLinks.cpp
@@ -169,3 +169,18 @@
     cr_assert_eq(it.ask("second"), "second");
     cr_assert_eq(it.relay.accepted(), 2); // One of each client.
 }
+
+Test(SilentLinks, otherClientsThatAreToldOfSilenceReplaceTheirLinksBeforeUse)
+{
+    auto it = RelayedPair();
+    auto other = PeerClient(it.io, settingsOf("other"));
+    it.pair.client.setSilenceObserver([&other] { other.verifyLinks(); });
+    cr_assert(it.pair.call(callOf("x")).outcome == Outcome::Answered);
+    cr_assert(runTask(it.io, other.call(it.pair.node, callOf("x"), nullptr)).outcome
+              == Outcome::Answered);
+    it.relay.silenceOpen();
+    cr_assert(it.pair.call(callOf("x")).outcome == Outcome::NotRun);
+    runUntil(it.io, [&] { return it.relay.accepted() == 4; });
+    cr_assert(runTask(it.io, other.call(it.pair.node, callOf("x"), nullptr)).outcome
+              != Outcome::Unknown);
+}
