--- a/include/stairspur/distribution/DistributionState.h
+++ b/include/stairspur/distribution/DistributionState.h
@@ -326,8 +326,8 @@
             m_context.tell(peers[randomBelow(m_context.random, peers.size())]);
     }
 
-    /// A domain whose relays have lost the store should not wait for its turn: in a run without this it had a version 0.9 s
-    /// after the others. A few domains alone, so that the bytes don't grow with their number; those tell further ones.
+    /// A domain whose relays have lost the store should not wait for its turn. A few domains alone, so that the bytes don't grow
+    /// with their number; those tell further ones.
     auto tellOtherDomains(TimePoint now) -> void
     {
         const auto n =
--- a/include/stairspur/distribution/WatchSchedule.h
+++ b/include/stairspur/distribution/WatchSchedule.h
@@ -23,17 +23,15 @@
 };
 
 /// How long a node must have been a relay before its first watch. Each node that starts takes itself for the only one of its
-/// failure domain until it has heard of others: with 194 hosts that started at once, 387 watches and 200 reads of the
-/// whole prefix were opened and given up within that second, of 2,386 calls to the store in a minute. Until then
-/// its reads in turn tell it of versions.
+/// failure domain until it has heard of others, so that all hosts that start at once would open watches and give them up.
+/// Until then its reads in turn tell it of versions.
 inline constexpr auto WatchSettling = Duration{1'000'000};
 
 /// When a node opens and closes its watch of the store's head, without I/O or clock. Relays alone watch.
 ///
 /// A relay without a watch hears of a new version only by its reads, so its pauses count towards the time within which a
 /// version has to be in force (2 s on the smallest deployments): they start anew after each watch that held for a while,
-/// and a lost history is answered at once. With pauses that grew over all watches of a process's life, versions came
-/// into force up to 2.2 s after their acknowledgement, in 4 of 18 runs with five lost histories.
+/// and a lost history is answered at once.
 class WatchSchedule
 {
 public:
--- a/source/transport/HttpClient.cpp
+++ b/source/transport/HttpClient.cpp
@@ -72,6 +72,8 @@
 
     auto closeIdle() -> void { m_idle.clear(); }
 
+    /// What silenced one kept connection may have silenced others: those that have answered nothing since `time` are not
+    /// trusted with another request.
     auto closeUnusedSince(TimePoint time) -> void
     {
         std::erase_if(m_idle, [time](const auto &it) { return it->lastUsed() < time; });
@@ -103,25 +105,22 @@
         try {
             co_return co_await exchange(connection, head, request, deadline);
         } catch (const HttpClientError &error) {
+            if (connection->hasFallenSilent() || error.failure() == HttpFailure::TimedOut)
+                closeUnusedSince(begin);
             if (connection->hasFallenSilent())
-                didFindSilence(*connection, begin);
+                logSilence(*connection, begin);
             if (error.failure() != HttpFailure::NotConnected)
                 throw;
         }
         co_return std::nullopt;
     }
 
-    /// What silenced one kept connection may have silenced others: those that have answered nothing since are not trusted
-    /// with another request.
-    auto didFindSilence(const HttpClientConnection &connection, TimePoint begin) -> void
+    auto logSilence(const HttpClientConnection &connection, TimePoint begin) const -> void
     {
-        const auto before = m_idle.size();
-        closeUnusedSince(begin);
         log::Line(log::Severity::Warning, "connection-silent")
                 .add("server", m_host)
                 .add("idle_ms", toMilliseconds(begin - connection.lastUsed()))
-                .add("waited_ms", toMilliseconds(monotonicNow() - begin))
-                .add("closed_others", before - m_idle.size());
+                .add("waited_ms", toMilliseconds(monotonicNow() - begin));
     }
 
     auto exchange(const ConnectionPtr &connection, const std::string &head,
--- a/source/transport/HttpClientConnection.h
+++ b/source/transport/HttpClientConnection.h
@@ -87,7 +87,7 @@
     /// When the last answer came.
     [[nodiscard]] auto lastUsed() const -> TimePoint { return m_lastUsed; }
 
-    /// Whether a request got no answer and no end either: the server is slow, or the connection carries nothing any more.
+    /// Whether the kernel gave the connection up because the far end acknowledged nothing.
     [[nodiscard]] auto hasFallenSilent() const -> bool { return m_hasFallenSilent; }
 
     /// Closes; a request that runs ends with the failure that is given here.
@@ -206,7 +206,6 @@
                                   "check that the server runs and is reachable");
         if (m_isGivenUp)
             failure = m_failure;
-        m_hasFallenSilent = m_hasFallenSilent || failure == HttpFailure::TimedOut;
         if (failure == HttpFailure::TimedOut)
             throw HttpClientError(failure, "the server did not answer in time",
                                   "check its load, or allow more time");
--- a/source/transport/PeerLink.cpp
+++ b/source/transport/PeerLink.cpp
@@ -92,8 +92,10 @@
 
 auto PeerLink::verify() -> void
 {
-    // A link that was silent already is pinged and looked at by its ticks; each verification would put off the next.
-    if (!m_isReady || m_isClosing || m_isClosed || m_silentTicks > 0)
+    // A link that was silent already is looked at by its next tick, which must not be put off. What that one finds may have
+    // come before the ping, so that it verifies anew.
+    m_mustVerify = m_silentTicks > 0;
+    if (!m_isReady || m_isClosing || m_isClosed || m_mustVerify)
         return;
     m_isResting = false;
     m_silentTicks = 1;
@@ -348,6 +350,8 @@
         breakOff("the peer is silent");
         return;
     }
+    if (!isSilent && m_mustVerify)
+        return verify();
     if (m_silentTicks == SuspectSilentTicks)
         m_observer.didFallSilent();
     // One end's pings show life to both, so the listening end only pings when it has heard none.
--- a/source/transport/PeerLink.h
+++ b/source/transport/PeerLink.h
@@ -175,6 +175,7 @@
     std::uint64_t m_countedReceived = 0;
     std::uint64_t m_receivedAtTick = 0;
     std::uint32_t m_silentTicks = 0;
+    bool m_mustVerify = false; ///< At the next tick that finds the link alive.
     bool m_isPumping = false;
     bool m_isResting = false; ///< The next tick is that of a link on which nothing waits.
     bool m_isReady = false;
--- a/tests/distribution/TestDistributionBound.cpp
+++ b/tests/distribution/TestDistributionBound.cpp
@@ -4,20 +4,6 @@
 #include <criterion/criterion.h>
 
 /// How late a version may be in force, under the faults of the platform's store, of relays and of links.
-///
-/// The story behind it: operators confirmed a change, and 2.1 s later a host still served requests by the version before
-/// it; two seconds are promised. In order: the store dropped its history five times, 17 s apart, and each time all relays'
-/// watches were cut, refused when asked for again since their history was gone, and opened anew. 4.6 s after the
-/// fourth cut the change was written. No relay had a watch at that moment, and the fallback had just read the store.
-/// Cause: the pause between two watches doubled with each cut and refusal of a process's whole life and was
-/// never reset, so that by the fourth time it took 2.5 to 5 s, twice a cut; the fallback behind it read every 4 s, all relays
-/// at once. In one case the first domain then had the version 0.9 s before the last, which waited for its turn to be told.
-///
-/// Reads in turn hold the bound here by themselves today; the pauses are held by TestWatchSchedule.
-///
-/// What proved it: the store's count of calls (nine refusals 2.5 to 5 s after a cut, nine reads 2.5 to 5 s after those), and
-/// the lines of three runs that broke the promise: `configuration-watch-ended` with its pauses, then
-/// `configuration-in-force source=watch` 1.3 to 2.2 s after the acknowledgement on the first host.
 using namespace stairspur;
 using namespace stairspur::distribution;
 
