HttpClient: Close idle connections that are too old for a request

What an operator would have seen: a host that writes to the store now and then holds ever more idle connections to it, up to 64, each probed once a second (some 7 KB/s at most, of 3 KB/s that control may take; worked out).

Cause: since writes and watches go out on a fresh connection where the kept one has not answered within 0.5 s, the old one stayed beside the fresh one until the store closed it. Now a request that accepts no old connection closes them: the fresh one takes their place. Test: HttpClient::connectionsThatAreTooOldForARequestDoNotPileUp.

--- a/include/stairspur/transport/HttpClient.h
+++ b/include/stairspur/transport/HttpClient.h
@@ -74,7 +74,7 @@
 
     /// Sends one request and reads its whole answer. Throws HttpClientError. A cancellation closes the connection, which
     /// tells the server that nobody waits; it may be null. A kept connection is used only if its last answer is no older
-    /// than `maxAge`; zero: the request goes out on a fresh one.
+    /// than `maxAge`; older idle ones are closed. Zero: the request goes out on a fresh one.
     auto send(HttpRequest request, Duration timeout, CancellationPtr cancellation,
               Duration maxAge = AnyAge) -> Task<HttpResponse>;
 
--- a/source/transport/HttpClient.cpp
+++ b/source/transport/HttpClient.cpp
@@ -133,11 +133,14 @@
         co_return response;
     }
 
-    /// The kept connection that was used last, which is the least likely to have been closed meanwhile.
+    /// The kept connection that was used last, which is the least likely to have been closed meanwhile. Those that are too old
+    /// are closed: a fresh one takes their place, so that they would pile up.
     auto takeIdle(Duration maxAge) -> ConnectionPtr
     {
         const auto now = monotonicNow();
-        while (!m_idle.empty() && now - m_idle.back()->lastUsed() <= maxAge) {
+        if (maxAge < AnyAge)
+            closeUnusedSince(now - maxAge);
+        while (!m_idle.empty()) {
             auto connection = std::move(m_idle.back());
             m_idle.pop_back();
             if (!connection->isStale(now) && connection->isUsable())
--- a/tests/transport/SilencingRelay.h
+++ b/tests/transport/SilencingRelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <memory>
@@ -41,6 +42,13 @@
     /// Connections that were accepted.
     [[nodiscard]] auto accepted() const -> std::size_t { return m_state->pairs.size(); }
 
+    /// Connections that the client has not closed.
+    [[nodiscard]] auto open() const -> std::size_t
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+                m_state->pairs, [](const auto &it) { return !it->isClosedByClient; }));
+    }
+
     auto silenceOpen() -> void
     {
         for (const auto &it : m_state->pairs)
@@ -79,6 +87,7 @@
         Way there{near, far, {}};
         Way back{far, near, {}};
         bool isSilent = false;
+        bool isClosedByClient = false;
     };
     using PairPtr = std::shared_ptr<Pair>;
 
@@ -127,6 +136,7 @@
                 way.held.append(bytes.data(), n);
                 co_await deliver(pair, way);
             }
+            pair->isClosedByClient = pair->isClosedByClient || &way == &pair->there;
             // Of a silent connection nobody learns that it was closed.
             auto ignored = boost::system::error_code();
             if (!pair->isSilent)
--- a/tests/transport/TestHttpClient.cpp
+++ b/tests/transport/TestHttpClient.cpp
@@ -9,6 +9,7 @@
 #include <stairspur/transport/HttpServer.h>
 
 #include "Loop.h"
+#include "SilencingRelay.h"
 
 using namespace stairspur;
 using namespace stairspur::transport;
@@ -320,3 +321,18 @@
               "the next request goes on a new connection");
     cr_assert_eq(server.connections(), 4);
 }
+
+Test(HttpClient, connectionsThatAreTooOldForARequestDoNotPileUp)
+{
+    auto io = asio::io_context();
+    auto server = HttpServer(io, {}, [](HttpRequest, CancellationPtr) -> Task<HttpResponse> {
+        co_return HttpResponse{.status = 200, .headers = {}, .body = "x"};
+    });
+    server.start();
+    auto relay = SilencingRelay(io, server.port());
+    auto client = HttpClient(io, {.port = relay.port()});
+    for (auto n = 0; n < 5; ++n)
+        runTask(io, client.send(get("/"), LongTimeout, nullptr, Duration::zero()));
+    cr_assert_eq(relay.accepted(), 5);
+    runUntil(io, [&] { return relay.open() == 1; });
+}
