Transport: Drop an unused predicate, say why old connections are closed; tests: one bench for held calls

Found by reading the change once more: PeerClientLink::isReady() had no caller left since a silent link is no longer asked for it; the comment of HttpClient's takeIdle() said the opposite of its reason; three tests of silent links built the same client, server and relay. Behaviour and assertions are unchanged.

--- a/source/transport/HttpClient.cpp
+++ b/source/transport/HttpClient.cpp
@@ -134,7 +134,7 @@
     }
 
     /// The kept connection that was used last, which is the least likely to have been closed meanwhile. Those that are too old
-    /// are closed: a fresh one takes their place, so that they would pile up.
+    /// are closed: a fresh one takes their place, beside which they would pile up.
     auto takeIdle(Duration maxAge) -> ConnectionPtr
     {
         const auto now = monotonicNow();
--- a/source/transport/PeerClientLink.h
+++ b/source/transport/PeerClientLink.h
@@ -64,7 +64,6 @@
     auto abort() -> void;
     /// Pings the far end at once.
     auto verify() -> void;
-    [[nodiscard]] auto isReady() const -> bool { return m_state == State::Ready; }
     /// Whether a ping is due to have been answered and nothing has come since.
     [[nodiscard]] auto isSilent() const -> bool { return m_link && m_link->isSilent(); }
     /// Closes once nobody waits any more.
--- a/tests/transport/TestSilentLinks.cpp
+++ b/tests/transport/TestSilentLinks.cpp
@@ -90,13 +90,27 @@
     int cancelled = 0;
 };
 
+/// A client and a server of held calls with a relay between them.
+struct HeldPair
+{
+    HeldPair()
+        : held(io)
+        , pair(io, held.handler(), settingsOf("server"), settingsOf("client"))
+        , relay(io, pair.server.port())
+    {
+        pair.node = "127.0.0.1:" + std::to_string(relay.port());
+    }
+
+    asio::io_context io;
+    HeldCalls held;
+    Pair pair;
+    SilencingRelay relay;
+};
+
 Test(SilentLinks, aCallThatArrivedBeforeItsLinkFellSilentIsInDoubtAndCancelled)
 {
-    auto io = asio::io_context();
-    auto held = HeldCalls(io);
-    auto pair = Pair(io, held.handler(), settingsOf("server"), settingsOf("client"));
-    auto relay = SilencingRelay(io, pair.server.port());
-    pair.node = "127.0.0.1:" + std::to_string(relay.port());
+    auto bench = HeldPair();
+    auto &[io, held, pair, relay] = bench;
     auto first = std::optional<CallAnswer>();
     pair.begin(callOf("x"), first);
     runUntil(io, [&] { return held.begun == 1; });
@@ -113,12 +127,9 @@
 
 Test(SilentLinks, aCallThatIsKnownNotToHaveRunDoesNotRunWhenItsLinkComesBack)
 {
-    auto io = asio::io_context();
-    auto held = HeldCalls(io);
+    auto bench = HeldPair();
+    auto &[io, held, pair, relay] = bench;
     held.mayEnd.set();
-    auto pair = Pair(io, held.handler(), settingsOf("server"), settingsOf("client"));
-    auto relay = SilencingRelay(io, pair.server.port());
-    pair.node = "127.0.0.1:" + std::to_string(relay.port());
     cr_assert(pair.call(callOf("x")).outcome == Outcome::Answered);
     const auto bytesOfCall = pair.server.traffic().callBytesReceived;
     relay.silenceOpen();
@@ -131,11 +142,8 @@
 
 Test(SilentLinks, aLinkThatOnlyPausedKeepsItsCalls)
 {
-    auto io = asio::io_context();
-    auto held = HeldCalls(io);
-    auto pair = Pair(io, held.handler(), settingsOf("server"), settingsOf("client"));
-    auto relay = SilencingRelay(io, pair.server.port());
-    pair.node = "127.0.0.1:" + std::to_string(relay.port());
+    auto bench = HeldPair();
+    auto &[io, held, pair, relay] = bench;
     auto silences = 0;
     pair.client.setSilenceObserver([&silences] { ++silences; });
     auto answer = std::optional<CallAnswer>();
