--- a/tests/platform/TestStatedLimits.cpp
+++ b/tests/platform/TestStatedLimits.cpp
@@ -14,3 +14,16 @@
     const auto n = server.arrivalsWithin(first + 250ms, first + 1'250ms);
     cr_expect_leq(static_cast<double>(n), 1.5 * Rate + 5, "%zu requests in a second", n);
 }
+
+Test(StatedLeaving, aLeavingBackendServerGetsNoMoreRequests)
+{
+    auto bench = StatedLimitsBench();
+    auto &leaving = bench.addServer();
+    leaving.stated.isLeaving = true;
+    bench.addServer();
+    bench.drive(200ms, 100);
+    const auto told = leaving.arrivals.front() + 100ms;
+    const auto n = leaving.arrivalsWithin(told, TimePoint::max());
+    cr_expect_eq(n, 0, "%zu requests after the statement", n);
+    cr_expect_eq(bench.answersOf(200), bench.path().responses.size());
+}
