--- a/include/stairspur/store/TokenBucket.h
+++ b/include/stairspur/core/TokenBucket.h
@@ -4,7 +4,7 @@
 
 #include <stairspur/core/Time.h>
 
-namespace stairspur::store {
+namespace stairspur {
 
 /// Token bucket that limits the rate of calls. Each call takes a token. `perSecond` tokens are added in each second,
 /// and at most `burst` tokens are saved up.
@@ -53,4 +53,4 @@
     TimePoint m_last{};
 };
 
-} // namespace stairspur::store
+} // namespace stairspur
--- a/include/stairspur/store/StoreCaller.h
+++ b/include/stairspur/store/StoreCaller.h
@@ -9,10 +9,10 @@
 #include <nlohmann/json.hpp>
 
 #include <stairspur/core/Random.h>
+#include <stairspur/core/TokenBucket.h>
 #include <stairspur/store/HedgeDelay.h>
 #include <stairspur/store/StoreCounters.h>
 #include <stairspur/store/StoreSettings.h>
-#include <stairspur/store/TokenBucket.h>
 #include <stairspur/transport/HttpClient.h>
 #include <stairspur/transport/Task.h>
 
--- a/tests/store/TestStoreLimits.cpp
+++ b/tests/store/TestStoreLimits.cpp
@@ -1,7 +1,7 @@
 #include <criterion/criterion.h>
 
+#include <stairspur/core/TokenBucket.h>
 #include <stairspur/store/Backoff.h>
-#include <stairspur/store/TokenBucket.h>
 
 #include "standins/store/StoreState.h"
 
