Node: Split BackendClient out of Gate

It writes a call in the protocol of the backend server, sends it and interprets the response. No change of behaviour; tests as before.

--- /dev/null
+++ b/source/node/BackendClient.cpp
@@ -0,0 +1,84 @@
+#include "BackendClient.h"
+
+#include <stairspur/transport/EndToEnd.h>
+
+namespace stairspur::node {
+
+using transport::CallRequest;
+using transport::Task;
+
+/// Time without an acknowledgement after which a connection to the backend server is closed. The backend server is on this
+/// host, where no packet is lost, so one failed retransmission (200 ms) is enough.
+static constexpr auto BackendUnacknowledgedTimeout = Duration{500'000};
+
+static auto clientSettings(const LocalBackend &backend, const config::ServiceLimits &limits,
+                           const CallProtocol *protocol) -> transport::HttpClientSettings
+{
+    auto client = transport::HttpClientSettings();
+    client.address = backend.address;
+    client.port = backend.port;
+    client.maxAnswerBytes = limits.maxAnswerBytes;
+    client.unacknowledgedTimeout = BackendUnacknowledgedTimeout;
+    if (protocol)
+        client.isAnswerTo = protocol->isAnswerTo;
+    return client;
+}
+
+BackendClient::BackendClient(transport::asio::io_context &io, const LocalBackend &backend,
+                             const config::ServiceLimits &limits, const CallProtocol *protocol)
+    : m_instance(backend.incarnation.instance)
+    , m_protocol(protocol)
+    , m_client(io, clientSettings(backend, limits, protocol))
+{}
+
+auto BackendClient::send(CallRequest request, CallId id, Duration remaining,
+                         transport::CancellationPtr cancellation) -> Task<BackendReply>
+{
+    auto reply = BackendReply();
+    try {
+        auto sent = writeRequest(std::move(request), id, remaining);
+        auto response = co_await m_client.send(std::move(sent), remaining, std::move(cancellation));
+        reply.result = interpret(response);
+        const auto outcome = reply.result.outcome;
+        if (outcome == Outcome::Answered || outcome == Outcome::Failed) {
+            reply.status = response.status;
+            reply.headers = answerHeaders(std::move(response.headers));
+            reply.body = std::move(response.body);
+        }
+    } catch (const transport::HttpClientError &error) {
+        reply.failure = error.failure();
+        reply.result = interpretFailure(error.failure());
+    }
+    co_return reply;
+}
+
+auto BackendClient::writeRequest(CallRequest request, CallId id, Duration remaining) const
+        -> transport::HttpRequest
+{
+    if (!m_protocol)
+        return backendRequest(std::move(request), id, remaining);
+    return m_protocol->writeBackendRequest(std::move(request), remaining, m_instance);
+}
+
+/// Returns the response fields that the entry forwards to the caller. The others are dropped here, because traffic between
+/// failure domains is expensive.
+auto BackendClient::answerHeaders(transport::HeaderList headers) const -> transport::HeaderList
+{
+    if (!m_protocol)
+        return headers;
+    auto kept = transport::HeaderList();
+    for (auto &it : transport::endToEndFields(headers)) {
+        if (m_protocol->isForwardedField(it.name))
+            kept.add(std::move(it.name), std::move(it.value));
+    }
+    return kept;
+}
+
+auto BackendClient::interpret(const transport::HttpResponse &response) const -> BackendResult
+{
+    if (!m_protocol)
+        return interpretResponse(response);
+    return resultFor(m_protocol->readBackendResponse(response));
+}
+
+} // namespace stairspur::node
--- /dev/null
+++ b/source/node/BackendClient.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include <boost/asio/io_context.hpp>
+
+#include <stairspur/config/Configuration.h>
+#include <stairspur/node/CallProtocol.h>
+#include <stairspur/transport/Cancellation.h>
+#include <stairspur/transport/HttpClient.h>
+#include <stairspur/transport/Task.h>
+
+#include "BackendAnswer.h"
+#include "NodeBoard.h"
+
+namespace stairspur::node {
+
+/// The result of a call that was sent to the backend server.
+struct BackendReply
+{
+    BackendResult result;
+    std::optional<transport::HttpFailure> failure; ///< Empty if there is a complete response.
+    std::uint32_t status = 0; ///< Of the response that is forwarded; 0 if none is.
+    transport::HeaderList headers;
+    std::string body;
+};
+
+/// Sends calls to one process instance of the backend server, in the protocol that it uses.
+class BackendClient
+{
+public:
+    /// `protocol` is null for the product's own protocol.
+    BackendClient(transport::asio::io_context &io, const LocalBackend &backend,
+                  const config::ServiceLimits &limits, const CallProtocol *protocol);
+
+    /// Sends one call, and waits at most `remaining` for its response.
+    auto send(transport::CallRequest request, CallId id, Duration remaining,
+              transport::CancellationPtr cancellation) -> transport::Task<BackendReply>;
+
+private:
+    [[nodiscard]] auto writeRequest(transport::CallRequest request, CallId id,
+                                    Duration remaining) const -> transport::HttpRequest;
+    [[nodiscard]] auto answerHeaders(transport::HeaderList headers) const -> transport::HeaderList;
+    [[nodiscard]] auto interpret(const transport::HttpResponse &response) const -> BackendResult;
+
+    std::string m_instance;
+    const CallProtocol *m_protocol;
+    transport::HttpClient m_client;
+};
+
+} // namespace stairspur::node
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <stairspur/log/Log.h>
-#include <stairspur/transport/EndToEnd.h>
 
 #include "RoutedIntake.h"
 
@@ -25,10 +24,6 @@
 /// Retry delay of a suspected call that got no permit to run alone. It covers several runs.
 static constexpr auto SuspectedRetryAfter = Duration{500'000};
 
-/// Time without an acknowledgement after which a connection to the backend server is closed. The backend server is on this
-/// host, where no packet is lost, so one failed retransmission (200 ms) is enough.
-static constexpr auto BackendUnacknowledgedTimeout = Duration{500'000};
-
 static auto admissionSettings(const CallProtocol *protocol) -> admission::AdmissionSettings
 {
     auto settings = admission::AdmissionSettings();
@@ -88,7 +83,7 @@
     const auto former = std::exchange(m_backend, backend);
     if (isReplaced) {
         m_crashes.didReplace(former);
-        m_client = makeClient(limits);
+        m_client = std::make_shared<BackendClient>(m_io, m_backend, limits, m_protocol);
         m_admission->didReplaceBackend();
         ++m_backendIncarnation;
     }
@@ -96,18 +91,6 @@
         apply(m_admission->refuseWaiting(Reason::Draining, monotonicNow(), m_random));
 }
 
-auto Gate::makeClient(const config::ServiceLimits &limits) const -> ClientPtr
-{
-    auto client = transport::HttpClientSettings();
-    client.address = m_backend.address;
-    client.port = m_backend.port;
-    client.maxAnswerBytes = limits.maxAnswerBytes;
-    client.unacknowledgedTimeout = BackendUnacknowledgedTimeout;
-    if (m_protocol)
-        client.isAnswerTo = m_protocol->isAnswerTo;
-    return std::make_shared<transport::HttpClient>(m_io, client);
-}
-
 /// Returns the id by which this host's entry finds the call as a parent. A second call with the same attempt id gets
 /// another call id, so its deeper calls are counted as those of the first call.
 auto Gate::newCallId(const CallRequest &request) -> CallId
@@ -119,36 +102,6 @@
     return isTaken ? m_callIds.next() : id;
 }
 
-auto Gate::writeRequest(CallRequest request, CallId id, Duration remaining) const
-        -> transport::HttpRequest
-{
-    if (!m_protocol)
-        return backendRequest(std::move(request), id, remaining);
-    return m_protocol->writeBackendRequest(std::move(request), remaining,
-                                           m_backend.incarnation.instance);
-}
-
-/// Returns the response fields that the entry forwards to the caller. The others are dropped here, because traffic between
-/// failure domains is expensive.
-auto Gate::answerHeaders(transport::HeaderList headers) const -> transport::HeaderList
-{
-    if (!m_protocol)
-        return headers;
-    auto kept = transport::HeaderList();
-    for (auto &it : transport::endToEndFields(headers)) {
-        if (m_protocol->isForwardedField(it.name))
-            kept.add(std::move(it.name), std::move(it.value));
-    }
-    return kept;
-}
-
-auto Gate::interpret(const transport::HttpResponse &response) const -> BackendResult
-{
-    if (!m_protocol)
-        return interpretResponse(response);
-    return resultFor(m_protocol->readBackendResponse(response));
-}
-
 auto Gate::reasonToRefuse(const CallRequest &request) const -> Reason
 {
     using membership::ServingState;
@@ -298,29 +251,19 @@
                     request.path, request.callsPerRoot, request.callsLeft},
                    request.retryBudget, request.isRepeat);
     const auto client = m_client; // Stays open if the backend server is replaced.
-    auto answer = CallAnswer();
-    auto result = BackendResult();
-    auto failure = std::optional<transport::HttpFailure>();
     m_crashes.didSend(id, fingerprint);
-    try {
-        auto sent = writeRequest(std::move(request), id, deadline - start);
-        auto response =
-                co_await client->send(std::move(sent), deadline - start, std::move(cancellation));
-        result = interpret(response);
-        if (result.outcome == Outcome::Answered || result.outcome == Outcome::Failed) {
-            answer.status = response.status;
-            answer.headers = answerHeaders(std::move(response.headers));
-            answer.body = std::move(response.body);
-        }
-    } catch (const transport::HttpClientError &error) {
-        failure = error.failure();
-        result = interpretFailure(error.failure());
-    }
-    co_await m_crashes.didEnd(id, fingerprint, result, failure, m_backend);
+    auto reply = co_await client->send(std::move(request), id, deadline - start,
+                                       std::move(cancellation));
+    auto &result = reply.result;
+    co_await m_crashes.didEnd(id, fingerprint, result, reply.failure, m_backend);
     // This call's crash may have quarantined its request. The reason then stops further attempts.
-    if (failure && m_quarantine.decide(fingerprint).status == QuarantineStatus::Refused)
+    if (reply.failure && m_quarantine.decide(fingerprint).status == QuarantineStatus::Refused)
         result.reason = Reason::Quarantined;
     const auto now = monotonicNow();
+    auto answer = CallAnswer();
+    answer.status = reply.status;
+    answer.headers = std::move(reply.headers);
+    answer.body = std::move(reply.body);
     answer.outcome = result.outcome;
     answer.reason = result.reason;
     answer.wasDispatched = result.outcome != Outcome::NotRun;
--- a/source/node/Gate.h
+++ b/source/node/Gate.h
@@ -12,11 +12,11 @@
 #include <stairspur/node/CallProtocol.h>
 #include <stairspur/transport/CallMessages.h>
 #include <stairspur/transport/Cancellation.h>
-#include <stairspur/transport/HttpClient.h>
 #include <stairspur/transport/Task.h>
 #include <stairspur/transport/Timer.h>
 
 #include "BackendAnswer.h"
+#include "BackendClient.h"
 #include "CallIdSource.h"
 #include "CrashWatch.h"
 #include "NodeBoard.h"
@@ -52,7 +52,7 @@
 
 private:
     using Fingerprint = quarantine::RequestFingerprint;
-    using ClientPtr = std::shared_ptr<transport::HttpClient>;
+    using ClientPtr = std::shared_ptr<BackendClient>;
 
     /// A call that waits for a slot.
     struct Waiter
@@ -67,12 +67,7 @@
     };
 
     auto refreshBackend() -> void;
-    [[nodiscard]] auto makeClient(const config::ServiceLimits &limits) const -> ClientPtr;
     auto newCallId(const transport::CallRequest &request) -> CallId;
-    [[nodiscard]] auto writeRequest(transport::CallRequest request, CallId id,
-                                    Duration remaining) const -> transport::HttpRequest;
-    [[nodiscard]] auto answerHeaders(transport::HeaderList headers) const -> transport::HeaderList;
-    [[nodiscard]] auto interpret(const transport::HttpResponse &response) const -> BackendResult;
     [[nodiscard]] auto reasonToRefuse(const transport::CallRequest &request) const -> Reason;
     auto waitForSlot(CallId id, admission::CallOffer offer, transport::CancellationPtr cancellation)
             -> transport::Task<admission::Refusal>;
