Node: Split ControlSettings out of ControlPlane

The settings of the control plane's parts follow from those of the node alone. No change of behaviour; tests as before.

--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -8,6 +8,7 @@
 
 #include "CallerAdmission.h"
 #include "ControlMetrics.h"
+#include "ControlSettings.h"
 #include "QuarantineService.h"
 #include "StatusReport.h"
 
@@ -18,73 +19,10 @@
 
 /// Time between two checks of the announcement timeout and of the configuration proof.
 static constexpr auto TickInterval = std::chrono::milliseconds(250);
-/// Number of quick protocol periods after the start. At the platform's period of half a second they last three seconds, and
-/// hosts that start at once discover each other after about one second, instead of up to two.
-static constexpr auto QuickPeriods = 30U;
 /// Protocol periods for which a leaving node repeats its leave message. One is enough: receivers forward the message at
 /// once, and refusals of the gate carry the same information.
 static constexpr auto LeavePeriods = 1;
 
-auto peerSettings(const NodeSettings &settings) -> transport::PeerSettings
-{
-    auto peers = transport::PeerSettings();
-    peers.ownNode = settings.nodeId();
-    peers.secret = settings.peerSecret;
-    peers.maxBodyBytes = settings.maxBodyBytes;
-    peers.pingInterval = settings.peerPingInterval;
-    return peers;
-}
-
-auto storeSettings(const NodeSettings &settings) -> store::StoreSettings
-{
-    auto store = store::storeSettingsFromUrl(settings.store);
-    store.timeout = settings.storeTimeout;
-    store.callsPerSecond = settings.storeCallsPerSecond;
-    return store;
-}
-
-static auto datagramSettings(const NodeSettings &settings) -> transport::DatagramSettings
-{
-    auto datagrams = transport::DatagramSettings();
-    datagrams.address = settings.hostAddress;
-    datagrams.port = settings.peerPort;
-    datagrams.secret = settings.peerSecret;
-    datagrams.ownNode = settings.nodeId();
-    return datagrams;
-}
-
-static auto membershipSettings(const NodeSettings &settings, Incarnation start)
-        -> membership::MembershipSettings
-{
-    auto membership = membership::MembershipSettings();
-    membership.node = settings.nodeId();
-    membership.domain = settings.failureDomain;
-    membership.startIncarnation = start;
-    membership.seeds = settings.seeds;
-    membership.period = settings.protocolPeriod;
-    membership.quickPeriods = QuickPeriods;
-    membership.probeTimeout = settings.protocolPeriod / 4;
-    membership.minViewInterval = settings.minViewInterval;
-    return membership;
-}
-
-/// The admin port serves the host's backend server, a few operators and metrics collectors. The only large bodies are
-/// announcements.
-static constexpr auto MaxAdminConnections = std::uint32_t{256};
-static constexpr auto MaxAdminBodyBytes = std::uint64_t{64U << 10U};
-
-static auto adminServerSettings(const NodeSettings &settings) -> transport::HttpServerSettings
-{
-    auto server = transport::HttpServerSettings();
-    server.address = settings.adminAddress;
-    server.port = settings.adminPort;
-    server.maxConnections = std::min(settings.maxConnections, MaxAdminConnections);
-    server.maxHeaderBytes = settings.maxHeaderBytes;
-    server.maxBodyBytes = MaxAdminBodyBytes;
-    server.requestTimeout = settings.requestTimeout;
-    return server;
-}
-
 ControlPlane::ControlPlane(asio::io_context &io, const NodeSettings &settings,
                            const NodeAdapter &adapter, NodeBoard &board, NodeMetrics &metrics,
                            ControlHandlers handlers, Incarnation start, std::uint64_t seed)
--- a/source/node/ControlPlane.h
+++ b/source/node/ControlPlane.h
@@ -15,7 +15,6 @@
 #include <stairspur/node/NodeAdapter.h>
 #include <stairspur/node/NodeSettings.h>
 #include <stairspur/store/AnyStore.h>
-#include <stairspur/store/StoreSettings.h>
 #include <stairspur/transport/DatagramChannel.h>
 #include <stairspur/transport/HttpServer.h>
 #include <stairspur/transport/PeerClient.h>
@@ -53,13 +52,6 @@
     std::function<void()> didFindSilence;
 };
 
-/// Returns the settings of this node's peer links, which are the same on each of its threads.
-auto peerSettings(const NodeSettings &settings) -> transport::PeerSettings;
-
-/// Returns the settings of the clients of the platform's store, which are the same on each thread. `settings` must name a
-/// store.
-auto storeSettings(const NodeSettings &settings) -> store::StoreSettings;
-
 /// Runs the controllers of the announcements, the membership, the configuration in force and the admin port. They read and
 /// write the blackboard. Belongs to the control thread.
 class ControlPlane
--- a/source/node/KeyedGate.cpp
+++ b/source/node/KeyedGate.cpp
@@ -3,7 +3,7 @@
 #include <stairspur/keyed/KeyedServiceCode.h>
 #include <stairspur/log/Log.h>
 
-#include "ControlPlane.h"
+#include "ControlSettings.h"
 
 namespace stairspur::node {
 
--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -12,6 +12,8 @@
 #include <stairspur/keyed/AnswerPayload.h>
 #include <stairspur/log/Log.h>
 
+#include "ControlSettings.h"
+
 namespace stairspur::node {
 
 namespace asio = transport::asio;
