--- a/include/stairspur/admission/AdmissionController.h
+++ b/include/stairspur/admission/AdmissionController.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include <stairspur/admission/LoadReport.h>
@@ -106,6 +107,14 @@
     /// Sets the number of slots that the backend server reports.
     auto setReportedSlots(std::uint32_t slots) -> void;
 
+    /// Sets the rate limit that the backend server states, in calls per second; nothing if it states none. All calls that
+    /// are dispatched from `now` on keep to it.
+    auto setRateLimit(std::optional<double> perSecond, TimePoint now) -> void;
+
+    /// Records that nothing of a dispatched call was sent, so that it doesn't count for the rate limit. didComplete() must
+    /// follow.
+    auto didNotSend() -> void;
+
     /// Sets the bound of the waiting calls, as a newer configuration has it. Calls above the bound are refused at the
     /// next event.
     auto setMaxQueue(std::uint32_t maxQueue) -> void;
--- a/include/stairspur/admission/LoadReport.h
+++ b/include/stairspur/admission/LoadReport.h
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
+#include <stairspur/admission/BackendStatement.h>
 #include <stairspur/core/Level.h>
 #include <stairspur/core/Time.h>
 
@@ -34,6 +36,9 @@
     /// instance don't apply to a later one.
     std::uint32_t backendIncarnation = 0;
 
+    /// What the backend server states about itself; nothing while the gate knows no answer of it.
+    std::optional<InstanceStatement> statement{};
+
     /// Returns the floor for calls of this class and path.
     [[nodiscard]] auto floorFor(FloorKey key) const -> Level
     {
--- a/include/stairspur/core/Outcome.h
+++ b/include/stairspur/core/Outcome.h
@@ -51,10 +51,11 @@
     Quarantined,      ///< Backend servers crash under load of this request.
     QuotaExceeded,    ///< The caller exceeds its quota, counted over all hosts.
     StaleConfiguration, ///< This host can't determine whether the caller's key is still valid.
+    RateLimited, ///< The queue is full because of the rate limit that the backend server states.
 };
 
 template <>
-inline constexpr auto enumNames<Reason> = std::array<std::string_view, 32>{"none",
+inline constexpr auto enumNames<Reason> = std::array<std::string_view, 33>{"none",
                                                                            "bad-request",
                                                                            "unauthorized",
                                                                            "class-not-allowed",
@@ -85,6 +86,7 @@
                                                                            "deeper-call-failed",
                                                                            "quarantined",
                                                                            "quota-exceeded",
-                                                                           "stale-configuration"};
+                                                                           "stale-configuration",
+                                                                           "rate-limited"};
 
 } // namespace stairspur
--- a/include/stairspur/node/CallProtocol.h
+++ b/include/stairspur/node/CallProtocol.h
@@ -8,6 +8,7 @@
 #include <stairspur/core/Error.h>
 #include <stairspur/core/Outcome.h>
 #include <stairspur/core/Time.h>
+#include <stairspur/node/ResponseStatement.h>
 #include <stairspur/transport/CallMessages.h>
 #include <stairspur/transport/HttpMessages.h>
 
@@ -62,6 +63,8 @@
                                          const std::string &instance)>
             writeBackendRequest;
     std::function<ResponseKind(const transport::HttpResponse &)> readBackendResponse;
+    /// Names of the fields by which a backend server states something about itself.
+    StatementFields statementFields;
     /// Returns whether a response on a backend server's connection belongs to the request.
     std::function<bool(const transport::HttpRequest &, const transport::HttpResponse &)> isAnswerTo;
 };
--- a/include/stairspur/routing/UpstreamPool.h
+++ b/include/stairspur/routing/UpstreamPool.h
@@ -136,6 +136,10 @@
     /// Returns the smoothed latency of answered calls, or zero before the first answer.
     [[nodiscard]] auto expectedLatency() const -> Duration;
 
+    /// Returns what the backend server of `node` states about itself, as last reported; an empty statement if nothing is
+    /// known.
+    [[nodiscard]] auto statementOf(const NodeId &node) const -> admission::InstanceStatement;
+
     /// Returns the upstreams that this entry keeps links to.
     [[nodiscard]] auto subset() const -> std::vector<NodeId>;
 
--- a/include/stairspur/transport/CallMessages.h
+++ b/include/stairspur/transport/CallMessages.h
@@ -35,6 +35,8 @@
     std::uint32_t callsPerRoot = 1;
     /// Of these the ones that are still to be made, this one included.
     std::uint32_t callsLeft = 1;
+    /// What the sender knows of the statement of the receiver's backend server.
+    admission::InstanceStatement statement{};
     std::string originService{}; ///< Of the backend server on the host where the request began.
     std::string method;
     std::string target;
--- a/source/admission/AdmissionController.cpp
+++ b/source/admission/AdmissionController.cpp
@@ -42,6 +42,16 @@
     m_state->setReportedSlots(slots);
 }
 
+auto AdmissionController::setRateLimit(std::optional<double> perSecond, TimePoint now) -> void
+{
+    m_state->setRateLimit(perSecond, now);
+}
+
+auto AdmissionController::didNotSend() -> void
+{
+    m_state->didNotSend();
+}
+
 auto AdmissionController::setMaxQueue(std::uint32_t maxQueue) -> void
 {
     m_state->setMaxQueue(maxQueue);
--- a/source/admission/FloorEstimator.cpp
+++ b/source/admission/FloorEstimator.cpp
@@ -76,8 +76,7 @@
         m_lastObserved = now;
     }
     const auto elapsed = static_cast<double>(std::max(now - m_lastObserved, Duration(0)).count());
-    const auto share = std::min(1.0, static_cast<double>(load.inFlight) / load.limit);
-    m_busyMicroseconds += share * elapsed;
+    m_busyMicroseconds += load.busyShare * elapsed;
     m_waitSum += static_cast<double>(load.wait.count()) * elapsed;
     m_lastObserved = now;
     const auto length = now - m_windowStart;
@@ -103,7 +102,7 @@
         const auto used = m_busyMicroseconds / microseconds;
         const auto target = std::min(lowestLevelFor(fittingSlots(window, used)),
                                      highestFloorWith(load.lowestWaiting));
-        moveFloor(target, (1.0 - used) * load.limit);
+        moveFloor(target, (1.0 - used) * load.capacity);
     }
     m_slotsAboveFloor = sumFrom(m_floor.value);
     m_recentFloors[m_nextRecentFloor] = m_floor;
@@ -151,8 +150,8 @@
     const auto share = std::clamp(1.0 - excess / static_cast<double>(CorrectionTime.count()),
                                   MinFittingShare, MaxFittingShare);
     // Idle slots show that more demand fits, whatever the estimate of the capacity is.
-    const auto observed = sumFrom(m_floor.value) + (1.0 - used) * load.limit;
-    const auto fitting = share * load.limit;
+    const auto observed = sumFrom(m_floor.value) + (1.0 - used) * load.capacity;
+    const auto fitting = share * load.capacity;
     return load.wait == Duration(0) ? std::max(fitting, observed) : fitting;
 }
 
--- a/source/admission/FloorEstimator.h
+++ b/source/admission/FloorEstimator.h
@@ -28,10 +28,10 @@
     /// Current load of the gate.
     struct Load
     {
-        Duration wait{0};           ///< Expected time until the last waiting call is dispatched.
-        Duration targetWait{0};     ///< Wait that the queue is to have under overload.
-        std::uint32_t inFlight = 0; ///< Running calls.
-        std::uint32_t limit = 1;    ///< Calls that may run at once.
+        Duration wait{0};       ///< Expected time until the last waiting call is dispatched.
+        Duration targetWait{0}; ///< Wait that the queue is to have under overload.
+        double capacity = 1;    ///< Calls that run at once when the backend server is fully used.
+        double busyShare = 0;   ///< Share of the capacity in use, from 0 to 1.
         std::optional<ServingOrder> lowestWaiting; ///< Lowest order of the waiting calls.
         bool hasServiceTime = false;               ///< Whether the service time was measured.
     };
@@ -99,7 +99,7 @@
     ServingOrder m_floor = LowestOrder;
     TimePoint m_windowStart{};
     TimePoint m_lastObserved{};
-    /// Integral over the window of the share of the limit in use, in microseconds.
+    /// Integral over the window of the share of the capacity in use, in microseconds.
     double m_busyMicroseconds = 0;
     double m_waitSum = 0; ///< Integral over the window of the wait, in microseconds squared.
     bool m_hasStarted = false;
--- a/source/admission/State.cpp
+++ b/source/admission/State.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace stairspur::admission {
 
@@ -20,17 +21,17 @@
 /// entries have received a new floor.
 constexpr auto TargetShareOfServiceTime = 0.5;
 constexpr auto MinTargetWait = Duration(5'000);
+/// Calls that wait under overload at least where a rate limit is the bound, so that no token stays unused.
+constexpr auto TargetCallsAtRateLimit = 2.0;
+
+/// Maximum time for which the shortest queue lasts at a rate limit. A call that would wait for longer is better sent to
+/// another upstream.
+constexpr auto MaxShortQueueSeconds = 1.0;
 
 /// Minimum share of the slots that remains for a waiting call beside later and more important ones. Their demand is an
 /// estimate.
 constexpr auto MinRemainingShare = 0.2;
 
-auto targetWait(Duration serviceTime) -> Duration
-{
-    const auto share = TargetShareOfServiceTime * static_cast<double>(serviceTime.count());
-    return std::max(MinTargetWait, Duration(static_cast<Duration::rep>(share)));
-}
-
 } // namespace
 
 static auto newLimit(const AdmissionSettings &settings) -> AdaptiveLimit
@@ -129,6 +130,7 @@
 auto AdmissionController::State::didReplaceBackend() -> void
 {
     m_limit = newLimit(m_settings);
+    m_rate = RateLimit();
     m_serviceTime = ServiceTime();
     m_costs.clear();
 }
@@ -138,11 +140,10 @@
     observe(now);
     auto report = LoadReport();
     report.sequence = ++m_sequence;
-    report.limit = m_limit.limit();
+    report.limit = static_cast<std::uint32_t>(std::max(std::lround(capacity()), 1L));
     report.inFlight = inFlight();
     report.queued = queued();
-    const auto hasFreeSlot = queued() == 0 && inFlight() < report.limit;
-    report.estimatedWait = hasFreeSlot ? Duration(0) : waitAtFloor();
+    report.estimatedWait = queued() == 0 && hasRoom() ? Duration(0) : waitAtFloor();
     report.isDraining = m_isDraining;
     if (m_isDraining) {
         report.floors.assign(1, ClosedLevel);
@@ -193,8 +194,7 @@
         return Reason::BelowFloor;
     // A call of a greater order than a waiting call is served before it, whatever the floor is.
     const auto isBeforeLast = !m_queue.isEmpty() && call.order > m_queue.last().order;
-    const auto hasFreeSlot = inFlight() < m_limit.limit();
-    if (!isBeforeLast && !hasFreeSlot && call.order < m_enforcedFloor)
+    if (!isBeforeLast && !hasRoom() && call.order < m_enforcedFloor)
         return Reason::BelowFloor;
     return Reason::None;
 }
@@ -232,7 +232,7 @@
 auto AdmissionController::State::dispatchFree(TimePoint now, Random &random,
                                               AdmissionActions &actions) -> void
 {
-    while (!m_queue.isEmpty() && inFlight() < m_limit.limit()) {
+    while (!m_queue.isEmpty() && hasRoom()) {
         const auto call = m_queue.popFirst();
         if (call.deadline <= now) {
             refuse(call.id, Reason::DeadlineExceeded, random, actions);
@@ -244,6 +244,7 @@
             refuse(call.id, Reason::WaitExceedsDeadline, random, actions);
             continue;
         }
+        m_rate.take();
         m_running.emplace(call.id, call.kind());
         actions.dispatch.push_back(call.id);
     }
@@ -287,8 +288,8 @@
     while (m_queue.size() > bound) {
         const auto call = m_queue.popLast();
         raiseFloorIfDeeper(call);
-        const auto reason = call.id == newCall ? Reason::QueueFull : Reason::Evicted;
-        refuse(call.id, reason, random, actions);
+        const auto full = isBoundByRate() ? Reason::RateLimited : Reason::QueueFull;
+        refuse(call.id, call.id == newCall ? full : Reason::Evicted, random, actions);
     }
 }
 
@@ -303,18 +304,52 @@
 auto AdmissionController::State::refuse(CallId id, Reason reason, Random &random,
                                         AdmissionActions &actions) -> void
 {
-    actions.refuse.push_back({id, reason, m_retryAfter.didRefuse(random)});
+    const auto delay = m_retryAfter.didRefuse(random);
+    const auto untilToken = static_cast<double>(m_rate.timeUntil(queued() + 1).count());
+    const auto spread = Duration(std::llround(untilToken * (1.0 + randomUnit(random))));
+    actions.refuse.push_back({id, reason, std::max(delay, std::min(spread, m_settings.retryAfterMax))});
+}
+
+auto AdmissionController::State::hasRoom() const -> bool
+{
+    return inFlight() < m_limit.limit() && m_rate.hasToken();
+}
+
+auto AdmissionController::State::capacity() const -> double
+{
+    const auto limit = static_cast<double>(m_limit.limit());
+    const auto serviceTime = std::chrono::duration<double>(m_serviceTime.mean()).count();
+    if (!m_rate.isSet() || serviceTime <= 0)
+        return limit;
+    return std::min(limit, m_rate.perSecond() * serviceTime);
+}
+
+auto AdmissionController::State::isBoundByRate() const -> bool
+{
+    return m_rate.isSet() && (capacity() < m_limit.limit() || !m_rate.hasToken());
+}
+
+auto AdmissionController::State::targetWait() const -> Duration
+{
+    const auto serviceTime = static_cast<double>(m_serviceTime.mean().count());
+    const auto share = Duration(std::llround(TargetShareOfServiceTime * serviceTime));
+    const auto target = std::max(MinTargetWait, share);
+    if (!m_rate.isSet())
+        return target;
+    const auto ofCalls = std::chrono::duration<double>(TargetCallsAtRateLimit / m_rate.perSecond());
+    return std::max(target, std::chrono::duration_cast<Duration>(ofCalls));
 }
 
 auto AdmissionController::State::waitBehind(std::uint32_t ahead) const -> Duration
 {
-    return m_serviceTime.mean() * (ahead + 1) / m_limit.limit();
+    const auto untilSlot = m_serviceTime.mean() * (ahead + 1) / m_limit.limit();
+    return std::max(untilSlot, m_rate.timeUntil(ahead + 1));
 }
 
 auto AdmissionController::State::waitAtFloor() const -> Duration
 {
     // A call at the floor is overtaken by all calls that arrive while it waits.
-    const auto overtakingShare = m_floor.slotsAboveFloor() / m_limit.limit();
+    const auto overtakingShare = m_floor.slotsAboveFloor() / capacity();
     const auto remainingShare = std::max(1.0 - overtakingShare, MinRemainingShare);
     const auto wait = static_cast<double>(waitBehind(queued()).count()) / remainingShare;
     return Duration(static_cast<Duration::rep>(wait));
@@ -323,29 +358,36 @@
 auto AdmissionController::State::queueBound() const -> std::uint32_t
 {
     const auto serviceTime = m_serviceTime.mean();
-    if (serviceTime <= Duration(0))
+    if (serviceTime <= Duration(0) && !m_rate.isSet())
         return m_settings.maxQueue;
     const auto maxWait = std::max(serviceTime * QueueBoundInServiceTimes, MinQueueBoundTime);
-    const auto calls = maxWait.count() * m_limit.limit() / serviceTime.count();
-    const auto minCalls = std::min(MinQueueBound, m_settings.maxQueue);
-    return static_cast<std::uint32_t>(
-            std::clamp<Duration::rep>(calls, minCalls, m_settings.maxQueue));
+    auto calls = static_cast<double>(m_settings.maxQueue);
+    if (serviceTime > Duration(0))
+        calls = static_cast<double>(maxWait.count()) * m_limit.limit()
+                / static_cast<double>(serviceTime.count());
+    auto minCalls = static_cast<double>(MinQueueBound);
+    if (m_rate.isSet()) {
+        const auto perSecond = m_rate.perSecond();
+        calls = std::min(calls, std::chrono::duration<double>(maxWait).count() * perSecond);
+        minCalls = std::clamp(MaxShortQueueSeconds * perSecond, 1.0, minCalls);
+    }
+    const auto maxCalls = static_cast<double>(m_settings.maxQueue);
+    return static_cast<std::uint32_t>(std::clamp(calls, std::min(minCalls, maxCalls), maxCalls));
 }
 
 auto AdmissionController::State::observe(TimePoint now) -> void
 {
     m_deeper.advanceTo(now);
     m_costs.advanceTo(now);
-    const auto serviceTime = m_serviceTime.mean();
-    const auto limit = m_limit.limit();
+    m_rate.advanceTo(now);
     auto load = FloorEstimator::Load();
     load.wait = m_queue.isEmpty() ? Duration(0) : waitBehind(queued() - 1);
-    load.targetWait = targetWait(serviceTime);
+    load.targetWait = targetWait();
     if (!m_queue.isEmpty())
         load.lowestWaiting = m_queue.last().order;
-    load.inFlight = inFlight();
-    load.limit = limit;
-    load.hasServiceTime = serviceTime > Duration(0);
+    load.capacity = capacity();
+    load.busyShare = m_rate.hasToken() ? std::min(1.0, inFlight() / load.capacity) : 1.0;
+    load.hasServiceTime = m_serviceTime.mean() > Duration(0);
     m_floor.didObserve(load, now);
     m_enforcedFloor = std::max(m_enforcedFloor, m_floor.lowestRecentFloor());
 }
--- a/source/admission/State.h
+++ b/source/admission/State.h
@@ -9,6 +9,7 @@
 #include "AdaptiveLimit.h"
 #include "DeeperFloors.h"
 #include "FloorEstimator.h"
+#include "RateLimit.h"
 #include "RequestCosts.h"
 #include "RetryAfter.h"
 #include "ServiceTime.h"
@@ -39,6 +40,11 @@
         m_settings.reportedSlots = slots;
         m_limit.setSlots(slots);
     }
+    auto setRateLimit(std::optional<double> perSecond, TimePoint now) -> void
+    {
+        m_rate.set(perSecond, now);
+    }
+    auto didNotSend() -> void { m_rate.giveBack(); }
     auto setDeeperFloors(std::vector<Level> floors, std::vector<PathFloor> pathFloors) -> void
     {
         m_deeper.set(std::move(floors), std::move(pathFloors));
@@ -67,7 +73,16 @@
     auto raiseFloorIfDeeper(const CallOffer &offer) -> void;
     auto refuse(CallId id, Reason reason, Random &random, AdmissionActions &actions) -> void;
 
-    /// Returns the time until a waiting call with `ahead` calls before it is dispatched, while no slot is free.
+    /// Returns whether a call may be dispatched now: there is a free slot and a token.
+    [[nodiscard]] auto hasRoom() const -> bool;
+    /// Returns how many calls run at once on average when the backend server gets as many as it takes: the concurrency
+    /// limit, or the rate limit times the service time (Little, 1961) if that is less.
+    [[nodiscard]] auto capacity() const -> double;
+    /// Returns whether the rate limit leaves less room than the concurrency limit.
+    [[nodiscard]] auto isBoundByRate() const -> bool;
+    /// Returns the wait that the queue is to have under overload.
+    [[nodiscard]] auto targetWait() const -> Duration;
+    /// Returns the time until a waiting call with `ahead` calls before it is dispatched, while there is no room.
     [[nodiscard]] auto waitBehind(std::uint32_t ahead) const -> Duration;
     /// Returns the expected wait of a call at the floor.
     [[nodiscard]] auto waitAtFloor() const -> Duration;
@@ -87,6 +102,7 @@
 
     AdmissionSettings m_settings;
     AdaptiveLimit m_limit;
+    RateLimit m_rate;
     ServiceTime m_serviceTime; ///< Service time over all calls.
     RequestCosts m_costs;
     WaitingQueue m_queue;
--- a/source/node/BackendClient.cpp
+++ b/source/node/BackendClient.cpp
@@ -31,6 +31,12 @@
     , m_client(io, clientSettings(backend, limits, protocol))
 {}
 
+/// Returns whether a response comes from the backend server as it sent it.
+static auto isOwnResponse(Reason reason) -> bool
+{
+    return reason != Reason::DamagedAnswer && reason != Reason::WrongPlacement;
+}
+
 auto BackendClient::send(CallRequest request, CallId id, Duration remaining,
                          transport::CancellationPtr cancellation) -> Task<BackendReply>
 {
@@ -39,6 +45,8 @@
         auto sent = writeRequest(std::move(request), id, remaining);
         auto response = co_await m_client.send(std::move(sent), remaining, std::move(cancellation));
         reply.result = interpret(response);
+        if (isOwnResponse(reply.result.reason))
+            reply.statement = statementIn(response);
         const auto outcome = reply.result.outcome;
         if (outcome == Outcome::Answered || outcome == Outcome::Failed) {
             reply.status = response.status;
@@ -74,6 +82,12 @@
     return kept;
 }
 
+auto BackendClient::statementIn(const transport::HttpResponse &response) const -> ResponseStatement
+{
+    static constexpr auto OwnFields = StatementFields{transport::header::RateLimit};
+    return readStatement(response.headers, m_protocol ? m_protocol->statementFields : OwnFields);
+}
+
 auto BackendClient::interpret(const transport::HttpResponse &response) const -> BackendResult
 {
     if (!m_protocol)
--- a/source/node/BackendClient.h
+++ b/source/node/BackendClient.h
@@ -20,6 +20,8 @@
 struct BackendReply
 {
     BackendResult result;
+    /// What a complete response states about the server; nothing if it is not known to be the server's own.
+    std::optional<ResponseStatement> statement;
     std::optional<transport::HttpFailure> failure; ///< Empty if there is a complete response.
     std::uint32_t status = 0; ///< Of the response that is forwarded; 0 if none is.
     transport::HeaderList headers;
@@ -42,6 +44,8 @@
     [[nodiscard]] auto writeRequest(transport::CallRequest request, CallId id,
                                     Duration remaining) const -> transport::HttpRequest;
     [[nodiscard]] auto answerHeaders(transport::HeaderList headers) const -> transport::HeaderList;
+    [[nodiscard]] auto statementIn(const transport::HttpResponse &response) const
+            -> ResponseStatement;
     [[nodiscard]] auto interpret(const transport::HttpResponse &response) const -> BackendResult;
 
     std::string m_instance;
--- a/source/node/ControlMetrics.cpp
+++ b/source/node/ControlMetrics.cpp
@@ -191,6 +191,12 @@
     const auto &load = state.gate.load;
     addGauge(registry, {"stairspur_gate_limit", "Calls that the gate allows to run concurrently."},
              load.limit);
+    const auto rate = load.statement ? load.statement->statement.rateLimit : std::nullopt;
+    addGauge(registry,
+             {"stairspur_gate_rate_limit_millis",
+              "Rate limit that the backend server states, in thousandths of a call per second; 0: "
+              "none."},
+             static_cast<std::uint64_t>(rate.value_or(0) * 1'000));
     addGauge(registry,
              {"stairspur_gate_in_flight", "Calls that are running at the backend server."},
              load.inFlight);
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -284,6 +284,7 @@
     request.isRepeat = share.isRepeat || (m_protocol && attempts.hasReachedBackend);
     if (m_protocol && share.isRepeat && !attempts.hasReachedBackend)
         routes.bucket.chargeRepeat();
+    request.statement = routes.pool.statementOf(node);
     ++attempts.sent;
     routes.pool.didSend(node, start);
     auto answer = co_await m_peers.call(node, std::move(request), cancellation);
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -85,6 +85,7 @@
         m_crashes.didReplace(former);
         m_client = std::make_shared<BackendClient>(m_io, m_backend, limits, m_protocol);
         m_admission->didReplaceBackend();
+        m_statement.didReplaceBackend(m_backend.incarnation);
         ++m_backendIncarnation;
     }
     if (isLeaving(m_backend))
@@ -145,6 +146,8 @@
 {
     refreshFromBoard();
     const auto now = monotonicNow();
+    if (m_statement.adopt(request.statement, now))
+        didChangeStatement("entry");
     if (const auto reason = reasonToRefuse(request); reason != Reason::None)
         co_return refusal(request, reason, UnavailableRetryAfter);
 
@@ -250,11 +253,14 @@
                    {request.className, request.level, request.root, deadline, request.caller,
                     request.path, request.callsPerRoot, request.callsLeft},
                    request.retryBudget, request.isRepeat);
+    const auto incarnation = m_backendIncarnation;
     const auto client = m_client; // Stays open if the backend server is replaced.
     m_crashes.didSend(id, fingerprint);
     auto reply = co_await client->send(std::move(request), id, deadline - start,
                                        std::move(cancellation));
     auto &result = reply.result;
+    if (incarnation == m_backendIncarnation)
+        recordStatement(reply, start);
     co_await m_crashes.didEnd(id, fingerprint, result, reply.failure, m_backend);
     // This call's crash may have quarantined its request. The reason then stops further attempts.
     if (reply.failure && m_quarantine.decide(fingerprint).status == QuarantineStatus::Refused)
@@ -280,6 +286,29 @@
     co_return answer;
 }
 
+auto Gate::recordStatement(const BackendReply &reply, TimePoint sentAt) -> void
+{
+    // A connection that could not be opened has carried nothing.
+    if (reply.failure == transport::HttpFailure::NotConnected)
+        m_admission->didNotSend();
+    if (!reply.statement)
+        return;
+    const auto now = monotonicNow();
+    if (!reply.statement->unreadableRate.empty())
+        m_statementLog.didReceiveUnreadable(m_backend.incarnation.instance,
+                                            reply.statement->unreadableRate, now);
+    if (m_statement.didRespond(*reply.statement, reply.result.outcome, sentAt, now))
+        didChangeStatement("answer");
+}
+
+auto Gate::didChangeStatement(std::string_view source) -> void
+{
+    const auto now = monotonicNow();
+    const auto &statement = m_statement.current();
+    m_admission->setRateLimit(statement.rateLimit, now);
+    m_statementLog.didChange(m_backend.incarnation.instance, statement, source, now);
+}
+
 auto Gate::apply(const admission::AdmissionActions &actions) -> void
 {
     for (const auto id : actions.dispatch)
@@ -303,6 +332,7 @@
     auto report = m_admission->report(monotonicNow());
     report.isDraining = report.isDraining || m_isDraining;
     report.backendIncarnation = m_backendIncarnation;
+    report.statement = m_statement.known();
     return report;
 }
 
--- a/source/node/Gate.h
+++ b/source/node/Gate.h
@@ -23,6 +23,8 @@
 #include "NodeMetrics.h"
 #include "QuarantineService.h"
 #include "RunningCalls.h"
+#include "StatementLog.h"
+#include "StatementTracker.h"
 #include "SuspectedCallLane.h"
 
 namespace stairspur::node {
@@ -82,6 +84,10 @@
             -> transport::Task<transport::CallAnswer>;
     auto apply(const admission::AdmissionActions &actions) -> void;
     auto decide(CallId id, const admission::Refusal &refusal) -> void;
+    /// Applies a change of the backend server's statement. `source` names where it comes from, for the log.
+    auto didChangeStatement(std::string_view source) -> void;
+    /// Records what a response to a request that was sent at `sentAt` states.
+    auto recordStatement(const BackendReply &reply, TimePoint sentAt) -> void;
     auto refusal(const transport::CallRequest &request, Reason reason, Duration retryAfter)
             -> transport::CallAnswer;
     auto ensureTicking() -> void;
@@ -101,6 +107,8 @@
     std::uint64_t m_floorsGeneration = 0;
     std::uint64_t m_configurationGeneration = 0;
     std::unique_ptr<admission::AdmissionController> m_admission;
+    StatementTracker m_statement;
+    StatementLog m_statementLog;
     ClientPtr m_client;
     QuarantineService &m_quarantine;
     CrashWatch m_crashes;
--- /dev/null
+++ b/source/node/StatementTracker.cpp
@@ -0,0 +1,59 @@
+#include "StatementTracker.h"
+
+#include <algorithm>
+#include <string>
+
+#include <stairspur/core/Hash.h>
+
+namespace stairspur::node {
+
+using admission::InstanceStatement;
+
+auto instanceIdOf(const membership::BackendIncarnation &incarnation) -> std::uint64_t
+{
+    if (incarnation.instance.empty())
+        return 0;
+    const auto id = hash64(incarnation.instance, incarnation.startedAtMs);
+    return std::max(id, std::uint64_t{1});
+}
+
+auto StatementTracker::didReplaceBackend(const membership::BackendIncarnation &incarnation) -> void
+{
+    *this = StatementTracker();
+    m_current.instance = instanceIdOf(incarnation);
+}
+
+auto StatementTracker::didRespond(const ResponseStatement &read, Outcome outcome, TimePoint sentAt,
+                                  TimePoint now) -> bool
+{
+    if (!read.unreadableRate.empty())
+        return false;
+    const auto former = m_current.statement;
+    if (read.statement.rateLimit) {
+        m_current.statement.rateLimit = read.statement.rateLimit;
+        m_rateStatedAt = now;
+        m_isKnown = true;
+    } else if (outcome == Outcome::Answered && sentAt > m_rateStatedAt) {
+        m_current.statement.rateLimit.reset();
+        m_isKnown = true;
+    }
+    return m_current.statement != former;
+}
+
+auto StatementTracker::adopt(const InstanceStatement &known, TimePoint now) -> bool
+{
+    const auto isSameInstance = known.instance != 0 && known.instance == m_current.instance;
+    if (m_isKnown || !isSameInstance || known.statement.isEmpty())
+        return false;
+    m_current = known;
+    m_rateStatedAt = now;
+    m_isKnown = true;
+    return true;
+}
+
+auto StatementTracker::known() const -> std::optional<InstanceStatement>
+{
+    return m_isKnown ? std::optional(m_current) : std::nullopt;
+}
+
+} // namespace stairspur::node
--- a/source/routing/PoolState.cpp
+++ b/source/routing/PoolState.cpp
@@ -1,6 +1,7 @@
 #include "PoolState.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "OwnFloorEstimate.h"
 #include "RefusalDelay.h"
@@ -20,6 +21,11 @@
 }
 
 auto UpstreamPool::State::find(const NodeId &node) -> UpstreamView *
+{
+    return const_cast<UpstreamView *>(std::as_const(*this).find(node));
+}
+
+auto UpstreamPool::State::find(const NodeId &node) const -> const UpstreamView *
 {
     const auto it = std::lower_bound(
             m_views.begin(), m_views.end(), node,
@@ -27,11 +33,28 @@
     return it != m_views.end() && it->upstream().node == node ? &*it : nullptr;
 }
 
+auto UpstreamPool::State::keepStatements(const std::vector<Upstream> &members, TimePoint now)
+        -> void
+{
+    for (const auto &it : m_views) {
+        const auto &node = it.upstream().node;
+        if (!std::ranges::binary_search(members, node, {}, &Upstream::node))
+            m_formerStatements.keep(node, it.statement(), now);
+    }
+}
+
+auto UpstreamPool::State::statementOf(const NodeId &node) const -> admission::InstanceStatement
+{
+    const auto *view = find(node);
+    return view ? view->statement() : admission::InstanceStatement();
+}
+
 auto UpstreamPool::State::setUpstreams(std::span<const Upstream> upstreams, TimePoint now) -> void
 {
     auto sorted = std::vector<Upstream>(upstreams.begin(), upstreams.end());
     std::sort(sorted.begin(), sorted.end(),
               [](const Upstream &a, const Upstream &b) { return a.node < b.node; });
+    keepStatements(sorted, now);
     auto views = std::vector<UpstreamView>();
     views.reserve(sorted.size());
     for (auto &it : sorted) {
@@ -39,7 +62,8 @@
             continue;
         auto *view = find(it.node);
         if (view == nullptr) {
-            views.emplace_back(std::move(it), now);
+            const auto statement = m_formerStatements.take(it.node);
+            views.emplace_back(std::move(it), now).setStatement(statement);
             continue;
         }
         view->update(it, now);
--- a/source/routing/PoolState.h
+++ b/source/routing/PoolState.h
@@ -6,6 +6,7 @@
 #include <stairspur/routing/UpstreamPool.h>
 
 #include "CandidateTiers.h"
+#include "StatementMemory.h"
 #include "UpstreamView.h"
 
 namespace stairspur::routing {
@@ -26,11 +27,15 @@
     [[nodiscard]] auto floorFor(FloorKey key, TimePoint now) const -> Level;
     [[nodiscard]] auto expectedLatency() const -> Duration { return m_smoothedLatency; }
     [[nodiscard]] auto subset() const -> const std::vector<NodeId> & { return m_subset; }
+    [[nodiscard]] auto statementOf(const NodeId &node) const -> admission::InstanceStatement;
 
 private:
     auto choose(const RouteRequest &request, const PathFloorEstimate &floorBelow, TimePoint now,
                 Random &random) -> RouteDecision;
     [[nodiscard]] auto find(const NodeId &node) -> UpstreamView *;
+    [[nodiscard]] auto find(const NodeId &node) const -> const UpstreamView *;
+    /// Records the statements of the upstreams that are not in `members`, which are sorted by node id.
+    auto keepStatements(const std::vector<Upstream> &members, TimePoint now) -> void;
     auto chooseSubset() -> void;
     auto ejectIfOutlier(UpstreamView &view, TimePoint now) -> void;
     /// Returns the mean success rate of the upstreams that are not ejected.
@@ -64,6 +69,7 @@
     std::string m_service;
     RoutingSettings m_settings;
     std::vector<UpstreamView> m_views;
+    StatementMemory m_formerStatements;
     std::vector<NodeId> m_subset;
     std::vector<std::uint32_t> m_subsetIndices; ///< Indices of m_subset in m_views.
     Duration m_smoothedLatency{0}; ///< Smoothed over answered calls; zero before the first.
--- a/source/routing/UpstreamPool.cpp
+++ b/source/routing/UpstreamPool.cpp
@@ -54,6 +54,11 @@
     return m_state->expectedLatency();
 }
 
+auto UpstreamPool::statementOf(const NodeId &node) const -> admission::InstanceStatement
+{
+    return m_state->statementOf(node);
+}
+
 auto UpstreamPool::subset() const -> std::vector<NodeId>
 {
     return m_state->subset();
--- a/source/routing/UpstreamView.cpp
+++ b/source/routing/UpstreamView.cpp
@@ -82,6 +82,8 @@
     if (isNewBackend)
         reset(now);
     m_backendIncarnation = report.backendIncarnation;
+    if (report.statement)
+        m_statement = *report.statement;
     m_reports.update(report, m_upstream.slots, m_inFlight, now);
     m_floors.update(report.floors, report.pathFloors, now);
 }
--- a/source/routing/UpstreamView.h
+++ b/source/routing/UpstreamView.h
@@ -64,6 +64,16 @@
     /// Returns when the slow start of the upstream last began: when it was new, reset or cold, or its ejection ended.
     [[nodiscard]] auto slowStartAt() const -> TimePoint { return m_slowStartAt; }
 
+    /// Returns what the backend server states, as last reported. It outlasts a restart of the upstream's node.
+    [[nodiscard]] auto statement() const -> const admission::InstanceStatement &
+    {
+        return m_statement;
+    }
+    auto setStatement(const admission::InstanceStatement &statement) -> void
+    {
+        m_statement = statement;
+    }
+
     [[nodiscard]] auto reports() const -> const ReportView & { return m_reports; }
     [[nodiscard]] auto floors() const -> const FloorView & { return m_floors; }
     [[nodiscard]] auto outcomes() const -> const OutcomeView & { return m_outcomes; }
@@ -76,6 +86,7 @@
 
     Upstream m_upstream;
     std::uint32_t m_backendIncarnation = 0; ///< From the last report.
+    admission::InstanceStatement m_statement;
     ReportView m_reports;
     FloorView m_floors;
     OutcomeView m_outcomes;
--- a/source/transport/CallCodec.cpp
+++ b/source/transport/CallCodec.cpp
@@ -1,6 +1,7 @@
 #include "CallCodec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "CborReader.h"
@@ -8,10 +9,17 @@
 
 namespace stairspur::transport {
 
-/// The last two, of the calls that a root makes, are missing in what older nodes send.
-static constexpr auto CallItems = std::uint64_t{19};
+/// Older nodes send neither the counts of the calls that a root makes nor, after them, the backend server's statement.
+static constexpr auto CallItems = std::uint64_t{20};
+static constexpr auto CallItemsWithCounts = std::uint64_t{19};
 static constexpr auto AnswerItems = std::uint64_t{8};
-static constexpr auto ReportItems = std::uint64_t{9};
+/// Older nodes send neither the incarnation of the backend server nor, after it, its statement.
+static constexpr auto ReportItems = std::uint64_t{10};
+static constexpr auto ReportItemsWithIncarnation = std::uint64_t{9};
+static constexpr auto StatementItems = std::uint64_t{2};
+/// Rates are sent in millionths of a call per second.
+static constexpr auto RateScale = 1e6;
+static constexpr auto MaxScaledRate = std::uint64_t{1'000'000'000'000'000};
 static constexpr auto SizeGuess = std::size_t{512};
 static constexpr auto MaxNumber = std::uint64_t{std::numeric_limits<std::uint32_t>::max()};
 /// A day in microseconds; no call lasts longer, and sums of such spans never overflow.
@@ -57,6 +65,44 @@
     return headers;
 }
 
+/// Adds null if nothing is known, and false for an empty statement, since nearly all are one of these.
+static auto addStatement(CborWriter &writer, const std::optional<admission::InstanceStatement> &it)
+        -> void
+{
+    if (!it) {
+        writer.addNull();
+        return;
+    }
+    if (it->statement.isEmpty()) {
+        writer.addBoolean(false);
+        return;
+    }
+    writer.addArray(StatementItems).addUnsigned(it->instance);
+    if (!it->statement.rateLimit) {
+        writer.addNull();
+        return;
+    }
+    const auto most = static_cast<double>(MaxScaledRate);
+    const auto scaled = std::clamp(*it->statement.rateLimit * RateScale, 0.0, most);
+    writer.addUnsigned(static_cast<std::uint64_t>(std::llround(scaled)));
+}
+
+static auto readStatement(CborReader &reader) -> std::optional<admission::InstanceStatement>
+{
+    if (reader.takeNull())
+        return std::nullopt;
+    auto it = admission::InstanceStatement();
+    if (reader.takeFalse())
+        return it;
+    const auto n = reader.readArray();
+    it.instance = reader.readUnsigned();
+    if (!reader.takeNull())
+        it.statement.rateLimit =
+                static_cast<double>(reader.readUnsigned(MaxScaledRate)) / RateScale;
+    reader.skip(n > StatementItems ? n - StatementItems : 0);
+    return it;
+}
+
 /// Begins the array of a message; the items past those that are known are passed over by finish().
 class FieldReader
 {
@@ -110,6 +156,7 @@
             .addBoolean(request.isDeeperCall)
             .addUnsigned(request.callsPerRoot)
             .addUnsigned(request.callsLeft);
+    addStatement(writer, request.statement);
     return bytes;
 }
 
@@ -135,10 +182,12 @@
     request.originService = reader.readBytes();
     request.path = readNumber(reader);
     request.isDeeperCall = reader.readBoolean();
-    if (fieldReader.items() >= CallItems) {
+    if (fieldReader.items() >= CallItemsWithCounts) {
         request.callsPerRoot = static_cast<std::uint32_t>(reader.readUnsigned(MostCallsPerRoot));
         request.callsLeft = static_cast<std::uint32_t>(reader.readUnsigned(MostCallsPerRoot));
     }
+    if (fieldReader.items() >= CallItems)
+        request.statement = readStatement(reader).value_or(admission::InstanceStatement());
     fieldReader.finish();
     return request;
 }
@@ -163,6 +212,7 @@
     for (const auto &it : report->pathFloors)
         writer.addUnsigned(it.path).addUnsigned(it.floor.value);
     writer.addUnsigned(report->backendIncarnation);
+    addStatement(writer, report->statement);
 }
 
 static auto readReport(CborReader &reader) -> std::optional<admission::LoadReport>
@@ -185,8 +235,10 @@
         it.path = readNumber(reader);
         it.floor = readLevel(reader);
     }
-    if (n >= ReportItems)
+    if (n >= ReportItemsWithIncarnation)
         report.backendIncarnation = readNumber(reader);
+    if (n >= ReportItems)
+        report.statement = readStatement(reader);
     reader.skip(n > ReportItems ? n - ReportItems : 0);
     return report;
 }
--- a/source/transport/CborReader.cpp
+++ b/source/transport/CborReader.cpp
@@ -76,6 +76,14 @@
     return true;
 }
 
+auto CborReader::takeFalse() -> bool
+{
+    if (peek() != False)
+        return false;
+    takeByte();
+    return true;
+}
+
 auto CborReader::skip(std::uint64_t n) -> void
 {
     for (; n > 0; --n)
--- a/source/transport/CborReader.h
+++ b/source/transport/CborReader.h
@@ -24,6 +24,8 @@
     auto readBoolean() -> bool;
     /// Whether the next item is null, which is then passed over.
     auto takeNull() -> bool;
+    /// Whether the next item is false, which is then passed over.
+    auto takeFalse() -> bool;
     /// Passes over `n` items, whatever they are.
     auto skip(std::uint64_t n) -> void;
     auto ensureEnd() const -> void;
--- a/tests/admission/TestAdmissionProperties.cpp
+++ b/tests/admission/TestAdmissionProperties.cpp
@@ -12,9 +12,10 @@
 class RandomRun
 {
 public:
-    explicit RandomRun(std::uint64_t seed)
+    explicit RandomRun(std::uint64_t seed, bool mayBeRateLimited = false)
         : m_random(seed)
         , m_gate(randomSettings(), seed)
+        , m_mayBeRateLimited(mayBeRateLimited)
     {}
 
     auto run(int events) -> void
@@ -39,6 +40,9 @@
     {
         const auto kind = below(100);
         m_gate.now += Duration(static_cast<Duration::rep>(below(3000)));
+        if (m_isRateLimited)
+            m_refusedSinceReduction
+                    .clear(); // A token may have been added, which lets lower calls in.
         if (kind < 55)
             offer();
         else if (kind < 85 && !m_gate.running.empty())
@@ -47,6 +51,8 @@
             cancel();
         else if (kind < 93)
             setDeeperFloors();
+        else if (kind < 94 && m_mayBeRateLimited)
+            setRateLimit();
         else
             check(m_gate.advance(Duration(0)), std::nullopt);
     }
@@ -94,6 +100,15 @@
         m_refusedSinceReduction.clear();
     }
 
+    /// Sets a random rate limit, or ends it. A limit that has ended grows for some time.
+    auto setRateLimit() -> void
+    {
+        m_isRateLimited = true;
+        const auto rate = std::optional<double>(static_cast<double>(below(2'000)));
+        m_gate.controller.setRateLimit(below(3) ? rate : std::nullopt, m_gate.now);
+        m_refusedSinceReduction.clear();
+    }
+
     auto isRunning(CallId id) const -> bool
     {
         return std::find(m_gate.running.begin(), m_gate.running.end(), id) != m_gate.running.end();
@@ -161,6 +176,8 @@
 
     Random m_random;
     Gate m_gate;
+    bool m_mayBeRateLimited;
+    bool m_isRateLimited = false;
     std::map<CallId, CallOffer> m_calls; ///< Calls that wait or run.
     std::vector<Refused> m_refusedSinceReduction;
     CallId m_next = 1;
@@ -173,3 +190,9 @@
     for (auto seed = std::uint64_t{1}; seed <= 300; ++seed)
         RandomRun(seed).run(1500);
 }
+
+Test(AdmissionProperties, noLevelIsRefusedWhileALowerOneIsServedUnderARateLimit)
+{
+    for (auto seed = std::uint64_t{1}; seed <= 300; ++seed)
+        RandomRun(seed, true).run(1500);
+}
--- a/tests/measure/capacity/Links.cpp
+++ b/tests/measure/capacity/Links.cpp
@@ -109,8 +109,8 @@
         path.start(path.request("menu", "x"));
     // Calls beyond the gate's initial limit wait in its queue. The memory that they use is that of the entry, the link
     // and the gate.
-    path.runUntil([&] { return host.gate.report().queued >= Count; });
-    print("calls that wait in the gate's queue", host.gate.report().queued, "");
+    path.runUntil([&] { return host.gate->report().queued >= Count; });
+    print("calls that wait in the gate's queue", host.gate->report().queued, "");
     print("memory, a call in flight: entry, link and gate", (heapBytes() - before) / Count, "B");
     isOver = true;
     for (const auto &it : waiting)
--- a/tests/node/CallPathHarness.h
+++ b/tests/node/CallPathHarness.h
@@ -52,13 +52,15 @@
                              if (sendQuarantineMessage)
                                  sendQuarantineMessage(to, payload);
                          })
-            , gate(io, board, running, metrics, callIds, quarantine, 7, protocol)
+            , protocol(protocol)
+            , io(io)
         {
+            restartGate();
             backend.start();
             board.backend.publish({service, backend.port(), 8, membership::ServingState::Serving});
             peerServer.setCallHandler(
                     [this](const NodeId &, transport::CallRequest request, auto cancellation) {
-                        return gate.handle(std::move(request), std::move(cancellation));
+                        return gate->handle(std::move(request), std::move(cancellation));
                     });
             quarantine.start();
         }
@@ -70,6 +72,13 @@
             return node();
         }
 
+        /// Replaces the gate by one that knows nothing, as after a restart of the node. No call may be running here.
+        auto restartGate() -> void
+        {
+            gate = std::make_unique<Gate>(io, board, running, metrics, callIds, quarantine, 7,
+                                          protocol);
+        }
+
         [[nodiscard]] auto node() const -> NodeId
         {
             return "127.0.0.1:" + std::to_string(peerServer.port());
@@ -82,7 +91,9 @@
         transport::HttpServer backend;
         transport::PeerServer peerServer;
         QuarantineService quarantine;
-        Gate gate;
+        std::unique_ptr<Gate> gate;
+        const CallProtocol *protocol;
+        transport::asio::io_context &io;
         std::function<void(const NodeId &to, const std::string &payload)> sendQuarantineMessage;
     };
 
--- a/tests/node/TestCallPath.cpp
+++ b/tests/node/TestCallPath.cpp
@@ -144,11 +144,11 @@
     auto cancellation = std::make_shared<transport::Cancellation>();
     path.start(path.request("menu", "x"), cancellation);
     cr_assert(path.runUntil([&] { return delayed.calls.size() == 1; }));
-    cr_assert_eq(host.gate.report().inFlight, 1);
+    cr_assert_eq(host.gate->report().inFlight, 1);
     cancellation->cancel();
     cr_assert(path.finish());
     cr_assert(path.runUntil(
-            [&] { return delayed.calls[0]->wasCancelled && host.gate.report().inFlight == 0; }));
+            [&] { return delayed.calls[0]->wasCancelled && host.gate->report().inFlight == 0; }));
 }
 
 Test(CallPath, drainingGateFinishesRunningCallsAndRefusesNewOnes)
@@ -159,7 +159,7 @@
     path.start(path.request("menu", "early"));
     cr_assert(path.runUntil([&] { return delayed.calls.size() == 1; }));
     auto hasDrained = false;
-    leaving.gate.drain([&] { hasDrained = true; });
+    leaving.gate->drain([&] { hasDrained = true; });
 
     // The entry has not received the new state yet, so the gate refuses the call and the entry sends it to the other host.
     path.addHost("menu", [](auto, auto) -> transport::Task<transport::HttpResponse> {
--- a/tests/platform/StatedLimitsBench.h
+++ b/tests/platform/StatedLimitsBench.h
@@ -2,7 +2,7 @@
 
 #include <chrono>
 #include <deque>
-#include <map>
+#include <ranges>
 
 #include "PlatformPath.h"
 
@@ -25,7 +25,9 @@
     struct Server
     {
         CallPathHarness::Host *host = nullptr;
+        std::string instance; ///< Name of the process instance.
         Stated stated;
+        Duration serviceTime{5'000};
         std::vector<TimePoint> arrivals;
 
         [[nodiscard]] auto arrivalsWithin(TimePoint from, TimePoint to) const -> std::size_t
@@ -40,21 +42,46 @@
         auto &server = m_servers.emplace_back();
         const auto answer = [this, &server](auto request, auto) -> Task<HttpResponse> {
             server.arrivals.push_back(monotonicNow());
-            auto pause = transport::Timer(path().io, ServiceTime);
+            auto pause = transport::Timer(path().io, server.serviceTime);
             co_await pause.async_wait(transport::asio::use_awaitable);
             co_return answerOf(server, request);
         };
         server.host = &path().addHost("menu", answer);
+        announce(server, "i-" + std::to_string(m_servers.size()));
         return server;
     }
 
+    /// Publishes a heartbeat of the process instance `instance` that says that it serves.
+    static auto announce(Server &server, const std::string &instance) -> void
+    {
+        server.instance = instance;
+        server.host->board.backend.publish({.service = "menu",
+                                            .port = server.host->backend.port(),
+                                            .slots = 40,
+                                            .state = membership::ServingState::Serving,
+                                            .incarnation = {instance, 0}});
+        server.host->gate->refreshFromBoard();
+    }
+
+    /// Restarts the node of a host, whose backend server runs on. Its gate then knows nothing.
+    auto restartNode(Server &server) -> void
+    {
+        server.host->restartGate();
+        auto view = *path().board.members.read();
+        for (auto &it : view.members) {
+            if (it.node == server.host->node())
+                ++it.startIncarnation;
+        }
+        path().board.members.publish(std::move(view));
+    }
+
     /// Sends `perSecond` requests a second for `length`, and waits for their answers.
-    auto drive(Duration length, std::uint32_t perSecond) -> void
+    auto drive(Duration length, std::uint32_t perSecond, const std::string &target = "/v/1") -> void
     {
         const auto gap = Duration(1'000'000) / perSecond;
         const auto end = monotonicNow() + length;
         for (auto next = monotonicNow(); next < end; next += gap) {
-            send();
+            send(target);
             path().io.run_for(std::max(Duration::zero(), next + gap - monotonicNow()));
         }
         cr_assert(path().finish());
@@ -72,18 +99,17 @@
         return path().start(std::move(request));
     }
 
-    /// Returns how many requests got this status.
-    [[nodiscard]] auto answersOf(std::uint32_t status) -> std::size_t
+    /// Returns how many requests from the `first` one on got this status.
+    [[nodiscard]] auto answersOf(std::uint32_t status, std::size_t first = 0) -> std::size_t
     {
-        return static_cast<std::size_t>(std::ranges::count_if(
-                path().responses, [&](const auto &it) { return it.status == status; }));
+        return static_cast<std::size_t>(
+                std::ranges::count_if(path().responses | std::views::drop(first),
+                                      [&](const auto &it) { return it.status == status; }));
     }
 
     auto path() -> CallPathHarness & { return m_bench.path; }
 
 private:
-    static constexpr auto ServiceTime = std::chrono::milliseconds(5);
-
     static auto answerOf(const Server &server, const HttpRequest &request) -> HttpResponse
     {
         auto response = backendAnswer(200, "whole");
--- a/tests/platform/TestPlatformPath.cpp
+++ b/tests/platform/TestPlatformPath.cpp
@@ -113,7 +113,7 @@
         auto backend = *it->board.backend.read();
         backend.state = membership::ServingState::Draining;
         it->board.backend.publish(backend);
-        it->gate.refreshFromBoard();
+        it->gate->refreshFromBoard();
     }
     cr_assert_eq(bench.send("/o/1").status, 503);
     cr_assert(bench.arrived.empty());
--- a/tests/platform/TestPoisonRequests.cpp
+++ b/tests/platform/TestPoisonRequests.cpp
@@ -68,7 +68,7 @@
                                     .state = membership::ServingState::Serving,
                                     .incarnation = {upstream.instance(), 0}};
         host.board.backend.publish(std::move(backend));
-        host.gate.refreshFromBoard();
+        host.gate->refreshFromBoard();
     }
 
     auto startAgain(CallPathHarness::Host &host, CrashingUpstream &upstream) -> Task<void>
--- a/tests/platform/TestStatedLimits.cpp
+++ b/tests/platform/TestStatedLimits.cpp
@@ -15,6 +15,91 @@
     cr_expect_leq(static_cast<double>(n), 1.5 * Rate + 5, "%zu requests in a second", n);
 }
 
+Test(StatedRateLimit, theOtherBackendServersTakeWhatItNoLongerTakes)
+{
+    auto bench = StatedLimitsBench();
+    auto &limited = bench.addServer();
+    limited.stated.rateLimit = "10";
+    bench.addServer();
+    bench.addServer();
+    bench.drive(1'500ms, 200);
+    const auto first = limited.arrivals.front();
+    cr_expect_leq(limited.arrivalsWithin(first + 250ms, first + 1'250ms), 1.5 * 10 + 5);
+    cr_expect_eq(bench.answersOf(200), bench.path().responses.size(), "requests were lost");
+}
+
+Test(StatedRateLimit, theMoreImportantClassIsServedWhereAllAreLimited)
+{
+    auto bench = StatedLimitsBench();
+    bench.addServer().stated.rateLimit = "30";
+    bench.addServer().stated.rateLimit = "30";
+    bench.drive(500ms, 100);
+    const auto first = bench.path().responses.size();
+    auto orders = std::vector<std::size_t>();
+    for (auto n = 0; n < 30; ++n) {
+        orders.push_back(bench.send("/o/1"));
+        bench.drive(33ms, 120);
+    }
+    const auto isServed = [&](auto it) { return bench.path().responses[it].status == 200; };
+    cr_expect_geq(std::ranges::count_if(orders, isServed), 29);
+    cr_expect_gt(bench.answersOf(503, first), 0);
+    for (const auto &it : bench.path().responses) {
+        const auto isRefused = it.status == 503;
+        cr_expect(!isRefused || !it.headers.find("Retry-After").empty());
+    }
+}
+
+Test(StatedRateLimit, holdsBesideARestartOfTheGate)
+{
+    auto bench = StatedLimitsBench();
+    auto &limited = bench.addServer();
+    limited.stated.rateLimit = "10";
+    limited.serviceTime = 300ms;
+    bench.drive(1'000ms, 200);
+    bench.restartNode(limited);
+    const auto restartedAt = monotonicNow();
+    bench.drive(1'000ms, 200);
+    const auto n = limited.arrivalsWithin(restartedAt, restartedAt + 1s);
+    cr_expect_leq(n, 1.5 * 10 + 5, "%zu requests in the second after the restart", n);
+}
+
+Test(StatedRateLimit, endsWithTheStatement)
+{
+    auto bench = StatedLimitsBench();
+    auto &limited = bench.addServer();
+    limited.stated.rateLimit = "20";
+    bench.drive(500ms, 200);
+    limited.stated.rateLimit.clear();
+    bench.drive(3'000ms, 200);
+    const auto first = bench.path().responses.size();
+    bench.drive(500ms, 200);
+    const auto n = bench.path().responses.size() - first;
+    cr_expect_geq(bench.answersOf(200, first), n * 9 / 10);
+}
+
+Test(StatedRateLimit, aNewProcessInstanceHasNone)
+{
+    auto bench = StatedLimitsBench();
+    auto &limited = bench.addServer();
+    limited.stated.rateLimit = "1";
+    bench.drive(200ms, 100);
+    limited.stated.rateLimit.clear();
+    bench.announce(limited, "i-next");
+    const auto first = bench.path().responses.size();
+    bench.drive(1'000ms, 100);
+    cr_expect_geq(bench.answersOf(200, first), 90);
+}
+
+Test(StatedRateLimit, anUnreadableRateIsNone)
+{
+    for (const auto *text : {"nan", "1e400", "-1", "12,3"}) {
+        auto bench = StatedLimitsBench();
+        bench.addServer().stated.rateLimit = text;
+        bench.drive(200ms, 100);
+        cr_expect_eq(bench.answersOf(200), bench.path().responses.size(), "%s", text);
+    }
+}
+
 Test(StatedLeaving, aLeavingBackendServerGetsNoMoreRequests)
 {
     auto bench = StatedLimitsBench();
--- a/tests/transport/TestFrames.cpp
+++ b/tests/transport/TestFrames.cpp
@@ -159,8 +159,13 @@
     auto fields = writeCall(request);
     cr_assert_eq(readCall(fields).callsPerRoot, 8);
     cr_assert_eq(readCall(fields).callsLeft, 3);
-    // An older node sends an array of 17 items, without the last two, of a byte each: 0x93 is one of 19 items.
-    cr_assert_eq(static_cast<unsigned char>(fields[0]), 0x93);
+    // The last item, an empty statement, and the two counts before it have a byte each: 0x94 is an array of 20 items.
+    cr_assert_eq(static_cast<unsigned char>(fields[0]), 0x94);
+    fields[0] = static_cast<char>(0x93);
+    fields.resize(fields.size() - 1);
+    cr_assert_eq(readCall(fields).callsPerRoot, 8);
+    cr_assert_eq(readCall(fields).callsLeft, 3);
+    // An older node sends an array of 17 items, without the counts.
     fields[0] = static_cast<char>(0x91);
     fields.resize(fields.size() - 2);
     const auto read = readCall(fields);
@@ -188,6 +193,39 @@
     ensureNothingElseThrows(fields, [](const auto &bytes) { return readAnswer(bytes); });
 }
 
+Test(CallCodec, aStatementSurvivesAndMayBeMissing)
+{
+    const auto stated = admission::InstanceStatement{17, {.rateLimit = 12.3}};
+    auto call = sampleCall();
+    call.statement = stated;
+    cr_assert(readCall(writeCall(call)).statement == stated);
+    ensureNothingElseThrows(writeCall(call), [](const auto &bytes) { return readCall(bytes); });
+
+    auto answer = sampleAnswer();
+    cr_assert(!readAnswer(writeAnswer(answer)).report->statement, "unknown");
+    answer.report->statement = admission::InstanceStatement();
+    cr_assert(readAnswer(writeAnswer(answer)).report->statement->statement.isEmpty());
+    answer.report->statement = stated;
+    cr_assert(readAnswer(writeAnswer(answer)).report->statement == stated);
+    ensureNothingElseThrows(writeAnswer(answer),
+                            [](const auto &bytes) { return readAnswer(bytes); });
+}
+
+Test(CallCodec, aReportOfAnOlderNodeHasNoStatement)
+{
+    auto answer = sampleAnswer();
+    answer.report->pathFloors.clear();
+    auto fields = writeAnswer(answer);
+    // The report is the last item, an array of 10 of which the last is null: 0x8a and 0xf6.
+    const auto report = fields.rfind(static_cast<char>(0x8a));
+    cr_assert_neq(report, std::string::npos);
+    cr_assert_eq(static_cast<unsigned char>(fields.back()), 0xf6);
+    fields[report] = static_cast<char>(0x89);
+    fields.pop_back();
+    cr_assert(!readAnswer(fields).report->statement);
+    cr_assert_eq(readAnswer(fields).report->queued, 4);
+}
+
 Test(CallCodec, spansOutOfRangeAreCutOff)
 {
     auto request = CallRequest();
