Node, membership: Send nothing to a server that states its leaving

Cause and class as with the rate limit: a statement that nobody reads.

The statement binds as a draining heartbeat does, and belongs to the process instance for good. The gate refuses new and waiting calls and reports that it drains with the same answer; the announcement shows the server as draining to the other nodes, whatever its heartbeats say. Entries send the statement back with their calls, so that a restarted gate refuses before it has sent anything. A suspected call that waited for its permit is checked once more: it could be sent to a server that had begun to drain, by heartbeats too.

--- a/include/stairspur/admission/BackendStatement.h
+++ b/include/stairspur/admission/BackendStatement.h
@@ -10,9 +10,10 @@
 {
     /// Requests per second that it takes from all hosts together; empty: no limit.
     std::optional<double> rateLimit;
+    bool isLeaving = false; ///< It takes no new requests any more.
 
     /// Returns whether the server states nothing.
-    [[nodiscard]] auto isEmpty() const -> bool { return !rateLimit; }
+    [[nodiscard]] auto isEmpty() const -> bool { return !rateLimit && !isLeaving; }
 
     auto operator==(const BackendStatement &) const -> bool = default;
 };
--- a/include/stairspur/membership/BackendAnnouncements.h
+++ b/include/stairspur/membership/BackendAnnouncements.h
@@ -34,6 +34,10 @@
     /// time, `incarnation` refers to the latest process instance of that name. Returns whether this changes the own record.
     auto leave(const BackendIncarnation &incarnation, TimePoint now) -> bool;
 
+    /// Records that a process instance states in its answers that it leaves. It is shown as draining from then on, whatever
+    /// it announces, until it has left. Returns whether this changes the own record.
+    auto didStateLeaving(const BackendIncarnation &incarnation) -> bool;
+
     /// Marks the backend server as left when its announcements have ceased. Returns whether this changes the own
     /// record.
     auto tick(TimePoint now) -> bool;
@@ -53,6 +57,7 @@
 
 private:
     [[nodiscard]] auto effectiveState(ServingState announced) const -> ServingState;
+    auto forgetLeavingOfEndedInstance(const Announcement &announcement) -> void;
     /// Returns whether the process instance has ended or started before another one of the same name.
     [[nodiscard]] auto hasEnded(const BackendIncarnation &incarnation) const -> bool;
     [[nodiscard]] auto isOutdated(const Announcement &announcement) const -> bool;
@@ -81,6 +86,8 @@
     /// The latest process instances that have announced that they leave.
     std::deque<BackendIncarnation> m_left;
     std::optional<ReturnCandidate> m_returnCandidate;
+    /// The process instance that states in its answers that it leaves.
+    std::optional<BackendIncarnation> m_leaving;
 };
 
 } // namespace stairspur::membership
--- a/include/stairspur/node/ResponseStatement.h
+++ b/include/stairspur/node/ResponseStatement.h
@@ -20,6 +20,7 @@
 struct StatementFields
 {
     std::string_view rateLimit; ///< Requests per second, a decimal number.
+    std::string_view leaving;   ///< "1" if the server takes no new requests any more.
 };
 
 /// Returns what `headers` state. A rate limit that isn't one decimal number counts as unreadable.
--- a/include/stairspur/transport/HeaderList.h
+++ b/include/stairspur/transport/HeaderList.h
@@ -42,6 +42,8 @@
 inline constexpr auto RetryAfterMs = std::string_view("Stairspur-Retry-After-Ms");
 /// Requests per second that the backend server takes from all hosts together; a decimal number.
 inline constexpr auto RateLimit = std::string_view("Stairspur-Rate-Limit");
+inline constexpr auto Leaving =
+        std::string_view("Stairspur-Leaving"); ///< "1": the backend server takes no new calls.
 inline constexpr auto IdempotencyKey = std::string_view("Idempotency-Key"); ///< IETF httpapi draft.
 inline constexpr auto TraceParent = std::string_view("traceparent");        ///< W3C Trace Context.
 inline constexpr auto RetryAfter = std::string_view("Retry-After"); ///< RFC 9110, whole seconds.
--- a/source/membership/BackendAnnouncements.cpp
+++ b/source/membership/BackendAnnouncements.cpp
@@ -8,7 +8,27 @@
 {
     const auto acceptsWork =
             announced == ServingState::Starting || announced == ServingState::Serving;
-    return m_isDraining && acceptsWork ? ServingState::Draining : announced;
+    return (m_isDraining || m_leaving) && acceptsWork ? ServingState::Draining : announced;
+}
+
+auto BackendAnnouncements::didStateLeaving(const BackendIncarnation &incarnation) -> bool
+{
+    if (!m_current || m_current->incarnation != incarnation)
+        return false;
+    m_leaving = incarnation;
+    const auto before = m_current->state;
+    m_current->state = effectiveState(before);
+    return m_current->state != before;
+}
+
+/// A process instance without a name is recognized as another one by its state alone.
+auto BackendAnnouncements::forgetLeavingOfEndedInstance(const Announcement &announcement) -> void
+{
+    const auto hasLeft = !m_current || m_current->state == ServingState::Left;
+    const auto isRestart = announcement.incarnation.instance.empty()
+                           && (hasLeft || announcement.state == ServingState::Starting);
+    if (m_leaving != announcement.incarnation || isRestart)
+        m_leaving.reset();
 }
 
 auto BackendAnnouncements::lastIncarnationOf(const std::string &instance) const
@@ -133,6 +153,7 @@
                 "announcement: this host already has the backend server '" + m_current->service
                         + "' on port " + std::to_string(m_current->port),
                 "stop that one or announce it as left first; a host has one backend server");
+    forgetLeavingOfEndedInstance(announcement);
     auto next = announcement;
     next.state = effectiveState(announcement.state);
     const auto isChange = isNewInstance || !isSame || m_current->state != next.state
--- a/source/node/BackendClient.cpp
+++ b/source/node/BackendClient.cpp
@@ -84,7 +84,8 @@
 
 auto BackendClient::statementIn(const transport::HttpResponse &response) const -> ResponseStatement
 {
-    static constexpr auto OwnFields = StatementFields{transport::header::RateLimit};
+    static constexpr auto OwnFields =
+            StatementFields{transport::header::RateLimit, transport::header::Leaving};
     return readStatement(response.headers, m_protocol ? m_protocol->statementFields : OwnFields);
 }
 
--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -8,7 +8,7 @@
 
 #include "CallerAdmission.h"
 #include "ControlMetrics.h"
-#include "ControlSettings.h"
+#include "PartSettings.h"
 #include "QuarantineService.h"
 #include "StatusReport.h"
 
@@ -283,6 +283,12 @@
     return isQuarantined;
 }
 
+auto ControlPlane::didStateLeaving(const membership::BackendIncarnation &incarnation) -> void
+{
+    if (m_announcements.didStateLeaving(incarnation))
+        publishBackend();
+}
+
 auto ControlPlane::announceDraining() -> void
 {
     if (m_announcements.drain())
--- a/source/node/ControlPlane.h
+++ b/source/node/ControlPlane.h
@@ -88,6 +88,9 @@
     /// Checks whether the peer links still respond.
     auto verifyLinks() -> void { m_peers.verifyLinks(); }
 
+    /// Publishes to the other nodes that a process instance of the backend server states that it leaves.
+    auto didStateLeaving(const membership::BackendIncarnation &incarnation) -> void;
+
     /// Publishes to the other nodes that this host accepts no new calls.
     auto announceDraining() -> void;
 
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -103,10 +103,15 @@
     return isTaken ? m_callIds.next() : id;
 }
 
+auto Gate::isBackendLeaving() const -> bool
+{
+    return m_backend.state == membership::ServingState::Draining || m_statement.current().isLeaving;
+}
+
 auto Gate::reasonToRefuse(const CallRequest &request) const -> Reason
 {
     using membership::ServingState;
-    if (m_isDraining || m_backend.state == ServingState::Draining)
+    if (m_isDraining || isBackendLeaving())
         return Reason::Draining;
     if (m_backend.service.empty() || m_backend.state == ServingState::Left)
         return Reason::NoUpstream;
@@ -174,6 +179,9 @@
     const auto permit = co_await m_suspectedCalls.enter(deadline, cancellation);
     if (!permit)
         co_return refusal(request, Reason::QueueFull, SuspectedRetryAfter);
+    // The backend server may have begun to leave while the call waited.
+    if (const auto reason = reasonToRefuse(request); reason != Reason::None)
+        co_return refusal(request, reason, UnavailableRetryAfter);
     // A suspected call that ran meanwhile may have changed the status of this request.
     const auto quarantineDecision = m_quarantine.decide(fingerprint);
     if (quarantineDecision.status == QuarantineStatus::Refused)
@@ -307,6 +315,11 @@
     const auto &statement = m_statement.current();
     m_admission->setRateLimit(statement.rateLimit, now);
     m_statementLog.didChange(m_backend.incarnation.instance, statement, source, now);
+    if (!statement.isLeaving)
+        return;
+    apply(m_admission->refuseWaiting(Reason::Draining, now, m_random));
+    if (m_didStateLeaving)
+        m_didStateLeaving(m_backend.incarnation);
 }
 
 auto Gate::apply(const admission::AdmissionActions &actions) -> void
@@ -330,7 +343,7 @@
 auto Gate::report() -> admission::LoadReport
 {
     auto report = m_admission->report(monotonicNow());
-    report.isDraining = report.isDraining || m_isDraining;
+    report.isDraining = report.isDraining || m_isDraining || isBackendLeaving();
     report.backendIncarnation = m_backendIncarnation;
     report.statement = m_statement.known();
     return report;
--- a/source/node/Gate.h
+++ b/source/node/Gate.h
@@ -34,6 +34,8 @@
 class Gate
 {
 public:
+    using LeavingHandler = std::function<void(const membership::BackendIncarnation &)>;
+
     Gate(transport::asio::io_context &io, const NodeBoard &board, RunningCalls &running,
          NodeMetrics &metrics, CallIdSource &callIds, QuarantineService &quarantine,
          std::uint64_t seed, const CallProtocol *protocol = nullptr);
@@ -49,6 +51,12 @@
     /// no more work.
     auto refreshFromBoard() -> void;
 
+    /// Sets the function that receives a process instance of the backend server that states that it leaves.
+    auto setLeavingHandler(LeavingHandler handler) -> void
+    {
+        m_didStateLeaving = std::move(handler);
+    }
+
     /// Returns the current load report of the backend server.
     auto report() -> admission::LoadReport;
 
@@ -70,6 +78,8 @@
 
     auto refreshBackend() -> void;
     auto newCallId(const transport::CallRequest &request) -> CallId;
+    /// Returns whether the backend server takes no new calls, by its heartbeats or its answers.
+    [[nodiscard]] auto isBackendLeaving() const -> bool;
     [[nodiscard]] auto reasonToRefuse(const transport::CallRequest &request) const -> Reason;
     auto waitForSlot(CallId id, admission::CallOffer offer, transport::CancellationPtr cancellation)
             -> transport::Task<admission::Refusal>;
@@ -109,6 +119,7 @@
     std::unique_ptr<admission::AdmissionController> m_admission;
     StatementTracker m_statement;
     StatementLog m_statementLog;
+    LeavingHandler m_didStateLeaving;
     ClientPtr m_client;
     QuarantineService &m_quarantine;
     CrashWatch m_crashes;
--- a/source/node/KeyedGate.cpp
+++ b/source/node/KeyedGate.cpp
@@ -3,7 +3,7 @@
 #include <stairspur/keyed/KeyedServiceCode.h>
 #include <stairspur/log/Log.h>
 
-#include "ControlSettings.h"
+#include "PartSettings.h"
 
 namespace stairspur::node {
 
--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -12,7 +12,7 @@
 #include <stairspur/keyed/AnswerPayload.h>
 #include <stairspur/log/Log.h>
 
-#include "ControlSettings.h"
+#include "PartSettings.h"
 
 namespace stairspur::node {
 
@@ -21,20 +21,6 @@
 /// Time between two updates of the traffic threads' state for the metrics.
 static constexpr auto PublishInterval = Duration{1'000'000};
 
-static auto entryServerSettings(const NodeSettings &settings) -> transport::HttpServerSettings
-{
-    auto server = transport::HttpServerSettings();
-    server.address = settings.hostAddress;
-    server.port = settings.entryPort;
-    server.maxConnections = settings.maxConnections;
-    server.maxHeaderBytes = settings.maxHeaderBytes;
-    server.maxBodyBytes = settings.maxBodyBytes;
-    server.requestTimeout = settings.requestTimeout;
-    server.certificateFile = settings.tlsCertificate;
-    server.keyFile = settings.tlsKey;
-    return server;
-}
-
 static auto seed() -> std::uint64_t
 {
     auto device = std::random_device();
@@ -75,6 +61,10 @@
     , m_drainTimer(m_control.io())
     , m_noticeTimer(m_control.io())
 {
+    m_gate.setLeavingHandler([this](const membership::BackendIncarnation &incarnation) {
+        asio::post(m_control.io(),
+                   [this, incarnation] { m_controlPlane->didStateLeaving(incarnation); });
+    });
     m_entryPeers.setSilenceObserver([this] { didFindSilence(); });
     m_controlPlane = std::make_unique<ControlPlane>(m_control.io(), m_settings, m_adapter, m_board,
                                                     m_metrics, handlers(), m_incarnation, seed());
--- a/source/node/ControlSettings.cpp
+++ b/source/node/PartSettings.cpp
@@ -1,4 +1,4 @@
-#include "ControlSettings.h"
+#include "PartSettings.h"
 
 #include <algorithm>
 
@@ -68,4 +68,18 @@
     return server;
 }
 
+auto entryServerSettings(const NodeSettings &settings) -> transport::HttpServerSettings
+{
+    auto server = transport::HttpServerSettings();
+    server.address = settings.hostAddress;
+    server.port = settings.entryPort;
+    server.maxConnections = settings.maxConnections;
+    server.maxHeaderBytes = settings.maxHeaderBytes;
+    server.maxBodyBytes = settings.maxBodyBytes;
+    server.requestTimeout = settings.requestTimeout;
+    server.certificateFile = settings.tlsCertificate;
+    server.keyFile = settings.tlsKey;
+    return server;
+}
+
 } // namespace stairspur::node
--- a/source/node/ControlSettings.h
+++ b/source/node/PartSettings.h
@@ -7,7 +7,7 @@
 #include <stairspur/transport/HttpServer.h>
 #include <stairspur/transport/PeerSettings.h>
 
-/// The settings of the control plane's parts, which follow from those of the node.
+/// The settings of the node's parts, which follow from those of the node.
 namespace stairspur::node {
 
 /// Returns the settings of this node's peer links, which are the same on each of its threads.
@@ -27,4 +27,7 @@
 /// Returns the settings of the admin port.
 auto adminServerSettings(const NodeSettings &settings) -> transport::HttpServerSettings;
 
+/// Returns the settings of the port for callers.
+auto entryServerSettings(const NodeSettings &settings) -> transport::HttpServerSettings;
+
 } // namespace stairspur::node
--- a/source/node/ResponseStatement.cpp
+++ b/source/node/ResponseStatement.cpp
@@ -40,6 +40,7 @@
         -> ResponseStatement
 {
     auto read = ResponseStatement();
+    read.statement.isLeaving = headers.find(fields.leaving) == "1";
     if (!headers.contains(fields.rateLimit))
         return read;
     const auto text = headers.find(fields.rateLimit);
--- a/source/node/StatementLog.cpp
+++ b/source/node/StatementLog.cpp
@@ -28,13 +28,15 @@
                              const admission::BackendStatement &statement, std::string_view source,
                              TimePoint now) -> void
 {
-    const auto isNewKind = statement.rateLimit.has_value() != m_logged.rateLimit.has_value();
+    const auto isNewKind = statement.rateLimit.has_value() != m_logged.rateLimit.has_value()
+                           || statement.isLeaving != m_logged.isLeaving;
     if (!isNewKind && !isDue(m_changeLoggedAt, now))
         return;
     log::Line(log::Severity::Info, "backend-statement")
             .add("instance", instance)
             .add("rate_limit", rateText(statement.rateLimit))
             .add("former_rate_limit", rateText(m_logged.rateLimit))
+            .add("leaving", statement.isLeaving)
             .add("source", std::string(source));
     m_logged = statement;
     m_changeLoggedAt = now;
--- a/source/node/StatementTracker.cpp
+++ b/source/node/StatementTracker.cpp
@@ -26,9 +26,13 @@
 auto StatementTracker::didRespond(const ResponseStatement &read, Outcome outcome, TimePoint sentAt,
                                   TimePoint now) -> bool
 {
-    if (!read.unreadableRate.empty())
-        return false;
     const auto former = m_current.statement;
+    if (read.statement.isLeaving) {
+        m_current.statement.isLeaving = true;
+        m_isKnown = true;
+    }
+    if (!read.unreadableRate.empty())
+        return m_current.statement != former;
     if (read.statement.rateLimit) {
         m_current.statement.rateLimit = read.statement.rateLimit;
         m_rateStatedAt = now;
@@ -43,12 +47,16 @@
 auto StatementTracker::adopt(const InstanceStatement &known, TimePoint now) -> bool
 {
     const auto isSameInstance = known.instance != 0 && known.instance == m_current.instance;
-    if (m_isKnown || !isSameInstance || known.statement.isEmpty())
+    if (!isSameInstance || known.statement.isEmpty())
         return false;
-    m_current = known;
-    m_rateStatedAt = now;
+    const auto former = m_current.statement;
+    m_current.statement.isLeaving |= known.statement.isLeaving;
+    if (!m_isKnown) {
+        m_current.statement.rateLimit = known.statement.rateLimit;
+        m_rateStatedAt = now;
+    }
     m_isKnown = true;
-    return true;
+    return m_current.statement != former;
 }
 
 auto StatementTracker::known() const -> std::optional<InstanceStatement>
--- a/source/node/StatementTracker.h
+++ b/source/node/StatementTracker.h
@@ -25,12 +25,12 @@
     ///
     /// A statement ends with an answer without it to a request that was sent after the latest answer with it. Other
     /// responses without it don't count: one may have been written before the statement, and errors may come from others
-    /// than the server.
+    /// than the server. That the server leaves holds for good.
     auto didRespond(const ResponseStatement &read, Outcome outcome, TimePoint sentAt, TimePoint now)
             -> bool;
 
-    /// Adopts what another node knows of the same process instance, as long as this node knows nothing. Returns whether
-    /// the current statement has changed.
+    /// Adopts what another node knows of the same process instance: that it leaves, and its rate limit as long as this node
+    /// knows nothing. Returns whether the current statement has changed.
     auto adopt(const admission::InstanceStatement &known, TimePoint now) -> bool;
 
     /// Returns the current statement, which is empty while nothing is known.
--- a/source/transport/CallCodec.cpp
+++ b/source/transport/CallCodec.cpp
@@ -16,7 +16,7 @@
 /// Older nodes send neither the incarnation of the backend server nor, after it, its statement.
 static constexpr auto ReportItems = std::uint64_t{10};
 static constexpr auto ReportItemsWithIncarnation = std::uint64_t{9};
-static constexpr auto StatementItems = std::uint64_t{2};
+static constexpr auto StatementItems = std::uint64_t{3};
 /// Rates are sent in millionths of a call per second.
 static constexpr auto RateScale = 1e6;
 static constexpr auto MaxScaledRate = std::uint64_t{1'000'000'000'000'000};
@@ -77,7 +77,7 @@
         writer.addBoolean(false);
         return;
     }
-    writer.addArray(StatementItems).addUnsigned(it->instance);
+    writer.addArray(StatementItems).addUnsigned(it->instance).addBoolean(it->statement.isLeaving);
     if (!it->statement.rateLimit) {
         writer.addNull();
         return;
@@ -96,6 +96,7 @@
         return it;
     const auto n = reader.readArray();
     it.instance = reader.readUnsigned();
+    it.statement.isLeaving = reader.readBoolean();
     if (!reader.takeNull())
         it.statement.rateLimit =
                 static_cast<double>(reader.readUnsigned(MaxScaledRate)) / RateScale;
--- a/tests/membership/TestInstances.cpp
+++ b/tests/membership/TestInstances.cpp
@@ -195,3 +195,26 @@
     announcements.tick(Start + Second * 9);
     cr_assert(announcements.receive(makeAnnouncement("stranger", 2), Start + Second * 10));
 }
+
+Test(Instances, oneThatStatesItsLeavingDrainsWhateverItAnnounces)
+{
+    auto announcements = BackendAnnouncements(std::chrono::seconds(3));
+    auto announcement = Announcement();
+    announcement.service = "menu";
+    announcement.port = 1;
+    announcement.slots = 8;
+    announcement.state = ServingState::Serving;
+    announcement.incarnation = {"a", 1};
+    announcement.sequence = 1;
+    const auto now = TimePoint{std::chrono::seconds(1)};
+    announcements.receive(announcement, now);
+    cr_assert(!announcements.didStateLeaving({"b", 1}), "another process instance");
+    cr_assert(announcements.didStateLeaving({"a", 1}));
+    cr_assert(announcements.current()->state == ServingState::Draining);
+    ++announcement.sequence;
+    cr_assert(!announcements.receive(announcement, now));
+    cr_assert(announcements.current()->state == ServingState::Draining);
+    announcement.incarnation = {"b", 2};
+    cr_assert(announcements.receive(announcement, now));
+    cr_assert(announcements.isServing());
+}
--- a/tests/node/TestStatements.cpp
+++ b/tests/node/TestStatements.cpp
@@ -6,7 +6,7 @@
 using namespace stairspur::node;
 using namespace std::chrono_literals;
 
-static constexpr auto Fields = StatementFields{"Rate"};
+static constexpr auto Fields = StatementFields{"Rate", "Leaving"};
 static constexpr auto Start = TimePoint{1'000s};
 
 static auto readRate(const std::string &value) -> ResponseStatement
@@ -95,6 +95,43 @@
     cr_assert(tracker.current().isEmpty());
 }
 
+Test(Statements, leavingHoldsForGood)
+{
+    auto tracker = trackerOf("a");
+    auto leaving = stating(5.0);
+    leaving.statement.isLeaving = true;
+    cr_assert(tracker.didRespond(leaving, Outcome::NotRun, Start, Start + 10ms));
+    tracker.didRespond(stating(std::nullopt), Outcome::Answered, Start + 1s, Start + 2s);
+    cr_assert(tracker.current().isLeaving);
+    cr_assert(!tracker.current().rateLimit);
+    tracker.didReplaceBackend({"b", 0});
+    cr_assert(!tracker.current().isLeaving);
+}
+
+Test(Statements, onlyOneMeansLeaving)
+{
+    for (const auto *text : {"", "0", "true", "11"}) {
+        auto headers = transport::HeaderList();
+        headers.add("Leaving", text);
+        cr_expect(!readStatement(headers, Fields).statement.isLeaving, "%s", text);
+    }
+    auto headers = transport::HeaderList();
+    headers.add("leaving", "1");
+    cr_assert(readStatement(headers, Fields).statement.isLeaving);
+}
+
+Test(Statements, leavingIsAdoptedAfterAnAnswerToo)
+{
+    auto former = trackerOf("a");
+    auto leaving = stating(std::nullopt);
+    leaving.statement.isLeaving = true;
+    former.didRespond(leaving, Outcome::Answered, Start, Start);
+    auto restarted = trackerOf("a");
+    restarted.didRespond(stating(std::nullopt), Outcome::Answered, Start, Start + 1s);
+    cr_assert(restarted.adopt(*former.known(), Start + 2s));
+    cr_assert(restarted.current().isLeaving);
+}
+
 Test(Statements, aNewProcessInstanceHasStatedNothing)
 {
     auto tracker = trackerOf("a");
--- a/tests/platform/StatedLimitsBench.h
+++ b/tests/platform/StatedLimitsBench.h
@@ -26,6 +26,7 @@
     {
         CallPathHarness::Host *host = nullptr;
         std::string instance; ///< Name of the process instance.
+        std::uint32_t slots = 40;
         Stated stated;
         Duration serviceTime{5'000};
         std::vector<TimePoint> arrivals;
@@ -57,7 +58,7 @@
         server.instance = instance;
         server.host->board.backend.publish({.service = "menu",
                                             .port = server.host->backend.port(),
-                                            .slots = 40,
+                                            .slots = server.slots,
                                             .state = membership::ServingState::Serving,
                                             .incarnation = {instance, 0}});
         server.host->gate->refreshFromBoard();
--- a/tests/platform/TestStatedLimits.cpp
+++ b/tests/platform/TestStatedLimits.cpp
@@ -112,3 +112,67 @@
     cr_expect_eq(n, 0, "%zu requests after the statement", n);
     cr_expect_eq(bench.answersOf(200), bench.path().responses.size());
 }
+
+Test(StatedLeaving, holdsBesideARestartOfTheGateWhoseHeartbeatsSayOtherwise)
+{
+    auto bench = StatedLimitsBench();
+    auto &leaving = bench.addServer();
+    leaving.stated.isLeaving = true;
+    bench.addServer();
+    bench.drive(200ms, 100);
+    for (auto n = 0; n < 3; ++n) {
+        bench.restartNode(leaving);
+        bench.drive(200ms, 100);
+    }
+    const auto told = leaving.arrivals.front() + 100ms;
+    const auto n = leaving.arrivalsWithin(told, TimePoint::max());
+    cr_expect_eq(n, 0, "%zu requests after the statement", n);
+    cr_expect_eq(bench.answersOf(200), bench.path().responses.size());
+}
+
+Test(StatedLeaving, waitingCallsGoElsewhere)
+{
+    auto bench = StatedLimitsBench();
+    auto &leaving = bench.addServer();
+    leaving.serviceTime = 300ms;
+    leaving.slots = 2;
+    bench.announce(leaving, leaving.instance);
+    for (auto n = 0; n < 4; ++n)
+        bench.send();
+    bench.path().io.run_for(100ms);
+    bench.addServer();
+    leaving.stated.isLeaving = true;
+    cr_assert(bench.path().finish());
+    cr_expect_eq(leaving.arrivals.size(), 2);
+    cr_expect_eq(bench.answersOf(200), 4);
+}
+
+Test(StatedLeaving, whenAllLeaveCallersAreRefusedAtOnce)
+{
+    auto bench = StatedLimitsBench();
+    bench.addServer().stated.isLeaving = true;
+    bench.drive(100ms, 50);
+    const auto before = monotonicNow();
+    const auto index = bench.send("/o/1");
+    cr_assert(bench.path().finish());
+    cr_expect_lt((monotonicNow() - before).count(), Duration(100ms).count());
+    const auto &response = bench.path().responses[index];
+    cr_expect_eq(response.status, 503);
+    cr_expect(!response.headers.find("Retry-After").empty());
+}
+
+Test(StatedLeaving, aNewProcessInstanceAtTheSameAddressServes)
+{
+    auto bench = StatedLimitsBench();
+    auto &server = bench.addServer();
+    server.stated.isLeaving = true;
+    bench.drive(100ms, 50);
+    server.stated.isLeaving = false;
+    bench.announce(server, "i-next");
+    auto first = std::size_t{0};
+    // The entry sends a call once the report that the former instance drains has lapsed, after eight half-lives.
+    bench.drive(4'500ms, 20);
+    first = bench.path().responses.size();
+    bench.drive(200ms, 50);
+    cr_expect_eq(bench.answersOf(200, first), bench.path().responses.size() - first);
+}
--- a/tests/transport/TestFrames.cpp
+++ b/tests/transport/TestFrames.cpp
@@ -195,7 +195,7 @@
 
 Test(CallCodec, aStatementSurvivesAndMayBeMissing)
 {
-    const auto stated = admission::InstanceStatement{17, {.rateLimit = 12.3}};
+    const auto stated = admission::InstanceStatement{17, {.rateLimit = 12.3, .isLeaving = true}};
     auto call = sampleCall();
     call.statement = stated;
     cr_assert(readCall(writeCall(call)).statement == stated);
@@ -205,6 +205,8 @@
     cr_assert(!readAnswer(writeAnswer(answer)).report->statement, "unknown");
     answer.report->statement = admission::InstanceStatement();
     cr_assert(readAnswer(writeAnswer(answer)).report->statement->statement.isEmpty());
+    answer.report->statement = admission::InstanceStatement{17, {.isLeaving = true}};
+    cr_assert(readAnswer(writeAnswer(answer)).report->statement == answer.report->statement);
     answer.report->statement = stated;
     cr_assert(readAnswer(writeAnswer(answer)).report->statement == stated);
     ensureNothingElseThrows(writeAnswer(answer),
