Tests, node: Prove the statements on a whole node, and fuzz them

A node between the platform's stand-ins refuses after a stated leaving although heartbeats say ready, and holds a stated limit. A rate is bounded to 1e9 a second: without a bound the metric in thousandths could leave its integer (found while reading the change; no run showed it).

--- a/Meta/run-fuzzers.py
+++ b/Meta/run-fuzzers.py
@@ -16,6 +16,7 @@
 SECONDS_FOR_ONE_INPUT = 10
 # Texts that the project has anyway serve as first inputs, by edge.
 FIRST_INPUTS = {"configuration": ["examples"], "call_intake": ["tests/fuzz/call_intake/seeds"],
+                "backend_statement": ["tests/fuzz/backend_statement/seeds"],
                 "announcement": ["tests/fuzz/announcement/seeds"],
                 "heartbeat": ["tests/fuzz/heartbeat/seeds"], "operator_item": ["tests/fuzz/operator_item/seeds"]}
 
--- a/source/node/ResponseStatement.cpp
+++ b/source/node/ResponseStatement.cpp
@@ -10,6 +10,8 @@
 
 /// Far more digits than a rate needs.
 static constexpr auto MaxRateLength = std::size_t{32};
+/// Upper bound of a rate, far above what any server takes.
+static constexpr auto MaxRate = 1e9;
 /// Number of bytes of an unreadable value that are kept for the log.
 static constexpr auto MaxUnreadableLength = std::size_t{64};
 
@@ -26,7 +28,7 @@
     const auto *end = text.data() + text.size();
     const auto [stop, ec] = std::from_chars(text.data(), end, value, std::chars_format::fixed);
     const auto isWhole = ec == std::errc() && stop == end;
-    return isWhole ? std::optional(value) : std::nullopt;
+    return isWhole ? std::optional(std::min(value, MaxRate)) : std::nullopt;
 }
 
 static auto countOf(const transport::HeaderList &headers, std::string_view name) -> std::ptrdiff_t
--- a/tests/fuzz/call_codec/main.cpp
+++ b/tests/fuzz/call_codec/main.cpp
@@ -31,6 +31,8 @@
     answer.headers.add("Content-Type", "text/plain");
     auto reported = answer;
     reported.report.emplace();
+    call.statement = {17, {.rateLimit = 12.3, .isLeaving = true}};
+    reported.report->statement = call.statement;
     return {std::string(1, 0) + transport::writeCall(call),
             std::string(1, 1) + transport::writeAnswer(answer),
             std::string(1, 1) + transport::writeAnswer(reported),
--- a/tests/node/TestStatements.cpp
+++ b/tests/node/TestStatements.cpp
@@ -30,8 +30,9 @@
 
 Test(Statements, onlyADecimalNumberIsARate)
 {
-    const std::pair<const char *, double> rates[] = {{"12.3", 12.3},   {"0", 0.0},  {"0.05", 0.05},
-                                                     {"5000", 5000.0}, {".5", 0.5}, {"7.", 7.0}};
+    const std::pair<const char *, double> rates[] = {
+            {"12.3", 12.3}, {"0", 0.0},  {"0.05", 0.05},           {"5000", 5000.0},
+            {".5", 0.5},    {"7.", 7.0}, {"9999999999999999", 1e9}};
     for (const auto &[text, rate] : rates) {
         const auto read = readRate(text);
         cr_expect(read.statement.rateLimit == rate, "%s", text);
--- a/tests/platform/TestNodeOnPlatform.cpp
+++ b/tests/platform/TestNodeOnPlatform.cpp
@@ -196,6 +196,36 @@
     cr_assert_eq(machine.stop(), 0);
 }
 
+Test(NodeOnPlatform, aStatedLeavingBindsWhateverTheHeartbeatsSay)
+{
+    auto machine = Machine("127.77.0.8");
+    machine.start();
+    machine.upstream().stateLeaving();
+    cr_assert_eq(machine.send("/v/1", "last").result_int(), 200);
+    const auto runs = machine.upstream().runs();
+    for (auto n = 0; n < 5; ++n) {
+        cr_assert_eq(machine.beat("ready"), 200);
+        cr_assert_eq(machine.send("/o/1", "late" + std::to_string(n)).result_int(), 503);
+    }
+    cr_assert_eq(machine.upstream().runs(), runs);
+    cr_assert_eq(machine.stop(), 0);
+}
+
+Test(NodeOnPlatform, aStatedRateLimitIsHeld)
+{
+    auto machine = Machine("127.77.0.9");
+    machine.start();
+    machine.upstream().stateRateLimit(5);
+    machine.send("/v/1", "first to state it");
+    const auto runs = machine.upstream().runs();
+    const auto start = std::chrono::steady_clock::now();
+    for (auto n = 0; n < 12; ++n)
+        machine.send("/v/1", "next" + std::to_string(n));
+    const auto elapsed = std::chrono::duration<double>(std::chrono::steady_clock::now() - start);
+    cr_assert_leq(machine.upstream().runs() - runs, 1.5 * 5 * elapsed.count() + 5);
+    cr_assert_eq(machine.stop(), 0);
+}
+
 /// There is one backend server: a request that it may have run is not sent to it again, whatever the kind of its route.
 Test(NodeOnPlatform, aGarbledAnswerIsNeverPassedOnAndNothingRunsTwice)
 {
--- a/tests/standins/platform/UpstreamStandIn.h
+++ b/tests/standins/platform/UpstreamStandIn.h
@@ -48,6 +48,12 @@
     /// The next request meets this fault, the ones after it none.
     auto failNext(UpstreamFault fault) -> void { m_fault = fault; }
 
+    /// From now on each answer states that the backend server leaves.
+    auto stateLeaving() -> void { m_isLeaving = true; }
+
+    /// From now on each answer states this number of requests a second; 0: none.
+    auto stateRateLimit(int perSecond) -> void { m_rateLimit = perSecond; }
+
     static constexpr auto Body = "the backend server's bytes";
 
 private:
@@ -117,12 +123,20 @@
         return whole;
     }
 
-    static auto answer(const std::string &attempt, bool hasLength) -> std::string
+    [[nodiscard]] auto statements() const -> std::string
+    {
+        const auto leaving = m_isLeaving ? std::string("Server-Leaving: 1\r\n") : std::string();
+        const auto rate = m_rateLimit.load();
+        return rate == 0 ? leaving : leaving + "Server-Limit: " + std::to_string(rate) + ".0\r\n";
+    }
+
+    [[nodiscard]] auto answer(const std::string &attempt, bool hasLength) const -> std::string
     {
         const auto body = std::string(Body);
         const auto length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
         return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Server-Seal: seal\r\n"
-               + (hasLength ? length : std::string("Connection: close\r\n")) + "\r\n" + body;
+               + statements() + (hasLength ? length : std::string("Connection: close\r\n")) + "\r\n"
+               + body;
     }
 
     static auto unrun(const std::string &status, const std::string &attempt) -> std::string
@@ -135,6 +149,8 @@
     std::string m_instance;
     std::atomic<UpstreamFault> m_fault = UpstreamFault::None;
     std::atomic<int> m_runs = 0;
+    std::atomic<int> m_rateLimit = 0;
+    std::atomic<bool> m_isLeaving = false;
 };
 
 } // namespace stairspur::standin
