--- a/tests/distribution/TestPublishMatrix.cpp
+++ b/tests/distribution/TestPublishMatrix.cpp
@@ -380,3 +380,26 @@
     result.outcome = PublishOutcome::Unknown;
     cr_assert_throw(ensureInForce(result), ApplyUnknownError);
 }
+
+Test(PublishProtocol, aLostAnswerOfAnyWriteDoesNotEndTheApply)
+{
+    for (const auto fault :
+         {StoreFault::LostRequest, StoreFault::LostAnswer, StoreFault::LateRequest}) {
+        auto hasFaulted = true;
+        for (auto nth = 1; hasFaulted; ++nth) {
+            hasFaulted = false;
+            auto store = FakeStore();
+            auto protocol = PublishProtocol<>(requestFor(sectionsOf(160, "new"), "own"));
+            for (auto n = 0; !protocol.isDone();) {
+                const auto isWrite = std::holds_alternative<store::Transaction>(protocol.next());
+                const auto isFaulty = isWrite && ++n == nth;
+                hasFaulted = hasFaulted || isFaulty;
+                step(protocol, store, isFaulty ? fault : StoreFault::None);
+            }
+            const auto &result = protocol.result();
+            cr_expect(result.outcome == PublishOutcome::Applied, "fault %d at write %d: %s",
+                      static_cast<int>(fault), nth, nameOf(result.outcome).data());
+            cr_expect(store.isWhole() && store.head().version == 1);
+        }
+    }
+}
