Distribution: Repeat a write of sections whose answer is lost

An operator's apply beside a busy store ended as store-unavailable after one lost answer, although the store was there. Cause: the protocol treated every transaction as unsafe to repeat; class: an idempotent call that is given up like one that is not. Sections are stored by the hash of their content, and only the write of the head brings them into force, by compare-and-swap, so the same write goes out again, twice at most, after a pause. A refusal or a store that cannot be reached ends the apply as before.

--- a/include/stairspur/distribution/PublishProtocol.h
+++ b/include/stairspur/distribution/PublishProtocol.h
@@ -72,6 +72,8 @@
     static constexpr auto MaxWriteBytes =
             std::size_t{500'000}; ///< Bytes of a transaction; a value may have up to a megabyte.
     static constexpr auto MaxVerifications = 8U; ///< Reads of the head after a lost answer.
+    /// Repetitions of one write of sections. A call to a store that doesn't answer takes seconds, and the operator waits.
+    static constexpr auto MaxSectionRetries = 2U;
 
     explicit PublishProtocol(PublishRequest request)
         : m_request(std::move(request))
@@ -86,7 +88,10 @@
     /// Returns the result. To be called only when isDone() is true.
     [[nodiscard]] auto result() const -> const PublishResult & { return m_result; }
     /// Returns whether the next request repeats a failed one, so that the caller should pause before it.
-    [[nodiscard]] auto isRepeating() const -> bool { return m_verifications > 0; }
+    [[nodiscard]] auto isRepeating() const -> bool
+    {
+        return m_verifications > 0 || m_sectionRetries > 0;
+    }
 
     /// Processes the result of a RangeRequest.
     auto didReceiveRange(const store::StoreResult<store::RangeAnswer> &result) -> void
@@ -110,11 +115,8 @@
     {
         if (result.status == store::StoreStatus::Rejected && !m_mayBeWritten)
             return end(PublishOutcome::Rejected, result.detail);
-        if (m_step == Step::WriteSections) {
-            if (!result.isOk())
-                return end(PublishOutcome::StoreUnavailable, result.detail);
-            return writeNext();
-        }
+        if (m_step == Step::WriteSections)
+            return didWriteSections(result);
         if (result.isOk())
             return didApply(m_plan.head.version, m_plan.head);
         if (result.status == store::StoreStatus::Unreachable && !m_mayBeWritten)
@@ -134,6 +136,19 @@
         Done,
     };
 
+    /// Repeats a write of sections that got no answer. Sections are stored by their hash, so that writing them again, or an
+    /// earlier write that is applied late, changes nothing.
+    auto didWriteSections(const store::StoreResult<store::WriteAnswer> &result) -> void
+    {
+        if (result.isOk()) {
+            m_sectionRetries = 0;
+            return writeNext();
+        }
+        const auto mayRepeat = result.status == store::StoreStatus::Unknown;
+        if (!mayRepeat || ++m_sectionRetries > MaxSectionRetries)
+            end(PublishOutcome::StoreUnavailable, result.detail);
+    }
+
     auto requestHead(Step step) -> void
     {
         m_step = step;
@@ -308,6 +323,7 @@
     WritePlan m_plan;
     bool m_mayBeWritten = false; ///< Whether an earlier write of the head got no answer.
     std::uint32_t m_verifications = 0;
+    std::uint32_t m_sectionRetries = 0;
     std::uint32_t m_restarts = 0;
     PublishResult m_result;
 };
