Core: Refuse numbers of messages that are no integers

The fuzzer of distribution found a floating-point number beyond 64 bits that nlohmann's from_json converts to an unsigned integer, which is undefined. Numbers of distribution, quota and etcd's answers, and of a node's status, are now read by readUnsigned and readSigned, which throw InputError; quarantine's own check is replaced by the same function.

Sections of a configuration are still read without the check; listed as open.

--- a/source/cli/NodeSummary.cpp
+++ b/source/cli/NodeSummary.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <stairspur/core/Cbor.h>
 #include <stairspur/core/Error.h>
 
 namespace stairspur::cli {
@@ -23,7 +24,7 @@
 {
     for (const auto &[domain, versions] : domains.items()) {
         for (const auto &[version, nodes] : versions.items())
-            summary.domains[domain][parseVersion(version)] = nodes.get<std::uint64_t>();
+            summary.domains[domain][parseVersion(version)] = readUnsigned(nodes);
     }
 }
 
--- a/source/core/Cbor.cpp
+++ b/source/core/Cbor.cpp
@@ -123,4 +123,23 @@
     return value;
 }
 
+static constexpr auto NumberRemedy = "check that both ends run the same version of stairspur";
+
+auto readUnsigned(const nlohmann::json &value) -> std::uint64_t
+{
+    if (!value.is_number_unsigned())
+        throw InputError("a message does not have an unsigned integer where one is required",
+                         NumberRemedy);
+    return value.get<std::uint64_t>();
+}
+
+auto readSigned(const nlohmann::json &value) -> std::int64_t
+{
+    const auto isTooLarge = value.is_number_unsigned() && value.get<std::int64_t>() < 0;
+    if (!value.is_number_integer() || isTooLarge)
+        throw InputError("a message does not have a signed integer where one is required",
+                         NumberRemedy);
+    return value.get<std::int64_t>();
+}
+
 } // namespace stairspur
--- a/source/distribution/Messages.cpp
+++ b/source/distribution/Messages.cpp
@@ -51,9 +51,9 @@
 static auto readConfirmation(const Json &json) -> Confirmation
 {
     auto result = Confirmation();
-    result.subscription = json.at(0);
-    result.version = json.at(1);
-    result.sinceSubscription = Duration(json.at(2).get<Duration::rep>());
+    result.subscription = readUnsigned(json.at(0));
+    result.version = readUnsigned(json.at(1));
+    result.sinceSubscription = Duration(readSigned(json.at(2)));
     if (result.sinceSubscription > MaxSinceSubscription
         || result.sinceSubscription < -MaxSinceSubscription)
         throw InputError("a confirmation contains an impossible time", Remedy);
@@ -87,14 +87,14 @@
 auto decodeDatagram(std::string_view bytes) -> ConfigDatagram
 {
     return decodeWith(bytes, [](const Json &json) {
-        const auto kind = json.at(0).get<std::size_t>();
+        const auto kind = readUnsigned(json.at(0));
         if (kind >= enumNames<DatagramKind>.size())
             throw InputError("a configuration datagram is of an unknown kind", Remedy);
         auto datagram = ConfigDatagram();
         datagram.kind = static_cast<DatagramKind>(kind);
         datagram.digest = decodeDigest(toText(json.at(1)));
         if (datagram.kind == DatagramKind::Delta) {
-            datagram.since = json.at(2);
+            datagram.since = readUnsigned(json.at(2));
             datagram.changes = readChanges(json.at(3));
         }
         if (datagram.kind == DatagramKind::Subscribe || datagram.kind == DatagramKind::Confirm)
@@ -110,7 +110,9 @@
 
 auto decodePullRequest(std::string_view bytes) -> PullRequest
 {
-    return decodeWith(bytes, [](const Json &json) { return PullRequest{json.at(0), json.at(1)}; });
+    return decodeWith(bytes, [](const Json &json) {
+        return PullRequest{readUnsigned(json.at(0)), json.at(1)};
+    });
 }
 
 auto encode(const PullReply &reply) -> std::string
@@ -125,7 +127,7 @@
     return decodeWith(bytes, [](const Json &json) {
         auto reply = PullReply();
         reply.digest = decodeDigest(toText(json.at(0)));
-        reply.since = json.at(1);
+        reply.since = readUnsigned(json.at(1));
         reply.piece.changes = readChanges(json.at(2));
         reply.piece.cursor = json.at(3);
         reply.piece.isLast = json.at(4);
--- a/source/quarantine/Messages.cpp
+++ b/source/quarantine/Messages.cpp
@@ -104,25 +104,15 @@
     return toCbor(std::visit([](const auto &it) { return toJson(it); }, message));
 }
 
-/// Throws InputError on a fraction or a negative number, which the library would silently convert as C++ does.
-static auto readNumber(const Json &json) -> std::uint64_t
-{
-    if (!json.is_number_unsigned())
-        throw InputError(
-                "a quarantine message does not have an unsigned integer where one is required",
-                "allow only nodes to send to the peer port");
-    return json.get<std::uint64_t>();
-}
-
 static auto readFingerprint(const Json &json) -> RequestFingerprint
 {
-    return {readNumber(json.at(0)), readNumber(json.at(1))};
+    return {readUnsigned(json.at(0)), readUnsigned(json.at(1))};
 }
 
 static auto readCrashReport(const Json &json) -> CrashReport
 {
     auto report = CrashReport();
-    report.crash = readNumber(json.at(1));
+    report.crash = readUnsigned(json.at(1));
     report.shouldForward = json.at(2).get<bool>();
     for (const auto &it : json.at(3))
         report.requests.push_back(readFingerprint(it));
@@ -136,8 +126,8 @@
     auto item = Records::Item();
     item.request = readFingerprint(json.at(0));
     for (const auto &it : json.at(1))
-        item.crashes.push_back({readNumber(it.at(0)), it.at(1).get<bool>()});
-    item.age = Duration{std::min(readNumber(json.at(2)), MaxAge)};
+        item.crashes.push_back({readUnsigned(it.at(0)), it.at(1).get<bool>()});
+    item.age = Duration{std::min(readUnsigned(json.at(2)), MaxAge)};
     return item;
 }
 
@@ -153,11 +143,11 @@
 /// Throws InputError if the kind is unknown.
 static auto readByKind(const Json &json) -> Message
 {
-    switch (static_cast<Kind>(std::min(readNumber(json.at(0)), MaxKind))) {
+    switch (static_cast<Kind>(std::min(readUnsigned(json.at(0)), MaxKind))) {
     case Kind::CrashReport:
         return readCrashReport(json);
     case Kind::Digest:
-        return Digest{readNumber(json.at(1)), json.at(2).get<bool>()};
+        return Digest{readUnsigned(json.at(1)), json.at(2).get<bool>()};
     case Kind::Records:
         return readRecords(json);
     }
--- a/source/quota/Messages.cpp
+++ b/source/quota/Messages.cpp
@@ -33,21 +33,22 @@
 
 static auto readCount(const Json &json) -> std::uint32_t
 {
-    const auto count = json.get<std::uint64_t>();
-    if (!json.is_number_unsigned() || count > MaxTokens)
+    const auto count = readUnsigned(json);
+    if (count > MaxTokens)
         throw InputError("a quota message has more tokens than the maximum", Remedy);
     return static_cast<std::uint32_t>(count);
 }
 
 static auto readRequest(const Json &json) -> TokenRequest
 {
-    return {json.at(1), json.at(2), readCount(json.at(3)), readCount(json.at(4)), json.at(5)};
+    return {readUnsigned(json.at(1)), json.at(2), readCount(json.at(3)), readCount(json.at(4)),
+            json.at(5)};
 }
 
 static auto readGrant(const Json &json) -> TokenGrant
 {
-    const auto retryAfter = Duration(json.at(4).get<Duration::rep>());
-    return {json.at(1), json.at(2), readCount(json.at(3)),
+    const auto retryAfter = Duration(readSigned(json.at(4)));
+    return {readUnsigned(json.at(1)), json.at(2), readCount(json.at(3)),
             std::clamp(retryAfter, Duration::zero(), MaxRetryAfter), json.at(5)};
 }
 
--- a/source/store/EtcdCodec.cpp
+++ b/source/store/EtcdCodec.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 
+#include <stairspur/core/Cbor.h>
 #include <stairspur/core/Error.h>
 
 #include <stairspur/store/Base64.h>
@@ -15,7 +16,7 @@
     const auto it = object.find(name);
     if (it == object.end())
         return 0;
-    return it->is_string() ? std::stoll(it->get<std::string>()) : it->get<std::int64_t>();
+    return it->is_string() ? std::stoll(it->get<std::string>()) : readSigned(*it);
 }
 
 static auto bytes(const Json &object, const char *name) -> std::string
--- a/tests/core/TestCbor.cpp
+++ b/tests/core/TestCbor.cpp
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include <limits>
 #include <string>
 
 #include <stairspur/core/Cbor.h>
@@ -49,3 +50,17 @@
         cr_expect(isRejected, "%s", it.name);
     }
 }
+
+Test(Cbor, onlyIntegersAreReadAsIntegers)
+{
+    const auto most = std::numeric_limits<std::uint64_t>::max();
+    cr_assert_eq(readUnsigned(most), most);
+    cr_assert_eq(readSigned(-5), -5);
+    cr_assert_eq(readSigned(5U), 5);
+    for (const auto &it : {nlohmann::json(1e300), nlohmann::json(-1), nlohmann::json(1.5),
+                           nlohmann::json("1"), nlohmann::json(true), nlohmann::json()})
+        cr_expect_throw(readUnsigned(it), InputError, "%s", it.dump().c_str());
+    for (const auto &it :
+         {nlohmann::json(1e300), nlohmann::json(most), nlohmann::json(1.5), nlohmann::json("1")})
+        cr_expect_throw(readSigned(it), InputError, "%s", it.dump().c_str());
+}
