--- a/Meta/example/fleet.py
+++ b/Meta/example/fleet.py
@@ -195,6 +195,13 @@
     def node_cpu_seconds(self) -> float:
         return sum(it.node.cpu_seconds() for it in self.hosts)
 
+    def total_runs(self, host: Host) -> int:
+        """How many calls the backend server of a host has run."""
+        found = http.get_json("127.0.0.1", host.backend_port, "/runs")
+        if found is None:
+            raise RunError(f"the backend server of {host.name} does not tell what it ran")
+        return found["total"]
+
     def runs(self) -> list[dict]:
         """What ran at every backend server that still lives."""
         found = [http.get_json("127.0.0.1", it.backend_port, "/runs") for it in self.hosts if it.backend.is_running()]
--- a/Meta/example/scenarios.py
+++ b/Meta/example/scenarios.py
@@ -241,6 +241,44 @@
                 for n, (upper, a) in enumerate(shares) for lower, b in shares[n + 1:] if a + slack < b]
 
 
+class LimitRate(Overload):
+    """A deep service states a rate limit of 1/FACTOR of its demand for the middle third."""
+
+    LEARNING_SECONDS = 0.5  # From the first statement on until the limit is checked.
+
+    def __init__(self, seconds: float, streams: list[Stream], factor: float):
+        super().__init__(seconds, streams, factor)
+        self.rate = 0.0
+        self.length = 0.0
+        self.runs: list[int] = []
+
+    def service_overrides(self) -> dict[str, ServiceKind]:
+        return {}
+
+    def disturb(self, fleet: Fleet, started: float) -> None:
+        self.rate = self.demand / self.factor / len(fleet.backends_of(self.SERVICE))
+        sleep_until(started, self.seconds / 3)
+        fleet.control(self.SERVICE, rateLimit=self.rate)
+        time.sleep(self.LEARNING_SECONDS)
+        before, begun = self._runs(fleet), time.monotonic()
+        sleep_until(started, self.seconds * 2 / 3)
+        self.runs = [b - a for a, b in zip(before, self._runs(fleet))]
+        self.length = time.monotonic() - begun
+        fleet.control(self.SERVICE, rateLimit=0)
+
+    def check(self, fleet: Fleet, report: dict, record: list[dict]) -> Findings:
+        findings = super().check(fleet, report, record)
+        findings.lines[0] = (f"each upstream of {self.SERVICE} states {self.rate:.1f} calls/s, together 1/{self.factor:g} "
+                             f"of its demand, and ran {', '.join(map(str, self.runs))} in {self.length:.1f} s")
+        allowed = 1.5 * self.rate * self.length + 5
+        findings.faults += [f"an upstream ran {it} calls where {allowed:.0f} are allowed"
+                            for it in self.runs if it > allowed]
+        return findings
+
+    def _runs(self, fleet: Fleet) -> list[int]:
+        return [fleet.total_runs(it) for it in fleet.backends_of(self.SERVICE)]
+
+
 class RaceApply(Scenario):
     """Two operators apply different files at once: one wins, the other gets a conflict, and no host falls back."""
 
--- a/Meta/run-example.py
+++ b/Meta/run-example.py
@@ -50,6 +50,8 @@
     only_one.add_argument("--store-down", action="store_true", help="no store for the middle half of the run")
     only_one.add_argument("--overload", type=float, metavar="FACTOR",
                           help="slow a deep service to 1/FACTOR of its demand for the middle third")
+    only_one.add_argument("--limit-rate", type=float, metavar="FACTOR",
+                          help="a deep service states a rate limit of 1/FACTOR of its demand for the middle third")
     only_one.add_argument("--race-apply", action="store_true", help="apply two different files at once")
     return parser.parse_args()
 
@@ -66,6 +68,8 @@
         return scenarios.StoreDown(seconds, streams)
     if arguments.overload:
         return scenarios.Overload(seconds, streams, arguments.overload)
+    if arguments.limit_rate:
+        return scenarios.LimitRate(seconds, streams, arguments.limit_rate)
     if arguments.race_apply:
         return scenarios.RaceApply(seconds, streams, arguments.config.read_text())
     return scenarios.Scenario(seconds, streams)
--- a/tests/standins/backend/BackendServer.cpp
+++ b/tests/standins/backend/BackendServer.cpp
@@ -151,6 +151,8 @@
                                                                 call.runs, m_settings.answerBytes));
     response.set(bodyHashHeader, toHex(hash64(response.body())));
     response.set(workHeader, std::to_string(call.worked.count()));
+    if (m_settings.rateLimit > 0)
+        response.set(header::RateLimit, std::to_string(m_settings.rateLimit));
     co_return response;
 }
 
@@ -236,6 +238,8 @@
         return makeAnswer(http::status::bad_request, R"({"detail":"send a JSON object"})");
     if (body.contains("serviceMs") && body["serviceMs"].is_number())
         m_settings.serviceMs = body["serviceMs"].get<double>();
+    if (body.contains("rateLimit") && body["rateLimit"].is_number())
+        m_settings.rateLimit = body["rateLimit"].get<double>();
     if (body.contains("slots") && body["slots"].is_number_unsigned())
         m_slots.setSlots(body["slots"].get<std::uint32_t>());
     if (body.contains("mode") && body["mode"].is_string()) {
--- a/tests/standins/backend/BackendSettings.h
+++ b/tests/standins/backend/BackendSettings.h
@@ -19,6 +19,7 @@
     std::uint32_t slots = 100; ///< Calls that run at once.
     std::uint32_t queue = 8;   ///< Calls that wait for a slot; one more is shed.
     double serviceMs = 5;      ///< Mean time of a run.
+    double rateLimit = 0;      ///< Calls per second that its answers state; 0: none.
     double serviceJitter = 0;  ///< A run takes the mean times 1 ± this share, evenly spread.
     std::uint32_t coldMs = 0;  ///< It starts slow for this long.
     double coldFactor = 5;     ///< A cold run takes this many times longer.
