--- a/source/routing/StatementMemory.cpp
+++ b/source/routing/StatementMemory.cpp
@@ -8,9 +8,10 @@
 auto StatementMemory::keep(const NodeId &node, const admission::InstanceStatement &statement,
                            TimePoint now) -> void
 {
+    if (statement.statement.isEmpty())
+        return;
     std::erase_if(m_kept, [&](const auto &it) { return now - it.second.since > Lifetime; });
-    if (!statement.statement.isEmpty())
-        m_kept.insert_or_assign(node, Kept{statement, now});
+    m_kept.insert_or_assign(node, Kept{statement, now});
 }
 
 auto StatementMemory::take(const NodeId &node) -> admission::InstanceStatement
