--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -152,7 +152,7 @@
     refreshFromBoard();
     const auto now = monotonicNow();
     if (m_statement.adopt(request.statement, now))
-        didChangeStatement("entry");
+        didChangeStatement(StatementSource::Entry);
     if (const auto reason = reasonToRefuse(request); reason != Reason::None)
         co_return refusal(request, reason, UnavailableRetryAfter);
 
@@ -306,10 +306,10 @@
         m_statementLog.didReceiveUnreadable(m_backend.incarnation.instance,
                                             reply.statement->unreadableRate, now);
     if (m_statement.didRespond(*reply.statement, reply.result.outcome, sentAt, now))
-        didChangeStatement("answer");
+        didChangeStatement(StatementSource::Answer);
 }
 
-auto Gate::didChangeStatement(std::string_view source) -> void
+auto Gate::didChangeStatement(StatementSource source) -> void
 {
     const auto now = monotonicNow();
     const auto &statement = m_statement.current();
--- a/source/node/Gate.h
+++ b/source/node/Gate.h
@@ -94,8 +94,8 @@
             -> transport::Task<transport::CallAnswer>;
     auto apply(const admission::AdmissionActions &actions) -> void;
     auto decide(CallId id, const admission::Refusal &refusal) -> void;
-    /// Applies a change of the backend server's statement. `source` names where it comes from, for the log.
-    auto didChangeStatement(std::string_view source) -> void;
+    /// Applies a change of the backend server's statement.
+    auto didChangeStatement(StatementSource source) -> void;
     /// Records what a response to a request that was sent at `sentAt` states.
     auto recordStatement(const BackendReply &reply, TimePoint sentAt) -> void;
     auto refusal(const transport::CallRequest &request, Reason reason, Duration retryAfter)
--- a/source/node/StatementLog.cpp
+++ b/source/node/StatementLog.cpp
@@ -25,7 +25,7 @@
 }
 
 auto StatementLog::didChange(const std::string &instance,
-                             const admission::BackendStatement &statement, std::string_view source,
+                             const admission::BackendStatement &statement, StatementSource source,
                              TimePoint now) -> void
 {
     const auto isNewKind = statement.rateLimit.has_value() != m_logged.rateLimit.has_value()
@@ -37,7 +37,7 @@
             .add("rate_limit", rateText(statement.rateLimit))
             .add("former_rate_limit", rateText(m_logged.rateLimit))
             .add("leaving", statement.isLeaving)
-            .add("source", std::string(source));
+            .add("source", source);
     m_logged = statement;
     m_changeLoggedAt = now;
 }
