--- a/tests/platform/TestNodeOnPlatform.cpp
+++ b/tests/platform/TestNodeOnPlatform.cpp
@@ -2,20 +2,16 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
-#include <fstream>
 #include <future>
 #include <thread>
 
-#include <sys/socket.h>
-
 #include <boost/asio/executor_work_guard.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
 
 #include <platform/RunOnPlatform.h>
 
 #include "../standins/platform/KvStandIn.h"
 #include "../standins/platform/UpstreamStandIn.h"
+#include "PlatformClient.h"
 
 // After Boost, whose headers its macros break.
 #include <criterion/criterion.h>
@@ -24,17 +20,7 @@
 using namespace stairspur;
 using namespace stairspur::standin;
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
-using asio::ip::tcp;
-using Response = http::response<http::string_body>;
-
-static constexpr auto Configuration = R"({"version": 7, "routes": {
-"views": {"host": "a.example", "prefix": "/v/", "kind": "safe", "timeout_s": 20, "target_latency_s": 1.2, "priority": 1,
-  "service": "menu", "max_attempts": 2},
-"orders": {"host": "a.example", "prefix": "/o/", "kind": "unsafe", "timeout_s": 20, "target_latency_s": 1.5, "priority": 0,
-  "service": "menu", "max_attempts": 2}},
-"services": {"menu": {"health_path": "/health", "max_connections": 634}},
-"limits": {"max_header_bytes": 4096, "max_body_bytes": 1000, "header_timeout_s": 3, "idle_timeout_s": 15}})";
+using Response = platform::PlatformResponse;
 
 /// A machine of the platform: each has a loopback address of its own, on which ports never clash.
 class Machine
@@ -49,7 +35,7 @@
         auto pattern = (std::filesystem::temp_directory_path() / "machine-XXXXXX").string();
         m_directory = ::mkdtemp(pattern.data());
         writeSettings();
-        m_store.put("op/config", Configuration);
+        m_store.put("op/config", platform::MenuConfiguration);
         m_thread = std::thread([this] { m_io.run(); });
         m_node = std::async(std::launch::async,
                             [this] { return platform::runOnPlatform(settingsPath()); });
@@ -67,23 +53,9 @@
 
     auto upstream() -> UpstreamStandIn & { return m_upstream; }
 
-    /// Sends `text` as it is and reads one answer; nothing when the connection ends without one.
     auto exchange(std::uint16_t port, const std::string &text) -> std::optional<Response>
     {
-        auto io = asio::io_context();
-        auto socket = tcp::socket(io);
-        auto ec = boost::system::error_code();
-        socket.connect({asio::ip::make_address(m_address), port}, ec);
-        if (ec)
-            return std::nullopt;
-        // Far above what any answer takes: it only ends a test that would hang.
-        const auto patience = timeval{60, 0};
-        ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
-        asio::write(socket, asio::buffer(text), ec);
-        auto buffer = boost::beast::flat_buffer();
-        auto response = Response();
-        http::read(socket, buffer, response, ec);
-        return ec ? std::nullopt : std::optional(response);
+        return platform::exchange(m_address, port, text);
     }
 
     auto send(const std::string &target, const std::string &id, const std::string &body = "")
@@ -100,14 +72,9 @@
     /// A heartbeat of the backend server; the status of its acknowledgement.
     auto beat(const std::string &state) -> unsigned
     {
-        const auto body = R"({"service":"menu","address":")" + m_address + ":"
-                          + std::to_string(m_upstream.port())
-                          + R"(","zone":"centre","version":"v1","slots":8,"state":")" + state
-                          + R"(","cold_remaining_s":0,"seq":)" + std::to_string(++m_sequence) + "}";
-        const auto response =
-                exchange(ControlPort, "PUT /v1/instances/i-1 HTTP/1.1\r\nHost: c\r\n"
-                                      "Content-Type: application/json\r\nContent-Length: "
-                                              + std::to_string(body.size()) + "\r\n\r\n" + body);
+        const auto address = m_address + ":" + std::to_string(m_upstream.port());
+        const auto response = exchange(
+                ControlPort, platform::heartbeatRequest({"i-1", address, state, ++m_sequence}));
         return response ? response->result_int() : 0;
     }
 
@@ -143,28 +110,18 @@
         return m_node.get();
     }
 
-    static constexpr auto EntryPort = std::uint16_t{7101};
+    static constexpr auto EntryPort = platform::EntryPort;
 
 private:
-    static constexpr auto ReadyPort = std::uint16_t{7102};
-    static constexpr auto ControlPort = std::uint16_t{7103};
+    static constexpr auto ReadyPort = platform::ReadyPort;
+    static constexpr auto ControlPort = platform::ControlPort;
 
     [[nodiscard]] auto settingsPath() const -> std::string { return m_directory / "node.yaml"; }
 
     auto writeSettings() -> void
     {
-        const auto at = [this](std::uint16_t port) {
-            return '"' + m_address + ':' + std::to_string(port) + '"';
-        };
-        std::ofstream(settingsPath())
-                << "node: n1\nip: " << m_address << "\nzone: centre\nregion: r\nservice: menu\n"
-                << "listen: {outbound: " << at(EntryPort) << ", ready: " << at(ReadyPort)
-                << ", control: " << at(ControlPort)
-                << "}\ninternal_ports: [7104]\napp_addr: " << at(m_upstream.port())
-                << "\nplatform: {address: \"127.0.0.1:" << m_store.port()
-                << "\"}\nlimits: {memory_mb: 260, max_fds: 4100}\nheartbeat_s: 60\n"
-                << "bounds: [\"grace_s=6\", \"retry_ratio=0.2\", \"retry_slack=160\", "
-                   "\"retry_window_s=10\"]\n";
+        platform::writeBootFile(settingsPath(),
+                                {"n1", m_address, m_upstream.port(), m_store.port(), "60"});
     }
 
     std::string m_address;
