Membership, node: Keep a leaving that was acknowledged

Cause: leaving was stored as the state of the latest announcement, and ordered by its sequence number. A message that was overtaken, or that belonged to another process instance than the current one, was acknowledged and dropped; a later 'ready', or one with the same number, overwrote a leaving that had been recorded. Class: a fact that can only grow is kept in a register that the last writer wins, and is acknowledged whether or not it was stored.

Change: the leaving process instances are a set that only grows (LeavingInstances), filled by heartbeats, by the message that ends them and by statements in answers, in any order and also for instances that are not the current one. The state that is shown follows from it. A leaving instance does not replace one that serves and does not return after a successor. A server without a name, which cannot be told from its successor, drains until it announces 'starting', has left or is silent. The gate's reports contain an announced leaving as they contain a stated one. Each leaving is logged and counted once.

--- a/include/stairspur/membership/Announcement.h
+++ b/include/stairspur/membership/Announcement.h
@@ -28,6 +28,9 @@
     auto operator==(const BackendIncarnation &) const -> bool = default;
 };
 
+/// Returns the identity of a process instance in messages between nodes; 0 if it has no name.
+auto instanceIdOf(const BackendIncarnation &incarnation) -> std::uint64_t;
+
 /// The state of a backend server, which it sends to the node of its host every second.
 struct Announcement
 {
--- a/include/stairspur/membership/AnnouncementResult.h
+++ b/include/stairspur/membership/AnnouncementResult.h
@@ -12,13 +12,22 @@
 enum class IgnoreReason {
     Outdated, ///< A later announcement of the same process instance has been received.
     Ended,    ///< The process instance counts as ended; see BackendAnnouncements.
+    Leaving,  ///< The process instance says that it serves, but it leaves.
 };
 
-/// What an announcement of the backend server has changed.
+/// How a node has learned that a process instance leaves.
+enum class LeavingSource {
+    Announcement, ///< A heartbeat with the state draining or left.
+    Leave,        ///< The message that ends the announcements.
+    Response,     ///< A field of a response; see ResponseStatement.
+};
+
+/// What a message of the backend server has changed.
 struct AnnouncementResult
 {
     bool didChangeRecord =
             false; ///< Process instance, service, slots or state are others than before.
+    bool isNewlyLeaving = false; ///< Its process instance was not known to leave.
     std::optional<IgnoreReason> ignored;
 
     /// Returns whether the own record has changed.
@@ -29,4 +38,8 @@
 
 template <>
 inline constexpr auto stairspur::enumNames<stairspur::membership::IgnoreReason> =
-        std::array<std::string_view, 2>{"outdated", "ended"};
+        std::array<std::string_view, 3>{"outdated", "ended", "leaving"};
+
+template <>
+inline constexpr auto stairspur::enumNames<stairspur::membership::LeavingSource> =
+        std::array<std::string_view, 3>{"announcement", "leave", "response"};
--- a/include/stairspur/membership/BackendAnnouncements.h
+++ b/include/stairspur/membership/BackendAnnouncements.h
@@ -2,11 +2,13 @@
 
 #include <deque>
 #include <optional>
+#include <span>
 #include <string>
 
 #include <stairspur/core/Time.h>
 #include <stairspur/membership/Announcement.h>
 #include <stairspur/membership/AnnouncementResult.h>
+#include <stairspur/membership/LeavingInstances.h>
 
 namespace stairspur::membership {
 
@@ -18,6 +20,10 @@
 /// from the host's clock, which may be set back between two process instances. An instance with an earlier start time
 /// than the current one is therefore accepted if it announces itself for a third of the timeout while the current one
 /// sends nothing.
+///
+/// A process instance that leaves never serves again. Each message that says so is recorded, whatever its order and
+/// whether or not it belongs to the current instance, so that its acknowledgement holds. A server without a name is
+/// recognized as a new process by the state starting, or by any announcement after it has left.
 class BackendAnnouncements
 {
 public:
@@ -27,16 +33,27 @@
     {}
 
     /// Applies an announcement. Throws AnnouncementError if another backend server without a name is present; a named
-    /// server replaces its predecessor. Late announcements are ignored.
+    /// server replaces its predecessor. Late announcements are ignored, except that their instance leaves.
     auto receive(const Announcement &announcement, TimePoint now) -> AnnouncementResult;
 
     /// Records that a process instance has ended; its late announcements are ignored from then on. Without a start
-    /// time, `incarnation` refers to the latest process instance of that name. Returns whether this changes the own record.
-    auto leave(const BackendIncarnation &incarnation, TimePoint now) -> bool;
+    /// time, `incarnation` refers to the latest process instance of that name; if the name is unknown, to the one that
+    /// started before `receivedAtMs`, the Unix milliseconds of the host's clock.
+    auto leave(const BackendIncarnation &incarnation, TimePoint now, std::uint64_t receivedAtMs = 0)
+            -> AnnouncementResult;
+
+    /// Records that a process instance states in its answers that it leaves.
+    auto didStateLeaving(const BackendIncarnation &incarnation) -> AnnouncementResult;
+
+    /// Adds leaving instances that other nodes have recorded for this host. Returns whether this changes the own record.
+    auto adoptLeaving(std::span<const std::uint64_t> ids) -> bool;
+
+    /// Shows a named backend server that would serve as starting until didReceiveRecords(): this process may have
+    /// restarted, and other nodes may have recorded that the instance leaves.
+    auto awaitRecords() -> void { m_awaitsRecords = true; }
 
-    /// Records that a process instance states in its answers that it leaves. It is shown as draining from then on, whatever
-    /// it announces, until it has left. Returns whether this changes the own record.
-    auto didStateLeaving(const BackendIncarnation &incarnation) -> bool;
+    /// Ends awaitRecords(). Returns whether this changes the own record.
+    auto didReceiveRecords() -> bool;
 
     /// Marks the backend server as left when its announcements have ceased. Returns whether this changes the own
     /// record.
@@ -55,40 +72,66 @@
         return m_current && m_current->state == ServingState::Serving;
     }
 
+    /// Returns whether the current process instance leaves by its own account.
+    [[nodiscard]] auto isCurrentLeaving() const -> bool
+    {
+        return m_current && isLeaving(m_current->incarnation);
+    }
+
+    [[nodiscard]] auto leavingInstances() const -> const LeavingInstances & { return m_leaving; }
+
 private:
-    [[nodiscard]] auto effectiveState(ServingState announced) const -> ServingState;
-    auto forgetLeavingOfEndedInstance(const Announcement &announcement) -> void;
+    /// A process instance that counted as ended and announces itself again.
+    struct ReturnCandidate
+    {
+        BackendIncarnation incarnation;
+        std::uint64_t sequence = 0;
+        TimePoint since;
+    };
+
+    /// The end of a process instance whose start time is unknown.
+    struct LeaveByName
+    {
+        std::string instance;
+        std::uint64_t receivedAtMs = 0;
+    };
+
+    [[nodiscard]] auto effectiveState() const -> ServingState;
+    /// Applies the effective state to the own record. Returns whether this changes it.
+    auto refreshState() -> bool;
+    [[nodiscard]] auto isLeaving(const BackendIncarnation &incarnation) const -> bool;
+    auto recordLeaving(const BackendIncarnation &incarnation) -> bool;
+    auto forgetLeavingOfEndedProcess(const Announcement &announcement) -> void;
+    auto applyLeaveByName(const BackendIncarnation &incarnation) -> void;
     /// Returns whether the process instance has ended or started before another one of the same name.
     [[nodiscard]] auto hasEnded(const BackendIncarnation &incarnation) const -> bool;
+    [[nodiscard]] auto isCurrent(const BackendIncarnation &incarnation) const -> bool;
     [[nodiscard]] auto reasonToIgnore(const Announcement &announcement) const
             -> std::optional<IgnoreReason>;
     [[nodiscard]] auto lastIncarnationOf(const std::string &instance) const
             -> std::optional<BackendIncarnation>;
     [[nodiscard]] auto lacksStartTime(const Announcement &announcement) const -> bool;
+    auto ensureAllowed(const Announcement &announcement) const -> void;
     auto retire(const BackendIncarnation &incarnation) -> void;
     /// Returns whether a process instance that counted as ended still announces itself while its successor sends
     /// nothing.
     auto isConfirmedReturn(const Announcement &announcement, TimePoint now) -> bool;
-
-    /// A process instance that counted as ended and announces itself again.
-    struct ReturnCandidate
-    {
-        BackendIncarnation incarnation;
-        std::uint64_t sequence = 0;
-        TimePoint since;
-    };
+    [[nodiscard]] auto isReturnCandidate(const BackendIncarnation &incarnation) const -> bool;
 
     Duration m_timeout;
     bool m_isDraining = false;
+    bool m_awaitsRecords = false;
+    /// Another process instance has announced itself since the current one did, and leaves. It may be the one that runs.
+    bool m_isContested = false;
+    bool m_isUnnamedLeaving = false; ///< The current process without a name leaves.
     TimePoint m_lastSeen;
     std::optional<Announcement> m_current;
+    ServingState m_announcedState = ServingState::Starting; ///< Of the current process instance.
     /// The latest process instances that were replaced or have left.
     std::deque<BackendIncarnation> m_retired;
-    /// The latest process instances that have announced that they leave.
-    std::deque<BackendIncarnation> m_left;
+    std::deque<LeaveByName> m_leftByName;
+    LeavingInstances m_leaving;
     std::optional<ReturnCandidate> m_returnCandidate;
-    /// The process instance that states in its answers that it leaves.
-    std::optional<BackendIncarnation> m_leaving;
 };
 
 } // namespace stairspur::membership
--- a/source/membership/Announcement.cpp
+++ b/source/membership/Announcement.cpp
@@ -4,12 +4,21 @@
 
 #include <nlohmann/json.hpp>
 
+#include <stairspur/core/Hash.h>
 #include <stairspur/membership/Message.h>
 
 namespace stairspur::membership {
 
 using Json = nlohmann::json;
 
+auto instanceIdOf(const BackendIncarnation &incarnation) -> std::uint64_t
+{
+    if (incarnation.instance.empty())
+        return 0;
+    const auto id = hash64(incarnation.instance, incarnation.startedAtMs);
+    return std::max(id, std::uint64_t{1});
+}
+
 static constexpr auto MaxPort = std::uint64_t{65'535};
 static constexpr auto MaxSlots = std::uint64_t{100'000};
 
--- a/source/membership/BackendAnnouncements.cpp
+++ b/source/membership/BackendAnnouncements.cpp
@@ -1,34 +1,86 @@
 #include <stairspur/membership/BackendAnnouncements.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace stairspur::membership {
 
-auto BackendAnnouncements::effectiveState(ServingState announced) const -> ServingState
+static auto acceptsWork(ServingState state) -> bool
 {
-    const auto acceptsWork =
-            announced == ServingState::Starting || announced == ServingState::Serving;
-    return (m_isDraining || m_leaving) && acceptsWork ? ServingState::Draining : announced;
+    return state == ServingState::Starting || state == ServingState::Serving;
 }
 
-auto BackendAnnouncements::didStateLeaving(const BackendIncarnation &incarnation) -> bool
+auto BackendAnnouncements::effectiveState() const -> ServingState
 {
-    if (!m_current || m_current->incarnation != incarnation)
+    if (!acceptsWork(m_announcedState))
+        return m_announcedState;
+    if (m_isDraining || isLeaving(m_current->incarnation))
+        return ServingState::Draining;
+    const auto isUncertain =
+            m_isContested || (m_awaitsRecords && !m_current->incarnation.instance.empty());
+    return isUncertain ? ServingState::Starting : m_announcedState;
+}
+
+auto BackendAnnouncements::refreshState() -> bool
+{
+    if (!m_current)
         return false;
-    m_leaving = incarnation;
     const auto before = m_current->state;
-    m_current->state = effectiveState(before);
+    m_current->state = effectiveState();
     return m_current->state != before;
 }
 
-/// A process instance without a name is recognized as another one by its state alone.
-auto BackendAnnouncements::forgetLeavingOfEndedInstance(const Announcement &announcement) -> void
+auto BackendAnnouncements::isCurrent(const BackendIncarnation &incarnation) const -> bool
+{
+    return m_current && m_current->incarnation == incarnation;
+}
+
+auto BackendAnnouncements::isLeaving(const BackendIncarnation &incarnation) const -> bool
+{
+    if (incarnation.instance.empty())
+        return m_isUnnamedLeaving;
+    return m_leaving.contains(instanceIdOf(incarnation));
+}
+
+auto BackendAnnouncements::recordLeaving(const BackendIncarnation &incarnation) -> bool
+{
+    if (incarnation.instance.empty())
+        return !std::exchange(m_isUnnamedLeaving, true);
+    if (isReturnCandidate(incarnation))
+        m_isContested = true;
+    return m_leaving.add(instanceIdOf(incarnation));
+}
+
+auto BackendAnnouncements::didStateLeaving(const BackendIncarnation &incarnation)
+        -> AnnouncementResult
+{
+    if (incarnation.instance.empty() && !isCurrent(incarnation))
+        return {};
+    auto result = AnnouncementResult();
+    result.isNewlyLeaving = recordLeaving(incarnation);
+    result.didChangeRecord = refreshState();
+    return result;
+}
+
+auto BackendAnnouncements::adoptLeaving(std::span<const std::uint64_t> ids) -> bool
+{
+    for (const auto id : ids)
+        m_leaving.add(id);
+    return refreshState();
+}
+
+auto BackendAnnouncements::didReceiveRecords() -> bool
+{
+    m_awaitsRecords = false;
+    return refreshState();
+}
+
+/// A process without a name is recognized as another one by its state alone.
+auto BackendAnnouncements::forgetLeavingOfEndedProcess(const Announcement &announcement) -> void
 {
     const auto hasLeft = !m_current || m_current->state == ServingState::Left;
-    const auto isRestart = announcement.incarnation.instance.empty()
-                           && (hasLeft || announcement.state == ServingState::Starting);
-    if (m_leaving != announcement.incarnation || isRestart)
-        m_leaving.reset();
+    if (hasLeft || announcement.state == ServingState::Starting)
+        m_isUnnamedLeaving = false;
 }
 
 auto BackendAnnouncements::lastIncarnationOf(const std::string &instance) const
@@ -58,26 +110,34 @@
         return std::nullopt;
     if (hasEnded(announcement.incarnation))
         return IgnoreReason::Ended;
-    const auto isLate = m_current && m_current->incarnation == announcement.incarnation
-                        && announcement.sequence < m_current->sequence;
-    return isLate ? std::optional(IgnoreReason::Outdated) : std::nullopt;
+    if (isCurrent(announcement.incarnation) && announcement.sequence < m_current->sequence)
+        return IgnoreReason::Outdated;
+    // A server that leaves does not take the place of one that serves.
+    const auto wouldReplace =
+            m_current && !isCurrent(announcement.incarnation) && acceptsWork(m_current->state);
+    if (wouldReplace && isLeaving(announcement.incarnation))
+        return IgnoreReason::Leaving;
+    return std::nullopt;
 }
 
-static auto appendBounded(std::deque<BackendIncarnation> &instances,
-                          const BackendIncarnation &incarnation) -> void
+template <typename T>
+static auto appendBounded(std::deque<T> &items, T item) -> void
 {
-    /// Far more process instances than one host starts while an announcement is in transit.
-    static constexpr auto MaxInstances = std::size_t{32};
-    if (incarnation.instance.empty())
-        return;
-    instances.push_back(incarnation);
-    if (instances.size() > MaxInstances)
-        instances.pop_front();
+    items.push_back(std::move(item));
+    if (items.size() > LeavingInstances::MaxInstances)
+        items.pop_front();
 }
 
 auto BackendAnnouncements::retire(const BackendIncarnation &incarnation) -> void
 {
-    appendBounded(m_retired, incarnation);
+    if (!incarnation.instance.empty())
+        appendBounded(m_retired, incarnation);
+}
+
+auto BackendAnnouncements::isReturnCandidate(const BackendIncarnation &incarnation) const -> bool
+{
+    return m_returnCandidate && m_returnCandidate->incarnation == incarnation
+           && m_returnCandidate->since >= m_lastSeen;
 }
 
 /// A node that has just started may receive a late announcement of an ended process instance after the first one of
@@ -89,12 +149,9 @@
 {
     /// Fraction of the timeout that counts as silence. With three announcements in it, two in a row are needed.
     static constexpr auto ReturnDivisor = 3;
-    const auto hasLeft = std::ranges::find(m_left, announcement.incarnation) != m_left.end();
-    if (hasLeft)
+    if (isLeaving(announcement.incarnation))
         return false;
-    const auto isSameCandidate = m_returnCandidate
-                                 && m_returnCandidate->incarnation == announcement.incarnation
-                                 && m_returnCandidate->since >= m_lastSeen
+    const auto isSameCandidate = isReturnCandidate(announcement.incarnation)
                                  && m_returnCandidate->sequence < announcement.sequence;
     if (!isSameCandidate) {
         m_returnCandidate = ReturnCandidate{announcement.incarnation, announcement.sequence, now};
@@ -112,75 +169,112 @@
            && m_current->state != ServingState::Left;
 }
 
-auto BackendAnnouncements::leave(const BackendIncarnation &incarnation, TimePoint now) -> bool
+/// Throws AnnouncementError if the host has another backend server that the announcement must not replace.
+auto BackendAnnouncements::ensureAllowed(const Announcement &announcement) const -> void
 {
+    if (!m_current)
+        return;
+    const auto isNewInstance =
+            !announcement.incarnation.instance.empty() && !isCurrent(announcement.incarnation);
+    if (isNewInstance && lacksStartTime(announcement))
+        throw AnnouncementError("announcement: '" + announcement.incarnation.instance
+                                        + "' sends no start time, but '"
+                                        + m_current->incarnation.instance
+                                        + "', which serves here, does",
+                                "send the start time, as the backend server of this host does");
+    const auto isSame =
+            m_current->service == announcement.service && m_current->port == announcement.port;
+    if (!isNewInstance && !isSame && m_current->state != ServingState::Left)
+        throw AnnouncementError(
+                "announcement: this host already has the backend server '" + m_current->service
+                        + "' on port " + std::to_string(m_current->port),
+                "stop that one or announce it as left first; a host has one backend server");
+}
+
+auto BackendAnnouncements::leave(const BackendIncarnation &incarnation, TimePoint now,
+                                 std::uint64_t receivedAtMs) -> AnnouncementResult
+{
+    const auto last = lastIncarnationOf(incarnation.instance);
     const auto hasOnlyName = incarnation.startedAtMs == 0;
-    const auto left = hasOnlyName ? lastIncarnationOf(incarnation.instance).value_or(incarnation)
-                                  : incarnation;
+    if (hasOnlyName && !last)
+        appendBounded(m_leftByName, {incarnation.instance, receivedAtMs});
+    const auto left = hasOnlyName ? last.value_or(incarnation) : incarnation;
+    auto result = AnnouncementResult();
+    result.isNewlyLeaving = recordLeaving(left);
     retire(left);
-    appendBounded(m_left, left);
-    if (!m_current || m_current->incarnation != left || m_current->state == ServingState::Left)
-        return false;
-    m_lastSeen = now;
-    m_current->state = ServingState::Left;
-    return true;
+    if (isCurrent(left) && m_announcedState != ServingState::Left) {
+        m_lastSeen = now;
+        m_announcedState = ServingState::Left;
+    }
+    result.didChangeRecord = refreshState();
+    return result;
+}
+
+/// Retires a process instance that left before its start time was known.
+auto BackendAnnouncements::applyLeaveByName(const BackendIncarnation &incarnation) -> void
+{
+    const auto isThis = [&](const LeaveByName &it) {
+        return it.instance == incarnation.instance && incarnation.startedAtMs <= it.receivedAtMs;
+    };
+    if (std::ranges::none_of(m_leftByName, isThis) || isLeaving(incarnation))
+        return;
+    m_leaving.add(instanceIdOf(incarnation));
+    retire(incarnation);
 }
 
 auto BackendAnnouncements::receive(const Announcement &announcement, TimePoint now)
         -> AnnouncementResult
 {
-    const auto isReturn =
-            hasEnded(announcement.incarnation) && isConfirmedReturn(announcement, now);
+    const auto &incarnation = announcement.incarnation;
+    applyLeaveByName(incarnation);
+    auto result = AnnouncementResult();
+    const auto isNamed = !incarnation.instance.empty();
+    if (isNamed && !acceptsWork(announcement.state))
+        result.isNewlyLeaving = recordLeaving(incarnation);
+    const auto isReturn = hasEnded(incarnation) && isConfirmedReturn(announcement, now);
     if (isReturn)
-        std::erase(m_retired, announcement.incarnation);
-    if (const auto reason = reasonToIgnore(announcement); reason && !isReturn)
-        return {.ignored = reason};
-    const auto isNewInstance = m_current && !announcement.incarnation.instance.empty()
-                               && m_current->incarnation != announcement.incarnation;
-    if (isNewInstance && lacksStartTime(announcement))
-        throw AnnouncementError("announcement: '" + announcement.incarnation.instance
-                                        + "' sends no start time, but '"
-                                        + m_current->incarnation.instance
-                                        + "', which serves here, does",
-                                "send the start time, as the backend server of this host does");
-    if (isNewInstance) {
+        std::erase(m_retired, incarnation);
+    if (const auto reason = reasonToIgnore(announcement); reason && !isReturn) {
+        if (!result.isNewlyLeaving)
+            result.ignored = reason;
+        result.didChangeRecord = refreshState();
+        return result;
+    }
+    ensureAllowed(announcement);
+    if (m_current && isNamed && !isCurrent(incarnation)) {
         retire(m_current->incarnation);
         m_current.reset();
     }
-    const auto hasActiveServer = m_current && m_current->state != ServingState::Left;
-    const auto isSame = m_current && m_current->service == announcement.service
-                        && m_current->port == announcement.port;
-    if (hasActiveServer && !isSame)
-        throw AnnouncementError(
-                "announcement: this host already has the backend server '" + m_current->service
-                        + "' on port " + std::to_string(m_current->port),
-                "stop that one or announce it as left first; a host has one backend server");
-    forgetLeavingOfEndedInstance(announcement);
-    auto next = announcement;
-    next.state = effectiveState(announcement.state);
-    const auto isChange = isNewInstance || !isSame || m_current->state != next.state
-                          || m_current->slots != next.slots;
+    if (!isNamed) {
+        forgetLeavingOfEndedProcess(announcement);
+        result.isNewlyLeaving = !acceptsWork(announcement.state) && recordLeaving(incarnation);
+    }
+    if (acceptsWork(announcement.state) && isLeaving(incarnation))
+        result.ignored = IgnoreReason::Leaving;
+    const auto before = m_current;
     m_lastSeen = now;
-    m_current = std::move(next);
-    return {.didChangeRecord = isChange};
+    m_isContested = false;
+    m_announcedState = announcement.state;
+    m_current = announcement;
+    refreshState();
+    result.didChangeRecord =
+            !before || before->service != announcement.service || before->port != announcement.port
+            || before->state != m_current->state || before->slots != announcement.slots;
+    return result;
 }
 
 auto BackendAnnouncements::tick(TimePoint now) -> bool
 {
     if (!m_current || m_current->state == ServingState::Left || now - m_lastSeen < m_timeout)
         return false;
-    m_current->state = ServingState::Left;
-    return true;
+    m_announcedState = ServingState::Left;
+    return refreshState();
 }
 
 auto BackendAnnouncements::drain() -> bool
 {
     m_isDraining = true;
-    if (!m_current)
-        return false;
-    const auto before = m_current->state;
-    m_current->state = effectiveState(before);
-    return m_current->state != before;
+    return refreshState();
 }
 
 } // namespace stairspur::membership
--- a/source/node/AnnouncementLog.cpp
+++ b/source/node/AnnouncementLog.cpp
@@ -9,6 +9,17 @@
 /// Shortest time between two lines on ignored announcements.
 static constexpr auto LineInterval = Duration{1'000'000};
 
+auto AnnouncementLog::didLeave(const membership::BackendIncarnation &incarnation,
+                               std::uint64_t sequence, membership::LeavingSource source) -> void
+{
+    ++m_leavingInstances;
+    log::Line(log::Severity::Info, "backend-leaving")
+            .add("instance", incarnation.instance)
+            .add("started_at_ms", incarnation.startedAtMs)
+            .add("sequence", sequence)
+            .add("source", source);
+}
+
 auto AnnouncementLog::didIgnore(const membership::Announcement &announcement,
                                 membership::IgnoreReason reason, TimePoint now) -> void
 {
--- a/source/node/ControlMetrics.cpp
+++ b/source/node/ControlMetrics.cpp
@@ -250,6 +250,10 @@
                {"stairspur_announcements_refused_total",
                 "Announcements of the host's backend server that were malformed or not allowed."},
                state.refusedAnnouncements);
+    addCounter(registry,
+               {"stairspur_backends_leaving_total",
+                "Process instances of the host's backend server that were found to leave."},
+               state.leavingInstances);
     addAnnouncements(registry, state.ignoredAnnouncements);
     addDistribution(registry, state);
     if (state.store) {
--- a/source/node/ControlMetrics.h
+++ b/source/node/ControlMetrics.h
@@ -35,6 +35,7 @@
     EntryState entry;
     GateState gate;
     ProcessUsage process;
+    std::uint64_t leavingInstances = 0; ///< Process instances that were found to leave.
     IgnoredAnnouncements ignoredAnnouncements{};
     std::uint64_t refusedAnnouncements = 0; ///< Refused announcements of the host's backend server.
 };
--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -199,14 +199,27 @@
     const auto result = m_announcements.receive(announcement, now);
     if (result.ignored)
         m_announcementLog.didIgnore(announcement, *result.ignored, now);
-    if (result.didChangeRecord)
-        publishBackend();
+    didReceive(result, announcement.incarnation, announcement.sequence,
+               membership::LeavingSource::Announcement);
 }
 
 auto ControlPlane::didLeave(const membership::BackendIncarnation &incarnation) -> void
 {
-    if (m_announcements.leave(incarnation, monotonicNow()))
+    const auto result = m_announcements.leave(incarnation, monotonicNow(),
+                                              membership::currentStartIncarnation());
+    didReceive(result, incarnation, 0, membership::LeavingSource::Leave);
+}
+
+/// Publishes what a message of the backend server has changed, before the message is acknowledged.
+auto ControlPlane::didReceive(const membership::AnnouncementResult &result,
+                              const membership::BackendIncarnation &incarnation,
+                              std::uint64_t sequence, membership::LeavingSource source) -> void
+{
+    if (result.didChangeRecord)
         publishBackend();
+    if (!result.isNewlyLeaving)
+        return;
+    m_announcementLog.didLeave(incarnation, sequence, source);
 }
 
 /// Publishes the latest announcement of the backend server to the gate and the other nodes.
@@ -216,7 +229,8 @@
     if (!current)
         return;
     m_board.backend.publish({current->service, current->port, current->slots, current->state,
-                             current->address, current->incarnation});
+                             current->address, current->incarnation,
+                             m_announcements.isCurrentLeaving()});
     if (m_handlers.didChangeBackend)
         m_handlers.didChangeBackend();
     m_membership.setSelf(current->service, current->slots, current->state);
@@ -289,8 +303,8 @@
 
 auto ControlPlane::didStateLeaving(const membership::BackendIncarnation &incarnation) -> void
 {
-    if (m_announcements.didStateLeaving(incarnation))
-        publishBackend();
+    didReceive(m_announcements.didStateLeaving(incarnation), incarnation, 0,
+               membership::LeavingSource::Response);
 }
 
 auto ControlPlane::announceDraining() -> void
@@ -341,6 +355,7 @@
     state.process = readProcessUsage();
     state.refusedAnnouncements = m_refusals.count();
     state.ignoredAnnouncements = m_announcementLog.ignored();
+    state.leavingInstances = m_announcementLog.leavingInstances();
     return m_metrics.render() + renderControlMetrics(state);
 }
 
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -73,8 +73,10 @@
     const auto *service = configuration ? configuration->findService(backend.service) : nullptr;
     const auto limits = service ? service->limits : config::ServiceLimits();
 
+    // A server without a name that has announced its leaving serves again only as a new process.
+    const auto hasRestarted = m_backend.hasAnnouncedLeaving && !backend.hasAnnouncedLeaving;
     const auto isReplaced = backend.port != m_backend.port || backend.service != m_backend.service
-                            || backend.incarnation != m_backend.incarnation;
+                            || backend.incarnation != m_backend.incarnation || hasRestarted;
     auto slots = backend.slots;
     if (limits.maxConcurrency > 0)
         slots = std::min(slots, limits.maxConcurrency);
@@ -88,6 +90,8 @@
         m_statement.didReplaceBackend(m_backend.incarnation);
         ++m_backendIncarnation;
     }
+    if (m_backend.hasAnnouncedLeaving)
+        m_statement.didAnnounceLeaving();
     if (isLeaving(m_backend))
         apply(m_admission->refuseWaiting(Reason::Draining, monotonicNow(), m_random));
 }
--- a/source/node/NodeBoard.h
+++ b/source/node/NodeBoard.h
@@ -27,6 +27,8 @@
     membership::ServingState state = membership::ServingState::Starting;
     std::string address = "127.0.0.1";
     membership::BackendIncarnation incarnation{};
+    /// The process instance leaves by its own account. The state alone may be due to the node.
+    bool hasAnnouncedLeaving = false;
 };
 
 /// Returns whether the backend server is shutting down or has left, so that its end or its silence is planned.
--- a/source/node/StatementTracker.cpp
+++ b/source/node/StatementTracker.cpp
@@ -1,26 +1,13 @@
 #include "StatementTracker.h"
 
-#include <algorithm>
-#include <string>
-
-#include <stairspur/core/Hash.h>
-
 namespace stairspur::node {
 
 using admission::InstanceStatement;
 
-auto instanceIdOf(const membership::BackendIncarnation &incarnation) -> std::uint64_t
-{
-    if (incarnation.instance.empty())
-        return 0;
-    const auto id = hash64(incarnation.instance, incarnation.startedAtMs);
-    return std::max(id, std::uint64_t{1});
-}
-
 auto StatementTracker::didReplaceBackend(const membership::BackendIncarnation &incarnation) -> void
 {
     *this = StatementTracker();
-    m_current.instance = instanceIdOf(incarnation);
+    m_current.instance = membership::instanceIdOf(incarnation);
 }
 
 auto StatementTracker::didRespond(const ResponseStatement &read, Outcome outcome, TimePoint sentAt,
@@ -44,6 +31,12 @@
     return m_current.statement != former;
 }
 
+auto StatementTracker::didAnnounceLeaving() -> void
+{
+    m_current.statement.isLeaving = true;
+    m_isKnown = true;
+}
+
 auto StatementTracker::adopt(const InstanceStatement &known, TimePoint now) -> bool
 {
     const auto isSameInstance = known.instance != 0 && known.instance == m_current.instance;
--- a/source/node/StatementTracker.h
+++ b/source/node/StatementTracker.h
@@ -10,9 +10,6 @@
 
 namespace stairspur::node {
 
-/// Returns the identity of a process instance in statements; 0 if it has no name.
-auto instanceIdOf(const membership::BackendIncarnation &incarnation) -> std::uint64_t;
-
 /// Tracks what the current process instance of the backend server states about itself.
 class StatementTracker
 {
@@ -29,6 +26,9 @@
     auto didRespond(const ResponseStatement &read, Outcome outcome, TimePoint sentAt, TimePoint now)
             -> bool;
 
+    /// Records that the process instance has announced that it leaves, so that reports contain it.
+    auto didAnnounceLeaving() -> void;
+
     /// Adopts what another node knows of the same process instance: that it leaves, and its rate limit as long as this node
     /// knows nothing. Returns whether the current statement has changed.
     auto adopt(const admission::InstanceStatement &known, TimePoint now) -> bool;
--- a/tests/standins/backend/Announcer.h
+++ b/tests/standins/backend/Announcer.h
@@ -9,7 +9,7 @@
 
 namespace stairspur::standins {
 
-/// Announces a backend server to its host's node: at once, then every second.
+/// Announces a backend server to its host's node: its start at once, then its state every second.
 class Announcer
 {
 public:
@@ -23,6 +23,8 @@
 
     auto run() -> Task<void>
     {
+        if (m_node)
+            co_await announce("starting");
         while (m_node && !m_isStopped) {
             co_await announce(m_server.isDraining() ? "draining" : "serving");
             m_timer.expires_after(period);
