Membership, node: Keep leaving instances over a restart of the node

What callers saw: a node that had acknowledged a leaving and then restarted sent requests there again as soon as a heartbeat arrived that was under way, or that the server's loop went on to send (1,250 and 1,424 requests in two seconds).

Cause: the acknowledgement was kept in the memory of one process. Class: a restart forgets what was promised.

Change: each node records its leaving instances (64-bit ids) on up to five other nodes: the first three of its failure domain by rendezvous rank and one in each of two other domains. A request carries all ids and is answered with all ids that are recorded, both sides add what they lack (LeavingReplication), so that messages may be lost, repeated and reordered. A node that starts asks the same nodes, or those that its first peers name, and shows a named backend server as starting until they have answered: 0.3 s after the first answer and a second after the start at the latest. Datagrams of a topic of their own, which older nodes drop and count. Nothing is sent by calm hosts, and no call to the store is made.

--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -41,6 +41,12 @@
               },
               [this](const auto &grant) { m_handlers.didGrant(grant); })
     , m_announcements(settings.announcementTimeout)
+    , m_leaving(
+              settings.nodeId(), settings.failureDomain, m_announcements,
+              [this](const auto &to, const auto &payload) {
+                  m_datagrams.send(to, LeavingTopic, payload);
+              },
+              [this] { publishBackend(); })
     , m_adminApi(adminHooks())
     , m_adminServer(io, adminServerSettings(settings),
                     [this](auto request, auto) -> transport::Task<transport::HttpResponse> {
@@ -131,6 +137,9 @@
     m_datagrams.setHandler(QuotaTopic, [this](const auto &from, const auto &payload) {
         m_grantor.receive(from, payload);
     });
+    m_datagrams.setHandler(LeavingTopic, [this](const auto &from, const auto &payload) {
+        m_leaving.receive(from, payload);
+    });
     m_distribution->start();
     if (m_rendezvous)
         m_rendezvous->start();
@@ -220,6 +229,7 @@
     if (!result.isNewlyLeaving)
         return;
     m_announcementLog.didLeave(incarnation, sequence, source);
+    m_leaving.replicate();
 }
 
 /// Publishes the latest announcement of the backend server to the gate and the other nodes.
@@ -248,6 +258,7 @@
 auto ControlPlane::didChangeView(std::shared_ptr<const membership::MembershipView> view) -> void
 {
     m_livenessHistory.didChangeView(*view, monotonicNow());
+    m_leaving.didChangeView(view);
     m_board.members.publishSnapshot(std::move(view));
 }
 
@@ -259,6 +270,7 @@
             return;
         if (m_announcements.tick(monotonicNow()))
             publishBackend();
+        m_leaving.tick();
         logProofChange();
         scheduleTick();
     });
--- a/source/node/ControlPlane.h
+++ b/source/node/ControlPlane.h
@@ -25,6 +25,7 @@
 #include "AnnouncementLog.h"
 #include "AnnouncementRefusals.h"
 #include "GrantorService.h"
+#include "LeavingService.h"
 #include "LivenessHistory.h"
 #include "NodeBoard.h"
 #include "NodeMetrics.h"
@@ -137,6 +138,7 @@
     LivenessHistory m_livenessHistory;
     GrantorService m_grantor;
     membership::BackendAnnouncements m_announcements;
+    LeavingService m_leaving;
     AnnouncementRefusals m_refusals;
     AnnouncementLog m_announcementLog;
     AdminApi m_adminApi;
