Node, transport: Check for a leaving before the first byte is sent

What callers saw: nothing that the record shows; found by looking for other places between the check and the write. A call that had got a slot, or that waited for a connection (a second at most), was sent although the leaving had been acknowledged meanwhile.

Cause: the gate checks for a leaving when a call arrives and when the queue is emptied, but not where the call is sent. Class: the check and the action are apart.

Change: after each wait at the gate (slot, lane of suspected calls) the announcement and the reasons to refuse are read once more, in one function. A client of a server that leaves fails requests of which no byte has been sent; the call is not-run for draining and goes elsewhere.

--- a/include/stairspur/transport/HttpClient.h
+++ b/include/stairspur/transport/HttpClient.h
@@ -78,6 +78,9 @@
     auto send(HttpRequest request, Duration timeout, CancellationPtr cancellation,
               Duration maxAge = AnyAge) -> Task<HttpResponse>;
 
+    /// Fails each request of which no byte has been sent, now and later, as not connected.
+    auto stopSending() -> void;
+
     /// Closes the idle connections whose last answer is older than `time`.
     auto closeUnusedSince(TimePoint time) -> void;
 
--- a/source/node/BackendClient.cpp
+++ b/source/node/BackendClient.cpp
@@ -56,10 +56,18 @@
     } catch (const transport::HttpClientError &error) {
         reply.failure = error.failure();
         reply.result = interpretFailure(error.failure());
+        if (m_isStopped && error.failure() == transport::HttpFailure::NotConnected)
+            reply.result = {Outcome::NotRun, Reason::Draining, admission::Completion::Cancelled};
     }
     co_return reply;
 }
 
+auto BackendClient::stopSending() -> void
+{
+    m_isStopped = true;
+    m_client.stopSending();
+}
+
 auto BackendClient::writeRequest(CallRequest request, CallId id, Duration remaining) const
         -> transport::HttpRequest
 {
--- a/source/node/BackendClient.h
+++ b/source/node/BackendClient.h
@@ -40,6 +40,9 @@
     auto send(transport::CallRequest request, CallId id, Duration remaining,
               transport::CancellationPtr cancellation) -> transport::Task<BackendReply>;
 
+    /// Fails the calls of which no byte has been sent, because the backend server leaves. Calls that run are kept.
+    auto stopSending() -> void;
+
 private:
     [[nodiscard]] auto writeRequest(transport::CallRequest request, CallId id,
                                     Duration remaining) const -> transport::HttpRequest;
@@ -51,6 +54,7 @@
     std::string m_instance;
     const CallProtocol *m_protocol;
     transport::HttpClient m_client;
+    bool m_isStopped = false;
 };
 
 } // namespace stairspur::node
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -92,6 +92,8 @@
     }
     if (m_backend.hasAnnouncedLeaving)
         m_statement.didAnnounceLeaving();
+    if (m_backend.hasAnnouncedLeaving)
+        m_client->stopSending();
     if (isLeaving(m_backend))
         apply(m_admission->refuseWaiting(Reason::Draining, monotonicNow(), m_random));
 }
@@ -183,13 +185,9 @@
     const auto permit = co_await m_suspectedCalls.enter(deadline, cancellation);
     if (!permit)
         co_return refusal(request, Reason::QueueFull, SuspectedRetryAfter);
-    // The backend server may have begun to leave while the call waited.
-    if (const auto reason = reasonToRefuse(request); reason != Reason::None)
-        co_return refusal(request, reason, UnavailableRetryAfter);
-    // A suspected call that ran meanwhile may have changed the status of this request.
-    const auto quarantineDecision = m_quarantine.decide(fingerprint);
-    if (quarantineDecision.status == QuarantineStatus::Refused)
-        co_return refusal(request, Reason::Quarantined, quarantineDecision.retryAfter);
+    const auto lateRefusal = reasonToRefuseAfterWait(request, fingerprint);
+    if (lateRefusal.reason != Reason::None)
+        co_return refusal(request, lateRefusal.reason, lateRefusal.retryAfter);
     co_return co_await admit(std::move(request), fingerprint, deadline, std::move(cancellation));
 }
 
@@ -207,18 +205,28 @@
                                                cancellation);
     if (decision.reason != Reason::None)
         co_return refusal(request, decision.reason, decision.retryAfter);
-    // The request may have been quarantined while the call waited.
-    const auto quarantineDecision = m_quarantine.decide(fingerprint);
-    if (quarantineDecision.status == QuarantineStatus::Refused) {
-        const auto now = monotonicNow();
-        apply(m_admission->didComplete(id, admission::Completion::Cancelled, Duration::zero(), now,
-                                       m_random));
-        co_return refusal(request, Reason::Quarantined, quarantineDecision.retryAfter);
+    const auto lateRefusal = reasonToRefuseAfterWait(request, fingerprint);
+    if (lateRefusal.reason != Reason::None) {
+        apply(m_admission->didComplete(id, admission::Completion::Cancelled, Duration::zero(),
+                                       monotonicNow(), m_random));
+        co_return refusal(request, lateRefusal.reason, lateRefusal.retryAfter);
     }
     co_return co_await dispatch(id, std::move(request), fingerprint, deadline,
                                 std::move(cancellation));
 }
 
+/// While the call waited, the backend server may have begun to leave and the request may have been quarantined.
+auto Gate::reasonToRefuseAfterWait(const CallRequest &request, Fingerprint fingerprint) -> Refusal
+{
+    refreshBackend();
+    if (const auto reason = reasonToRefuse(request); reason != Reason::None)
+        return {.reason = reason, .retryAfter = UnavailableRetryAfter};
+    const auto quarantineDecision = m_quarantine.decide(fingerprint);
+    if (quarantineDecision.status == QuarantineStatus::Refused)
+        return {.reason = Reason::Quarantined, .retryAfter = quarantineDecision.retryAfter};
+    return {};
+}
+
 auto Gate::waitForSlot(CallId id, admission::CallOffer offer, CancellationPtr cancellation)
         -> Task<Refusal>
 {
@@ -321,6 +329,7 @@
     m_statementLog.didChange(m_backend.incarnation.instance, statement, source, now);
     if (!statement.isLeaving)
         return;
+    m_client->stopSending();
     apply(m_admission->refuseWaiting(Reason::Draining, now, m_random));
     if (m_didStateLeaving)
         m_didStateLeaving(m_backend.incarnation);
--- a/source/node/Gate.h
+++ b/source/node/Gate.h
@@ -81,6 +81,8 @@
     /// Returns whether the backend server takes no new calls, by its heartbeats or its answers.
     [[nodiscard]] auto isBackendLeaving() const -> bool;
     [[nodiscard]] auto reasonToRefuse(const transport::CallRequest &request) const -> Reason;
+    auto reasonToRefuseAfterWait(const transport::CallRequest &request, Fingerprint fingerprint)
+            -> admission::Refusal;
     auto waitForSlot(CallId id, admission::CallOffer offer, transport::CancellationPtr cancellation)
             -> transport::Task<admission::Refusal>;
     /// Serves a call whose request is suspected, once no other suspected call runs here.
--- a/source/transport/HttpClient.cpp
+++ b/source/transport/HttpClient.cpp
@@ -55,23 +55,26 @@
         const auto self = shared_from_this();
         const auto deadline = monotonicNow() + timeout;
         const auto head = makeRequestHead(request, m_host);
-        ensureNotCancelled(cancellation);
+        ensureMaySend(cancellation);
         while (auto connection = takeIdle(maxAge)) {
             // Only a request of which no byte was sent goes on to another connection.
             if (auto response = co_await tryKept(connection, head, request, deadline, cancellation))
                 co_return std::move(*response);
-            ensureNotCancelled(cancellation);
+            ensureMaySend(cancellation);
         }
         auto connection =
                 std::make_shared<HttpClientConnection>(m_io, m_settings.unacknowledgedTimeout);
         const auto guard = CancellationGuard(cancellation, connection);
         co_await connection->connect(
                 m_endpoint, std::min(deadline - monotonicNow(), m_settings.connectTimeout));
+        ensureMaySend(cancellation);
         co_return co_await exchange(connection, head, request, deadline);
     }
 
     auto closeIdle() -> void { m_idle.clear(); }
 
+    auto stopSending() -> void { m_isStopped = true; }
+
     /// What silenced one kept connection may have silenced others: those that have answered nothing since `time` are not
     /// trusted with another request.
     auto closeUnusedSince(TimePoint time) -> void
@@ -80,8 +83,11 @@
     }
 
 private:
-    static auto ensureNotCancelled(const CancellationPtr &cancellation) -> void
+    auto ensureMaySend(const CancellationPtr &cancellation) const -> void
     {
+        if (m_isStopped)
+            throw HttpClientError(HttpFailure::NotConnected, "the server takes no new requests",
+                                  "send it to another server");
         if (cancellation && cancellation->isCancelled())
             throw HttpClientError(HttpFailure::NotConnected, "the request was cancelled unsent",
                                   "send it again if it is still wanted");
@@ -154,6 +160,7 @@
     asio::ip::tcp::endpoint m_endpoint;
     std::string m_host;
     std::vector<ConnectionPtr> m_idle;
+    bool m_isStopped = false;
 };
 
 HttpClient::HttpClient(asio::io_context &io, HttpClientSettings settings)
@@ -171,6 +178,11 @@
     return m_pool->send(std::move(request), timeout, std::move(cancellation), maxAge);
 }
 
+auto HttpClient::stopSending() -> void
+{
+    m_pool->stopSending();
+}
+
 auto HttpClient::closeUnusedSince(TimePoint time) -> void
 {
     m_pool->closeUnusedSince(time);
