--- a/include/stairspur/membership/BackendAnnouncements.h
+++ b/include/stairspur/membership/BackendAnnouncements.h
@@ -45,8 +45,9 @@
     /// Records that a process instance states in its answers that it leaves.
     auto didStateLeaving(const BackendIncarnation &incarnation) -> AnnouncementResult;
 
-    /// Adds leaving instances that other nodes have recorded for this host. Returns whether this changes the own record.
-    auto adoptLeaving(std::span<const std::uint64_t> ids) -> bool;
+    /// Adds leaving instances that other nodes have recorded for this host. `receivedAtMs` is the time of the host's clock
+    /// in Unix milliseconds. Returns whether this changes the own record.
+    auto adoptLeaving(std::span<const std::uint64_t> ids, std::uint64_t receivedAtMs) -> bool;
 
     /// Shows a named backend server that would serve as starting until didReceiveRecords(): this process may have
     /// restarted, and other nodes may have recorded that the instance leaves.
@@ -89,20 +90,14 @@
         TimePoint since;
     };
 
-    /// The end of a process instance whose start time is unknown.
-    struct LeaveByName
-    {
-        std::string instance;
-        std::uint64_t receivedAtMs = 0;
-    };
-
     [[nodiscard]] auto effectiveState() const -> ServingState;
     /// Applies the effective state to the own record. Returns whether this changes it.
     auto refreshState() -> bool;
     [[nodiscard]] auto isLeaving(const BackendIncarnation &incarnation) const -> bool;
     auto recordLeaving(const BackendIncarnation &incarnation) -> bool;
     auto forgetLeavingOfEndedProcess(const Announcement &announcement) -> void;
-    auto applyLeaveByName(const BackendIncarnation &incarnation) -> void;
+    /// Returns whether the process instance left before its start time was known to this node.
+    [[nodiscard]] auto hasLeftByName(const BackendIncarnation &incarnation) const -> bool;
     /// Returns whether the process instance has ended or started before another one of the same name.
     [[nodiscard]] auto hasEnded(const BackendIncarnation &incarnation) const -> bool;
     [[nodiscard]] auto isCurrent(const BackendIncarnation &incarnation) const -> bool;
@@ -129,7 +124,8 @@
     ServingState m_announcedState = ServingState::Starting; ///< Of the current process instance.
     /// The latest process instances that were replaced or have left.
     std::deque<BackendIncarnation> m_retired;
-    std::deque<LeaveByName> m_leftByName;
+    /// Latest time at which a leaving was recorded without a start time. It holds for instances that started before.
+    std::uint64_t m_leftByNameAtMs = 0;
     LeavingInstances m_leaving;
     std::optional<ReturnCandidate> m_returnCandidate;
 };
--- a/include/stairspur/membership/LeavingReplication.h
+++ b/include/stairspur/membership/LeavingReplication.h
@@ -46,6 +46,11 @@
     /// answer within a second of the start.
     [[nodiscard]] auto isComplete(TimePoint now) const -> bool;
 
+    /// Returns whether each replica has confirmed all own ids. A node without replicas has nobody to wait for.
+    [[nodiscard]] auto isRecordedByAll() const -> bool;
+    /// Returns whether at least one replica has confirmed all own ids.
+    [[nodiscard]] auto isRecordedByAny() const -> bool;
+
     auto takeMessages() -> std::vector<std::pair<NodeId, LeavingMessage>>;
 
 private:
@@ -57,6 +62,7 @@
         TimePoint firstAskedAt{};
         TimePoint askedAt{};
         Duration repeatInterval{0};
+        std::uint32_t requests = 0;
         std::set<std::uint64_t> confirmed;
     };
 
@@ -70,8 +76,7 @@
     [[nodiscard]] auto find(const NodeId &node) const -> const Member *;
     [[nodiscard]] auto domainReplicasOf(const NodeId &node) const -> std::vector<NodeId>;
     [[nodiscard]] auto replicasOfOwnHost() const -> std::vector<const Member *>;
-    /// Returns whether this process may still have to get back what it recorded before a restart.
-    [[nodiscard]] auto isStarting(TimePoint now) const -> bool;
+    [[nodiscard]] auto hasConfirmed(const Replica &replica) const -> bool;
     [[nodiscard]] auto isPending(const Replica &replica) const -> bool;
     auto ask(const NodeId &node, Replica &replica, TimePoint now) -> void;
     auto reply(const NodeId &to, const LeavingMessage &request, TimePoint now) -> void;
--- a/source/membership/BackendAnnouncements.cpp
+++ b/source/membership/BackendAnnouncements.cpp
@@ -62,10 +62,14 @@
     return result;
 }
 
-auto BackendAnnouncements::adoptLeaving(std::span<const std::uint64_t> ids) -> bool
+auto BackendAnnouncements::adoptLeaving(std::span<const std::uint64_t> ids,
+                                        std::uint64_t receivedAtMs) -> bool
 {
+    m_leftByNameAtMs = std::max(m_leftByNameAtMs, receivedAtMs);
     for (const auto id : ids)
         m_leaving.add(id);
+    if (m_current && hasLeftByName(m_current->incarnation))
+        recordLeaving(m_current->incarnation);
     return refreshState();
 }
 
@@ -120,18 +124,13 @@
     return std::nullopt;
 }
 
-template <typename T>
-static auto appendBounded(std::deque<T> &items, T item) -> void
-{
-    items.push_back(std::move(item));
-    if (items.size() > LeavingInstances::MaxInstances)
-        items.pop_front();
-}
-
 auto BackendAnnouncements::retire(const BackendIncarnation &incarnation) -> void
 {
-    if (!incarnation.instance.empty())
-        appendBounded(m_retired, incarnation);
+    if (incarnation.instance.empty())
+        return;
+    m_retired.push_back(incarnation);
+    if (m_retired.size() > LeavingInstances::MaxInstances)
+        m_retired.pop_front();
 }
 
 auto BackendAnnouncements::isReturnCandidate(const BackendIncarnation &incarnation) const -> bool
@@ -197,7 +196,7 @@
     const auto last = lastIncarnationOf(incarnation.instance);
     const auto hasOnlyName = incarnation.startedAtMs == 0;
     if (hasOnlyName && !last)
-        appendBounded(m_leftByName, {incarnation.instance, receivedAtMs});
+        m_leftByNameAtMs = std::max(m_leftByNameAtMs, receivedAtMs);
     const auto left = hasOnlyName ? last.value_or(incarnation) : incarnation;
     auto result = AnnouncementResult();
     result.isNewlyLeaving = recordLeaving(left);
@@ -210,26 +209,19 @@
     return result;
 }
 
-/// Retires a process instance that left before its start time was known.
-auto BackendAnnouncements::applyLeaveByName(const BackendIncarnation &incarnation) -> void
+auto BackendAnnouncements::hasLeftByName(const BackendIncarnation &incarnation) const -> bool
 {
-    const auto isThis = [&](const LeaveByName &it) {
-        return it.instance == incarnation.instance && incarnation.startedAtMs <= it.receivedAtMs;
-    };
-    if (std::ranges::none_of(m_leftByName, isThis) || isLeaving(incarnation))
-        return;
-    m_leaving.add(instanceIdOf(incarnation));
-    retire(incarnation);
+    return !incarnation.instance.empty() && incarnation.startedAtMs <= m_leftByNameAtMs
+           && m_leaving.contains(instanceIdOf({incarnation.instance, 0}));
 }
 
 auto BackendAnnouncements::receive(const Announcement &announcement, TimePoint now)
         -> AnnouncementResult
 {
     const auto &incarnation = announcement.incarnation;
-    applyLeaveByName(incarnation);
     auto result = AnnouncementResult();
     const auto isNamed = !incarnation.instance.empty();
-    if (isNamed && !acceptsWork(announcement.state))
+    if (isNamed && (!acceptsWork(announcement.state) || hasLeftByName(incarnation)))
         result.isNewlyLeaving = recordLeaving(incarnation);
     const auto isReturn = hasEnded(incarnation) && isConfirmedReturn(announcement, now);
     if (isReturn)
--- a/source/membership/LeavingReplication.cpp
+++ b/source/membership/LeavingReplication.cpp
@@ -12,12 +12,17 @@
 /// Other failure domains with a replica each. They keep the records if the own domain fails as a whole.
 static constexpr auto OtherDomains = std::size_t{2};
 
+/// Requests to a replica without an answer before it is given up. A host that was suspended has sent fewer in the time.
+static constexpr auto MinRequests = 3U;
+/// Requests to a replica that never answers while this host has nothing to record. It may run an older version.
+static constexpr auto MaxFirstRequests = 8U;
+
 /// Time after the start in which replicas are waited for. Without a peer, the backend server serves after it.
 static constexpr auto MaxWait = Duration{1'000'000};
 /// Time for which an answer is waited for after at least one other replica has answered.
 static constexpr auto MaxAnswerTime = Duration{300'000};
 
-static constexpr auto FirstRepeatInterval = Duration{200'000};
+static constexpr auto FirstRepeatInterval = Duration{100'000};
 static constexpr auto MaxRepeatInterval = Duration{30'000'000};
 
 /// Retention of the records of a host that is no member. A node that returns later has restarted with its host.
@@ -64,11 +69,6 @@
     return replicas;
 }
 
-auto LeavingReplication::isStarting(TimePoint now) const -> bool
-{
-    return now - m_startedAt < MaxWait;
-}
-
 auto LeavingReplication::setView(std::shared_ptr<const MembershipView> view, TimePoint now) -> void
 {
     m_view = std::move(view);
@@ -85,7 +85,7 @@
             ask(it->node, replica, now);
     }
     // Nodes that peers have named may be missing in the first views.
-    if (isStarting(now))
+    if (!isComplete(now))
         m_replicas.merge(former);
     keepRecordsOfMembers(now);
 }
@@ -115,11 +115,16 @@
     }
 }
 
-/// Returns whether the replica has not answered at all, or lacks an own id.
-auto LeavingReplication::isPending(const Replica &replica) const -> bool
+auto LeavingReplication::hasConfirmed(const Replica &replica) const -> bool
 {
     const auto isConfirmed = [&](std::uint64_t id) { return replica.confirmed.contains(id); };
-    return !replica.hasReplied || !std::ranges::all_of(m_own.ids(), isConfirmed);
+    return std::ranges::all_of(m_own.ids(), isConfirmed);
+}
+
+/// Returns whether the replica is to be asked again: it lacks an own id, or may have recorded some before a restart.
+auto LeavingReplication::isPending(const Replica &replica) const -> bool
+{
+    return !hasConfirmed(replica) || (!replica.hasReplied && replica.requests < MaxFirstRequests);
 }
 
 auto LeavingReplication::ask(const NodeId &node, Replica &replica, TimePoint now) -> void
@@ -127,6 +132,7 @@
     if (replica.askedAt == TimePoint{})
         replica.firstAskedAt = now;
     replica.askedAt = now;
+    ++replica.requests;
     replica.repeatInterval =
             std::clamp(replica.repeatInterval * 2, FirstRepeatInterval, MaxRepeatInterval);
     m_out.emplace_back(node, LeavingMessage{false, {m_own.ids().begin(), m_own.ids().end()}, {}});
@@ -134,8 +140,6 @@
 
 auto LeavingReplication::tick(TimePoint now) -> void
 {
-    if (!isStarting(now) && m_own.isEmpty())
-        return;
     for (auto &[node, replica] : m_replicas) {
         if (isPending(replica) && now - replica.askedAt >= replica.repeatInterval)
             ask(node, replica, now);
@@ -187,10 +191,11 @@
     const auto it = m_replicas.find(from);
     if (it == m_replicas.end())
         return {};
+    const auto wasComplete = isComplete(now);
     it->second.hasReplied = true;
     it->second.confirmed = {message.ids.begin(), message.ids.end()};
     // A node that has just started has an incomplete view. Its peers name the replicas that it had before.
-    if (isStarting(now)) {
+    if (!wasComplete) {
         for (const auto &node : message.replicas) {
             if (node != m_ownNode && !m_replicas.contains(node))
                 ask(node, m_replicas[node], now);
@@ -201,15 +206,28 @@
 
 auto LeavingReplication::isComplete(TimePoint now) const -> bool
 {
-    if (!isStarting(now))
+    const auto hasReplied = [](const auto &it) { return it.second.hasReplied; };
+    const auto isDone = [&](const auto &it) {
+        return it.second.hasReplied || now - it.second.firstAskedAt >= MaxAnswerTime;
+    };
+    if (std::ranges::any_of(m_replicas, hasReplied) && std::ranges::all_of(m_replicas, isDone))
         return true;
-    auto hasReply = false;
-    for (const auto &[node, replica] : m_replicas) {
-        hasReply = hasReply || replica.hasReplied;
-        if (!replica.hasReplied && now - replica.firstAskedAt < MaxAnswerTime)
-            return false;
-    }
-    return hasReply;
+    const auto isGivenUp = [&](const auto &it) {
+        return it.second.hasReplied
+               || (it.second.requests >= MinRequests
+                   && now - it.second.askedAt >= FirstRepeatInterval);
+    };
+    return now - m_startedAt >= MaxWait && std::ranges::all_of(m_replicas, isGivenUp);
+}
+
+auto LeavingReplication::isRecordedByAll() const -> bool
+{
+    return std::ranges::all_of(m_replicas, [&](const auto &it) { return hasConfirmed(it.second); });
+}
+
+auto LeavingReplication::isRecordedByAny() const -> bool
+{
+    return std::ranges::any_of(m_replicas, [&](const auto &it) { return hasConfirmed(it.second); });
 }
 
 auto LeavingReplication::removeExpired(TimePoint now) -> void
--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -42,7 +42,7 @@
               [this](const auto &grant) { m_handlers.didGrant(grant); })
     , m_announcements(settings.announcementTimeout)
     , m_leaving(
-              settings.nodeId(), settings.failureDomain, m_announcements,
+              io, settings.nodeId(), settings.failureDomain, m_announcements,
               [this](const auto &to, const auto &payload) {
                   m_datagrams.send(to, LeavingTopic, payload);
               },
@@ -177,7 +177,11 @@
         server.address = it.address;
         server.port = it.port;
         auto handler = [this, &it](auto request, auto) -> transport::Task<transport::HttpResponse> {
-            co_return it.handle(request, controlHooks());
+            const auto before = m_announcementLog.leavingInstances();
+            auto response = it.handle(request, controlHooks());
+            if (m_announcementLog.leavingInstances() > before)
+                co_await m_leaving.waitUntilRecorded();
+            co_return response;
         };
         m_listeners.push_back(
                 std::make_unique<transport::HttpServer>(io, server, std::move(handler)));
--- a/source/node/LeavingService.cpp
+++ b/source/node/LeavingService.cpp
@@ -3,15 +3,25 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <stairspur/core/Error.h>
 #include <stairspur/log/Log.h>
+#include <stairspur/membership/MembershipService.h>
 
 namespace stairspur::node {
 
-LeavingService::LeavingService(NodeId ownNode, std::string domain,
+namespace asio = transport::asio;
+
+/// Longest time for which an acknowledgement waits. The backend server takes one that comes within a second.
+static constexpr auto MaxRecordingTime = Duration{500'000};
+
+LeavingService::LeavingService(transport::asio::io_context &io, NodeId ownNode, std::string domain,
                                membership::BackendAnnouncements &announcements, Send send,
                                std::function<void()> didChange)
-    : m_announcements(announcements)
+    : m_io(io)
+    , m_announcements(announcements)
     , m_send(std::move(send))
     , m_didChange(std::move(didChange))
     , m_replication(std::move(ownNode), std::move(domain), monotonicNow())
@@ -53,7 +63,7 @@
     log::Line(log::Severity::Info, "leaving-adopted")
             .add("from", from)
             .add("instances", ids.size());
-    if (m_announcements.adoptLeaving(ids))
+    if (m_announcements.adoptLeaving(ids, membership::currentStartIncarnation()))
         m_didChange();
     replicate();
 }
@@ -64,8 +74,29 @@
     flush();
 }
 
+auto LeavingService::waitUntilRecorded() -> transport::Task<void>
+{
+    if (m_replication.isRecordedByAll())
+        co_return;
+    const auto waiter = std::make_shared<transport::Timer>(m_io, MaxRecordingTime);
+    m_waiters.push_back(waiter);
+    const auto [ec] = co_await waiter->async_wait(asio::as_tuple(asio::use_awaitable));
+    if (!ec && !m_replication.isRecordedByAny())
+        log::Line(log::Severity::Warning, "leaving-not-recorded")
+                .add("waited_ms", toMilliseconds(MaxRecordingTime));
+}
+
+auto LeavingService::wakeWaiters() -> void
+{
+    if (m_waiters.empty() || !m_replication.isRecordedByAll())
+        return;
+    for (const auto &it : std::exchange(m_waiters, {}))
+        it->cancel();
+}
+
 auto LeavingService::flush() -> void
 {
+    wakeWaiters();
     for (const auto &[to, message] : m_replication.takeMessages())
         m_send(to, membership::writeLeavingMessage(message));
     if (!m_awaitsRecords || !m_replication.isComplete(monotonicNow()))
--- a/tests/platform/ProcessFleet.h
+++ b/tests/platform/ProcessFleet.h
@@ -74,6 +74,7 @@
             it.node.reset();
         m_io.stop();
         m_thread.join();
+        hosts.clear(); // Their acceptors belong to m_io.
         std::filesystem::remove_all(m_directory);
     }
 
