Admission: Report the limit of the slots beside a stated rate

What callers saw: nothing was lost, but a backend server that stated a rate got no request as long as others had room, also where the rate was twice its share, and none after the statement had ended, since its end is seen only in an answer.

Cause: the reported limit was rate x service time, one at least. Entries compare upstreams by the share of the limit in use, so that a single call counted as a full server (1 of 1 against 2 of 40), and the limit does not age. Class: a belief that only a call refreshes, held by those that then send none.

Change: the limit is that of the slots. That the rate is spent shows in the wait and the floor, which both age.

--- a/source/admission/State.cpp
+++ b/source/admission/State.cpp
@@ -112,7 +112,7 @@
     observe(now);
     auto report = LoadReport();
     report.sequence = ++m_sequence;
-    report.limit = static_cast<std::uint32_t>(std::max(std::lround(capacity()), 1L));
+    report.limit = m_limit.limit();
     report.inFlight = inFlight();
     report.queued = queued();
     report.estimatedWait = queued() == 0 && hasRoom() ? Duration(0) : waitAtFloor();
