Routing: Let each belief about an upstream end without a call

What callers saw: an upstream that was once full, ejected or reported a limit of one got no further call from an entry whose other upstreams were idle, for as long as they stayed idle; one whose first answer took longer than the callers wait was never asked again.

Cause: reports and failures lose half of their weight in each half-life, but never all of it. Between idle upstreams the comparison is strict, so that any remainder decides. The reported limit and the least latency did not age at all. Class: a belief that only a call refreshes, held by those that then send none.

Change: a report counts for 8 half-lives, as a drain and a floor do; failures for four recovery times; without a report the limit is that of the slots. An upstream that seems too late and got no call for 8 half-lives is tried with one call at a time.

Evidence: RecoveryOfUpstreams failed before for three of nine states and for both latency cases, and passes: each is asked again within 5 s, and one that stays slow gets 7 to 15 calls in a minute.

ProcessFleet takes its addresses by process: two runs of the soak side by side had shared theirs, and both failed.

--- a/source/routing/CandidateTiers.cpp
+++ b/source/routing/CandidateTiers.cpp
@@ -75,7 +75,7 @@
     const auto isOwnDomain = view.upstream().domain == m_settings.ownDomain;
     const auto remaining = m_request.deadline - m_now;
     const auto expected = m_estimate.expectedTime(view);
-    if (expected > remaining)
+    if (expected > remaining && !view.isLatencyUnconfirmed(m_now, m_settings.reportHalfLife))
         return Tier::TooLate;
     if (!view.isInSubset())
         return isOwnDomain ? Tier::OwnDomainOutsideSubset : Tier::OtherDomainOutsideSubset;
--- a/source/routing/LoadEstimate.cpp
+++ b/source/routing/LoadEstimate.cpp
@@ -19,7 +19,8 @@
     const auto mean = m_weights > 0 ? m_weightedLoads / m_weights : 0.0;
     const auto confidence = view.reports().confidence(m_now, m_halfLife);
     const auto others = confidence * view.reports().othersLoad() + (1.0 - confidence) * mean;
-    const auto own = static_cast<double>(view.inFlight() + 1) / static_cast<double>(view.limit());
+    const auto own = static_cast<double>(view.inFlight() + 1)
+                     / static_cast<double>(view.limit(m_now, m_halfLife));
     const auto rate = std::max(MinSuccessRate, view.outcomes().successRate(m_now, m_recovery));
     return (others + own) / rate;
 }
--- a/source/routing/OutcomeView.cpp
+++ b/source/routing/OutcomeView.cpp
@@ -17,6 +17,9 @@
 /// that has moved further away.
 static constexpr auto LatencyRiseDivisor = 64;
 
+/// Number of recovery times without an attempt after which failures no longer count.
+static constexpr auto FailureLifetime = 4;
+
 auto OutcomeView::didSucceed(Duration latency, TimePoint now) -> void
 {
     const auto bounded = std::max(latency, Duration{1});
@@ -42,6 +45,9 @@
     if (m_attempts == 0)
         return 1.0;
     const auto age = std::max(Duration::zero(), now - m_endedAt);
+    // The remainder would keep the upstream behind idle ones for good.
+    if (age > recovery * FailureLifetime)
+        return 1.0;
     const auto decay = std::exp2(-static_cast<double>(age.count())
                                  / static_cast<double>(std::max(recovery, Duration{1}).count()));
     return 1.0 - (1.0 - m_successRate) * decay;
--- a/source/routing/ReportView.cpp
+++ b/source/routing/ReportView.cpp
@@ -14,7 +14,8 @@
 /// Greatest limit of any gate, regardless of the slots that its backend server announces.
 static constexpr std::uint32_t MaxLimit = 1U << 20U;
 
-/// Number of half-lives after which a report with a smaller sequence is accepted, and a reported drain no longer counts.
+/// Number of half-lives after which a report no longer counts, nor a reported drain, and one with a smaller sequence is
+/// accepted.
 static constexpr auto ReportLifetimeHalfLives = 8;
 
 auto ReportView::isNewer(const admission::LoadReport &report, TimePoint now,
@@ -46,6 +47,9 @@
     if (!m_hasReport)
         return 0.0;
     const auto age = std::max(Duration::zero(), now - m_receivedAt);
+    // The remainder would keep the upstream behind idle ones for good.
+    if (age > halfLife * ReportLifetimeHalfLives)
+        return 0.0;
     return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(halfLife.count()));
 }
 
--- a/source/routing/ReportView.h
+++ b/source/routing/ReportView.h
@@ -22,7 +22,7 @@
                 TimePoint now) -> void;
 
     /// Returns the confidence in the report: 1 when it has just been received, half as much after each half-life, and 0
-    /// without any report.
+    /// without any report or after 8 half-lives.
     [[nodiscard]] auto confidence(TimePoint now, Duration halfLife) const -> double;
 
     /// Returns (in flight + queued) / limit for all calls but this entry's own, at the time of the report.
--- a/source/routing/UpstreamView.cpp
+++ b/source/routing/UpstreamView.cpp
@@ -4,6 +4,9 @@
 
 namespace stairspur::routing {
 
+/// Number of half-lives without a call after which the minimum latency of an upstream no longer excludes it.
+static constexpr auto LatencyLifetimeHalfLives = 8;
+
 /// Returns whether the outcome of an attempt counts as a failure of the upstream. A refusal for overload doesn't: the gate
 /// works as intended, and its floor and load already keep calls away.
 static auto isFault(const AttemptResult &result) -> bool
@@ -100,10 +103,15 @@
     return m_upstream.isDraining || m_reports.isDraining(now, halfLife);
 }
 
-auto UpstreamView::limit() const -> std::uint32_t
+auto UpstreamView::limit(TimePoint now, Duration halfLife) const -> std::uint32_t
+{
+    const auto hasReport = m_reports.confidence(now, halfLife) > 0;
+    return hasReport ? m_reports.limit() : std::max(1U, m_upstream.slots);
+}
+
+auto UpstreamView::isLatencyUnconfirmed(TimePoint now, Duration halfLife) const -> bool
 {
-    const auto reported = m_reports.limit();
-    return reported > 0 ? reported : std::max(1U, m_upstream.slots);
+    return m_inFlight == 0 && now - m_lastSentAt > halfLife * LatencyLifetimeHalfLives;
 }
 
 } // namespace stairspur::routing
--- a/source/routing/UpstreamView.h
+++ b/source/routing/UpstreamView.h
@@ -58,8 +58,13 @@
     /// Returns the number of this entry's own running calls.
     [[nodiscard]] auto inFlight() const -> std::uint32_t { return m_inFlight; }
 
-    /// Returns how many calls the upstream lets run at once: the reported limit, or its slots before the first report.
-    [[nodiscard]] auto limit() const -> std::uint32_t;
+    /// Returns how many calls the upstream lets run at once: the reported limit, or its slots without a report that still
+    /// counts.
+    [[nodiscard]] auto limit(TimePoint now, Duration halfLife) const -> std::uint32_t;
+
+    /// Returns whether this entry has sent no call to the upstream for so long that its latency may be another by now. It
+    /// may then be measured again, with one call at a time.
+    [[nodiscard]] auto isLatencyUnconfirmed(TimePoint now, Duration halfLife) const -> bool;
 
     /// Returns when the slow start of the upstream last began: when it was new, reset or cold, or its ejection ended.
     [[nodiscard]] auto slowStartAt() const -> TimePoint { return m_slowStartAt; }
--- a/tests/platform/ProcessFleet.h
+++ b/tests/platform/ProcessFleet.h
@@ -9,6 +9,8 @@
 #include <thread>
 #include <vector>
 
+#include <unistd.h>
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <nlohmann/json.hpp>
 
@@ -44,7 +46,8 @@
         std::vector<std::unique_ptr<Backend>> backends;
     };
 
-    /// `network` is the second number of the hosts' loopback addresses; each test has its own.
+    /// `network` is the third number of the hosts' loopback addresses; each test has its own. The second one depends on the
+    /// process, so that runs side by side do not share addresses.
     explicit ProcessFleet(int network)
         : m_store(m_io)
         , m_work(boost::asio::make_work_guard(m_io))
@@ -54,7 +57,8 @@
         m_store.put("op/config", MenuConfiguration);
         for (auto n = 1; n <= HostCount; ++n) {
             auto &host = hosts.emplace_back();
-            host.address = "127." + std::to_string(network) + ".0." + std::to_string(n);
+            host.address = "127." + std::to_string(FirstNetwork + ::getpid() % Networks) + "."
+                           + std::to_string(network) + "." + std::to_string(n);
             addBackend(host, "i-" + std::to_string(n));
         }
         m_thread = std::thread([this] { m_io.run(); });
@@ -191,6 +195,9 @@
 
 private:
     static constexpr auto HostCount = 3;
+    static constexpr auto FirstNetwork =
+            80; ///< Above the networks of other tests and of the example's first hosts.
+    static constexpr auto Networks = 170;
     static constexpr auto AdminPort = std::uint16_t{9464};
 
     auto startNode(Host &host) -> void
