--- a/source/membership/LeavingReplication.cpp
+++ b/source/membership/LeavingReplication.cpp
@@ -58,9 +58,13 @@
 {
     auto replicas = firstByRank(*m_view, m_ownNode, m_domain, DomainReplicas);
     auto domains = std::set<std::string>();
+    const auto *last = &m_domain;
     for (const auto &it : m_view->members) {
-        if (it.domain != m_domain && it.liveness != Liveness::Dead)
-            domains.insert(it.domain);
+        // Members are sorted by address, so that those of one domain mostly follow each other.
+        if (it.domain == *last || it.domain == m_domain || it.liveness == Liveness::Dead)
+            continue;
+        domains.insert(it.domain);
+        last = &it.domain;
     }
     for (const auto &it : domains | std::views::take(OtherDomains)) {
         const auto first = firstByRank(*m_view, m_ownNode, it, 1);
--- a/tests/membership/TestInstances.cpp
+++ b/tests/membership/TestInstances.cpp
@@ -2,25 +2,14 @@
 
 #include <stairspur/membership/BackendAnnouncements.h>
 
+#include "Announcements.h"
+
 using namespace stairspur;
 using namespace stairspur::membership;
 
 static constexpr auto Second = Duration{1'000'000};
 static constexpr auto Start = TimePoint{Second * 100};
 
-static auto makeAnnouncement(const std::string &instance, std::uint64_t sequence,
-                             ServingState state = ServingState::Serving) -> Announcement
-{
-    auto announcement = Announcement();
-    announcement.service = "maps";
-    announcement.port = 9001;
-    announcement.slots = 20;
-    announcement.state = state;
-    announcement.incarnation.instance = instance;
-    announcement.sequence = sequence;
-    return announcement;
-}
-
 Test(Instances, aNewInstanceReplacesItsPredecessor)
 {
     auto announcements = BackendAnnouncements(Second * 8);
--- a/tests/membership/TestLeaving.cpp
+++ b/tests/membership/TestLeaving.cpp
@@ -4,6 +4,8 @@
 
 #include <stairspur/membership/BackendAnnouncements.h>
 
+#include "Announcements.h"
+
 using namespace stairspur;
 using namespace stairspur::membership;
 
@@ -11,19 +13,6 @@
 static constexpr auto Start = TimePoint{Second * 100};
 static constexpr auto Timeout = Second * 6;
 
-static auto makeAnnouncement(const std::string &instance, std::uint64_t sequence,
-                             ServingState state = ServingState::Serving) -> Announcement
-{
-    auto announcement = Announcement();
-    announcement.service = "maps";
-    announcement.port = 9001;
-    announcement.slots = 20;
-    announcement.state = state;
-    announcement.incarnation.instance = instance;
-    announcement.sequence = sequence;
-    return announcement;
-}
-
 /// Sends `ready` announcements of "a" for twice the timeout and expects that it serves after none of them.
 static auto expectNoReturn(BackendAnnouncements &announcements, std::uint64_t sequence) -> void
 {
--- a/tests/membership/TestLeavingProperties.cpp
+++ b/tests/membership/TestLeavingProperties.cpp
@@ -10,6 +10,8 @@
 #include <stairspur/membership/BackendAnnouncements.h>
 #include <stairspur/membership/LeavingReplication.h>
 
+#include "Announcements.h"
+
 /// Seeded sequences of messages that are lost, repeated, delayed and reordered, with restarts of the node between them.
 using namespace stairspur;
 using namespace stairspur::membership;
@@ -159,18 +161,13 @@
         it.nextHeartbeat = m_now + HeartbeatInterval;
         if (it.isLeaving && !it.loopGoesOn)
             return;
-        send({makeAnnouncement(it, ServingState::Serving), false, index});
+        send({nextAnnouncement(it, ServingState::Serving), false, index});
     }
 
-    auto makeAnnouncement(Instance &it, ServingState state) -> Announcement
+    static auto nextAnnouncement(Instance &it, ServingState state) -> Announcement
     {
-        auto announcement = Announcement();
-        announcement.service = "maps";
-        announcement.port = 9001;
-        announcement.slots = 20;
-        announcement.state = state;
+        auto announcement = makeAnnouncement(it.incarnation.instance, ++it.sequence, state);
         announcement.incarnation = it.incarnation;
-        announcement.sequence = ++it.sequence;
         return announcement;
     }
 
@@ -182,7 +179,7 @@
             m_unacknowledged.emplace(index, m_now + MaxRecordingTime);
             return;
         }
-        send({makeAnnouncement(it, ServingState::Draining), it.usesDelete, index});
+        send({nextAnnouncement(it, ServingState::Draining), it.usesDelete, index});
     }
 
     auto send(Delivery delivery) -> void
@@ -229,7 +226,7 @@
     auto repeatUnacknowledged() -> void
     {
         for (const auto &[index, deadline] : std::exchange(m_unacknowledged, {}))
-            send({makeAnnouncement(m_instances[index], ServingState::Draining),
+            send({nextAnnouncement(m_instances[index], ServingState::Draining),
                   m_instances[index].usesDelete, index});
     }
 
