--- a/include/stairspur/membership/AnnouncementResult.h
+++ b/include/stairspur/membership/AnnouncementResult.h
@@ -12,7 +12,7 @@
 enum class IgnoreReason {
     Outdated, ///< A later announcement of the same process instance has been received.
     Ended,    ///< The process instance counts as ended; see BackendAnnouncements.
-    Leaving,  ///< The process instance says that it serves, but it leaves.
+    Leaving,  ///< The process instance announces that it serves, but it leaves.
 };
 
 /// How a node has learned that a process instance leaves.
--- a/include/stairspur/membership/LeavingReplication.h
+++ b/include/stairspur/membership/LeavingReplication.h
@@ -42,8 +42,8 @@
     /// Repeats requests that were not answered.
     auto tick(TimePoint now) -> void;
 
-    /// Returns whether the replicas have told this node what they recorded for its host before its start, as far as they
-    /// answer within a second of the start.
+    /// Returns whether the records of the own host from before this node's start have arrived from the replicas, or the
+    /// wait for them is over.
     [[nodiscard]] auto isComplete(TimePoint now) const -> bool;
 
     /// Returns whether each replica has confirmed all own ids. A node without replicas has nobody to wait for.
