--- a/tests/membership/TestLeavingReplication.cpp
+++ b/tests/membership/TestLeavingReplication.cpp
@@ -89,7 +89,7 @@
     {
         for (const auto &[to, message] : replication.takeMessages()) {
             ++messages;
-            if (!nodes.contains(to) || std::bernoulli_distribution(lossRate)(random))
+            if (!nodes.contains(to) || std::bernoulli_distribution(lossRate)(m_random))
                 continue;
             const auto read = readLeavingMessage(writeLeavingMessage(message));
             const auto ids = nodes[to]->receive(from, read, now);
@@ -101,7 +101,7 @@
         }
     }
 
-    std::mt19937_64 random{7};
+    std::mt19937_64 m_random{7};
 };
 
 Test(LeavingReplication, aRestartedNodeGetsItsRecordsBack)
