Node, tests: Name the step that publishes a change, drop ended waits

Found by reading the diff: didReceive() was the name of three steps; an acknowledgement whose wait ran out stayed in the list of those that wait until the next record; the soak set a member after its initializer. Behaviour is otherwise the same; AcknowledgedLeaving passes.

--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -212,21 +212,21 @@
     const auto result = m_announcements.receive(announcement, now);
     if (result.ignored)
         m_announcementLog.didIgnore(announcement, *result.ignored, now);
-    didReceive(result, announcement.incarnation, announcement.sequence,
-               membership::LeavingSource::Announcement);
+    publishChange(result, announcement.incarnation, announcement.sequence,
+                  membership::LeavingSource::Announcement);
 }
 
 auto ControlPlane::didLeave(const membership::BackendIncarnation &incarnation) -> void
 {
     const auto result = m_announcements.leave(incarnation, monotonicNow(),
                                               membership::currentStartIncarnation());
-    didReceive(result, incarnation, 0, membership::LeavingSource::Leave);
+    publishChange(result, incarnation, 0, membership::LeavingSource::Leave);
 }
 
 /// Publishes what a message of the backend server has changed, before the message is acknowledged.
-auto ControlPlane::didReceive(const membership::AnnouncementResult &result,
-                              const membership::BackendIncarnation &incarnation,
-                              std::uint64_t sequence, membership::LeavingSource source) -> void
+auto ControlPlane::publishChange(const membership::AnnouncementResult &result,
+                                 const membership::BackendIncarnation &incarnation,
+                                 std::uint64_t sequence, membership::LeavingSource source) -> void
 {
     if (result.didChangeRecord)
         publishBackend();
@@ -319,8 +319,8 @@
 
 auto ControlPlane::didStateLeaving(const membership::BackendIncarnation &incarnation) -> void
 {
-    didReceive(m_announcements.didStateLeaving(incarnation), incarnation, 0,
-               membership::LeavingSource::Response);
+    publishChange(m_announcements.didStateLeaving(incarnation), incarnation, 0,
+                  membership::LeavingSource::Response);
 }
 
 auto ControlPlane::announceDraining() -> void
--- a/source/node/ControlPlane.h
+++ b/source/node/ControlPlane.h
@@ -106,9 +106,9 @@
     auto checkService(const membership::Announcement &announcement) const -> void;
     auto didAnnounce(const membership::Announcement &announcement) -> void;
     auto didLeave(const membership::BackendIncarnation &incarnation) -> void;
-    auto didReceive(const membership::AnnouncementResult &result,
-                    const membership::BackendIncarnation &incarnation, std::uint64_t sequence,
-                    membership::LeavingSource source) -> void;
+    auto publishChange(const membership::AnnouncementResult &result,
+                       const membership::BackendIncarnation &incarnation, std::uint64_t sequence,
+                       membership::LeavingSource source) -> void;
     auto publishBackend() -> void;
     auto didChangeView(std::shared_ptr<const membership::MembershipView> view) -> void;
     auto didPublish(config::ConfigurationPtr configuration) -> void;
--- a/source/node/LeavingService.cpp
+++ b/source/node/LeavingService.cpp
@@ -81,6 +81,7 @@
     const auto waiter = std::make_shared<transport::Timer>(m_io, MaxRecordingTime);
     m_waiters.push_back(waiter);
     const auto [ec] = co_await waiter->async_wait(asio::as_tuple(asio::use_awaitable));
+    std::erase(m_waiters, waiter);
     if (!ec && !m_replication.isRecordedByAny())
         log::Line(log::Severity::Warning, "leaving-not-recorded")
                 .add("waited_ms", toMilliseconds(MaxRecordingTime));
--- a/tests/platform/TestLeavingSoak.cpp
+++ b/tests/platform/TestLeavingSoak.cpp
@@ -53,7 +53,6 @@
     {
         for (const auto &it : m_fleet.hosts)
             m_clients.push_back(std::make_unique<KeptConnection>(it.address));
-        m_isStopped = false;
     }
 
     auto run(std::chrono::milliseconds length) -> void
@@ -188,7 +187,7 @@
     std::vector<std::unique_ptr<KeptConnection>> m_clients;
     std::multimap<Clock::time_point, std::pair<ProcessFleet::Backend *, std::uint64_t>> m_late;
     std::map<std::size_t, int> m_runsAtLeaving; ///< By instance, after the acknowledgement.
-    bool m_isStopped = true;
+    bool m_isStopped = false;                   ///< The node of the first host is suspended.
     Clock::time_point m_resumeAt;
     std::uint64_t m_requests = 0;
 };
