--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -110,14 +110,18 @@
         return CouldNotRun;
     }
     auto &target = *deployment.machines[0].node;
+    auto tries = 0;
     const auto isServed = waitUntil(
             [&] {
-                const auto order = exchange(target.outbound(),
-                                            clientRequest("POST", "/narocila/", 10ms, "first", Deadline),
-                                            Deadline);
-                const auto menu = exchange(deployment.machines[1].node->outbound(),
-                                           clientRequest("GET", "/jedilnik/", 10ms, "first", Deadline),
-                                           Deadline);
+                const auto number = std::to_string(++tries);
+                const auto order = exchange(
+                        target.outbound(),
+                        clientRequest("POST", "/narocila/", 10ms, "first-order-" + number, Deadline),
+                        Deadline);
+                const auto menu = exchange(
+                        deployment.machines[1].node->outbound(),
+                        clientRequest("GET", "/jedilnik/", 10ms, "first-menu-" + number, Deadline),
+                        Deadline);
                 return order && order->status() == 200 && menu && menu->status() == 200;
             },
             20s);
