--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -1,8 +1,7 @@
-// All processes are killed at the same moment, shortly after a node has acknowledged that its upstream has left. A heartbeat
-// that this upstream had sent before arrives late. The restarted nodes send requests to it again.
+// A machine gets SIGTERM while its upstream works on a long request. Its node goes on to take orders of its clients up to its own
+// end, passes them on, and ends without answering them.
 
 #include <cstdio>
-#include <map>
 #include <mutex>
 #include <thread>
 
@@ -11,161 +10,173 @@
 using namespace review;
 using namespace std::chrono_literals;
 
-static constexpr auto MenuWork = Milliseconds(50);
+/// What became of one order.
+struct Order
+{
+    std::string attempt;
+    long long sentAt = 0;
+    long long endedAt = 0;
+    int status = 0; ///< 0: the connection ended without a whole answer.
+    bool wasSent = false;
+};
+
+static constexpr auto OrderWork = Milliseconds(400);
+static constexpr auto MenuWork = Milliseconds(3'200);
 static constexpr auto Deadline = Milliseconds(5'000);
-/// How late the heartbeat arrives; the upstream has no answer after a second and goes on.
-static constexpr auto HeartbeatDelay = Milliseconds(3'000);
-static constexpr auto LeaveAfterHeartbeat = Milliseconds(1'100);
-static constexpr auto KillAfterAcknowledgement = Milliseconds(400);
-static constexpr auto Downtime = Milliseconds(500);
-/// The leaving upstream goes on serving for so long after the acknowledgement.
-static constexpr auto ServesAfterLeaving = Milliseconds(10'000);
-
-/// Clients of all machines send menu views in turn until they are stopped, on new connections.
+
 class Clients
 {
 public:
     Clients(Record &record, const Deployment &deployment)
         : m_record(record)
-        , m_thread([this, &deployment] { run(deployment); })
+        , m_deployment(deployment)
     {}
-    ~Clients() { stop(); }
 
-    auto stop() -> void
+    /// Sends one order from a client of the first machine, on a thread of its own.
+    auto sendOrder() -> void
     {
-        m_isStopped = true;
-        if (m_thread.joinable())
-            m_thread.join();
+        const auto attempt = "order-" + std::to_string(++m_orders);
+        m_threads.emplace_back([this, attempt] { order(attempt); });
     }
 
-    /// When the attempt was sent, in milliseconds since the start.
-    auto sentAt(const std::string &attempt) -> long long
+    /// Sends one long menu view from a client of the second machine.
+    auto sendMenuView() -> void
     {
-        const auto lock = std::scoped_lock(m_mutex);
-        const auto it = m_sentAt.find(attempt);
-        return it == m_sentAt.end() ? -1 : it->second;
+        const auto attempt = "menu-" + std::to_string(++m_menus);
+        m_threads.emplace_back([this, attempt] {
+            const auto answer =
+                    exchange(m_deployment.machines[1].node->outbound(),
+                             clientRequest("GET", "/jedilnik/", MenuWork, attempt, Deadline), Deadline);
+            m_record.line(attempt + (answer ? " answered " + std::to_string(answer->status())
+                                            : std::string(" without an answer")));
+        });
+    }
+
+    auto wait() -> void
+    {
+        for (auto &it : m_threads)
+            it.join();
+        m_threads.clear();
     }
 
-    auto sent() const -> int { return m_sent; }
-    auto served() const -> int { return m_served; }
+    auto results() const -> const std::vector<Order> & { return m_results; }
 
 private:
-    auto run(const Deployment &deployment) -> void
+    auto order(const std::string &attempt) -> void
     {
-        while (!m_isStopped) {
-            const auto &machine = deployment.machines[static_cast<std::size_t>(m_sent) % 3];
-            const auto attempt = "menu-" + std::to_string(++m_sent);
-            {
-                const auto lock = std::scoped_lock(m_mutex);
-                m_sentAt[attempt] = m_record.now();
-            }
-            const auto answer =
-                    exchange(machine.node->outbound(),
-                             clientRequest("GET", "/jedilnik/", MenuWork, attempt, Deadline), Deadline);
-            m_served += answer && answer->status() == 200 ? 1 : 0;
-            if (!answer || answer->status() != 200) {
-                m_record.line(attempt + (answer ? " answered " + std::to_string(answer->status())
-                                                : std::string(" without an answer")));
-                std::this_thread::sleep_for(50ms);
-            }
-        }
+        auto result = Order{attempt, 0, 0, 0, false};
+        const auto connection = Connection::open(m_deployment.machines[0].node->outbound());
+        result.sentAt = m_record.now();
+        result.wasSent =
+                connection
+                && connection->write(clientRequest("POST", "/narocila/", OrderWork, attempt, Deadline));
+        const auto answer =
+                result.wasSent ? connection->read(Clock::now() + Deadline) : std::nullopt;
+        result.status = answer ? answer->status() : 0;
+        result.endedAt = m_record.now();
+        m_record.line(attempt + " sent at " + std::to_string(result.sentAt)
+                      + (result.status != 0 ? " answered " + std::to_string(result.status)
+                         : result.wasSent   ? std::string(" connection ended without an answer")
+                                            : std::string(" no connection")));
+        const auto lock = std::scoped_lock(m_mutex);
+        m_results.push_back(result);
     }
 
     Record &m_record;
-    std::atomic<bool> m_isStopped = false;
-    std::atomic<int> m_sent = 0;
-    std::atomic<int> m_served = 0;
+    const Deployment &m_deployment;
+    int m_orders = 0;
+    int m_menus = 0;
+    std::vector<std::thread> m_threads;
     std::mutex m_mutex;
-    std::map<std::string, long long> m_sentAt;
-    std::thread m_thread;
+    std::vector<Order> m_results;
 };
 
-struct Arrival
+/// Whether the rule LOST counts this order: passed on, cut off, and under none of the rule's excuses.
+static auto isLost(const Order &it, Deployment &deployment, std::optional<long long> termAt) -> bool
 {
-    std::string attempt;
-    long long at = 0;
-};
+    static constexpr auto LongestExcused = 3'000; ///< Sent no later than this after the SIGTERM.
+    const auto hasBegun = std::ranges::any_of(
+            deployment.machines, [&](auto &machine) { return machine.upstream->runsOf(it.attempt) > 0; });
+    const auto isCut = it.wasSent && it.status == 0 && it.endedAt - it.sentAt < Deadline.count();
+    const auto isExcused = termAt && it.sentAt <= *termAt + LongestExcused;
+    return isCut && hasBegun && !isExcused;
+}
 
 static auto run(Record &record, Deployment &deployment, bool hasTrouble) -> int
 {
-    auto arrivals = std::vector<Arrival>();
-    auto mutex = std::mutex();
-    auto &machine = deployment.machines[0];
-    auto &upstream = *machine.upstream;
-    upstream.setArrivalHandler([&](const std::string &attempt) {
-        const auto lock = std::scoped_lock(mutex);
-        arrivals.push_back({attempt, record.now()});
-    });
+    auto clients = Clients(record, deployment);
     if (!deployment.start()) {
         record.line("the nodes did not get ready");
         return CouldNotRun;
     }
-    auto clients = Clients(record, deployment);
-    const auto isServing = waitUntil(
+    auto &target = *deployment.machines[0].node;
+    auto tries = 0;
+    const auto isServed = waitUntil(
             [&] {
-                const auto lock = std::scoped_lock(mutex);
-                return arrivals.size() >= 20;
+                const auto number = std::to_string(++tries);
+                const auto order = exchange(
+                        target.outbound(),
+                        clientRequest("POST", "/narocila/", 10ms, "first-order-" + number, Deadline),
+                        Deadline);
+                const auto menu = exchange(
+                        deployment.machines[1].node->outbound(),
+                        clientRequest("GET", "/jedilnik/", 10ms, "first-menu-" + number, Deadline),
+                        Deadline);
+                return order && order->status() == 200 && menu && menu->status() == 200;
             },
             20s);
-    if (!isServing) {
-        record.line("the upstream that is to leave got no requests");
+    if (!isServed) {
+        record.line("the first requests were not served");
         return CouldNotRun;
     }
-    std::this_thread::sleep_for(2s);
-
-    machine.heartbeats->stop();
-    const auto late = upstream.heartbeat(machine.node->zone(), "ready", machine.heartbeats->nextSequence());
-    const auto lateAt = Clock::now() + HeartbeatDelay;
-    record.line("a heartbeat 'ready' of " + upstream.instance() + " is sent and held up");
-    std::this_thread::sleep_for(LeaveAfterHeartbeat);
-    const auto acknowledged = exchange(machine.node->control(), upstream.leave(), 1s);
-    if (!acknowledged || acknowledged->status() != 200) {
-        record.line("the DELETE of the upstream was not acknowledged");
-        return CouldNotRun;
-    }
-    const auto acknowledgedAt = record.now();
-    const auto exitAt = Clock::now() + ServesAfterLeaving;
-    record.line("the DELETE of " + upstream.instance() + " is acknowledged with 200");
-    std::this_thread::sleep_for(KillAfterAcknowledgement);
-    auto startedAt = acknowledgedAt;
-    if (hasTrouble) {
-        record.line("SIGKILL to all nodes");
-        for (auto &it : deployment.machines)
-            it.node->signal(SIGKILL);
-        for (auto &it : deployment.machines)
-            it.node->kill();
-        std::this_thread::sleep_for(Downtime);
-        for (auto &it : deployment.machines)
-            it.node->start();
-        startedAt = record.now();
-        record.line("all nodes are started again");
+
+    const auto start = Clock::now();
+    const auto term = start + 3s;
+    const auto end = term + GraceTime + 1s;
+    auto termAt = std::optional<long long>();
+    auto nextMenuView = start;
+    auto nextReadiness = start;
+    while (Clock::now() < end) {
+        if (hasTrouble && !termAt && Clock::now() >= term) {
+            termAt = record.now();
+            record.line("SIGTERM to " + target.name());
+            target.signal(SIGTERM);
+        }
+        if (hasTrouble && termAt && Clock::now() >= term + GraceTime)
+            target.signal(SIGKILL);
+        if (Clock::now() >= nextReadiness) {
+            nextReadiness += 1s;
+            std::thread([&record, &target] {
+                record.line(target.name() + (target.isReady() ? " is ready" : " is not ready"));
+            }).detach();
+        }
+        if (Clock::now() >= nextMenuView) {
+            nextMenuView += 200ms;
+            clients.sendMenuView();
+        }
+        // The only node of its zone is out, so that fewer than half are in, and its clients go on.
+        if (!target.hasEnded())
+            clients.sendOrder();
+        else if (hasTrouble)
+            break;
+        std::this_thread::sleep_for(50ms);
     }
-    std::this_thread::sleep_until(lateAt);
-    const auto answer = exchange(machine.node->control(), late, 1s);
-    record.line("the held-up heartbeat arrives: "
-                + (answer ? std::to_string(answer->status()) : std::string("no answer")));
-    std::this_thread::sleep_until(exitAt);
-    upstream.exit();
-    record.line("upstream " + upstream.instance() + " ends");
-    clients.stop();
-
-    auto broken = 0;
-    for (const auto &it : arrivals) {
-        const auto isLate = it.at > acknowledgedAt + DrainTime.count();
-        const auto isInTouch = clients.sentAt(it.attempt) > startedAt + StableTime.count();
-        if (!isLate || !isInTouch)
+    record.line(target.name() + (target.hasEnded() ? " has ended" : " runs"));
+    clients.wait();
+
+    auto lost = 0;
+    for (const auto &it : clients.results()) {
+        if (!isLost(it, deployment, termAt))
             continue;
-        ++broken;
-        record.line("DRAIN " + it.attempt + " reached " + upstream.instance() + " "
-                    + std::to_string(it.at - acknowledgedAt)
-                    + " ms after the acknowledgement; sent "
-                    + std::to_string(clients.sentAt(it.attempt) - startedAt)
-                    + " ms after the last start of a node");
+        ++lost;
+        record.line("LOST " + it.attempt + ": sent "
+                    + (termAt ? std::to_string(it.sentAt - *termAt) + " ms after the SIGTERM"
+                              : std::string("in calm"))
+                    + ", an upstream worked on it, cut off after "
+                    + std::to_string(it.endedAt - it.sentAt) + " ms of " + std::to_string(Deadline.count()));
     }
-    record.line("requests: " + std::to_string(clients.sent()) + ", served: "
-                + std::to_string(clients.served()) + ", at the leaving upstream against the rule: "
-                + std::to_string(broken));
-    return broken > 0 ? RuleBroken : RuleHeld;
+    record.line("orders: " + std::to_string(clients.results().size()) + ", lost: " + std::to_string(lost));
+    return lost > 0 ? RuleBroken : RuleHeld;
 }
 
 /// Arguments: the repository, a directory for settings and logs, record.txt, 1 or 0 for the disruption.
@@ -175,9 +186,9 @@
         return CouldNotRun;
     try {
         auto record = Record(arguments[3]);
-        auto deployment =
-                Deployment(record, arguments[1], arguments[2], {"jedilnik", "jedilnik", "jedilnik"},
-                           {{"/jedilnik/", "safe", "jedilnik", 2}});
+        auto deployment = Deployment(record, arguments[1], arguments[2], {"jedilnik", "narocila", "narocila"},
+                                     {{"/jedilnik/", "safe", "jedilnik", 2},
+                                      {"/narocila/", "unsafe", "narocila", 0}});
         const auto result = run(record, deployment, std::string(arguments[4]) != "0");
         deployment.end();
         // The threads of the stand-ins still run, so that nothing is destroyed.
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -10,9 +10,12 @@
     exit 2
 fi
 directory=$(mktemp -d)
-trap 'rm -rf "$directory"' EXIT
-timeout --kill-after=5 110 "$program" "$root" "$directory" "$folder/record.txt" "${TROUBLE:-1}"
+# A process group of its own, so that everything in it ends with this script, however it ends.
+setsid timeout --kill-after=5 110 "$program" "$root" "$directory" "$folder/record.txt" "${TROUBLE:-1}" &
+group=$!
+trap 'kill -KILL -- "-$group" 2>/dev/null; rm -rf "$directory"' EXIT
+wait "$group"
 code=$?
-tail -1 "$folder/record.txt"
+tail -n 1 "$folder/record.txt"
 [[ $code == 0 || $code == 1 ]] && exit "$code"
 exit 2
--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -26,9 +27,10 @@
         std::unique_ptr<Heartbeats> heartbeats;
     };
 
-    /// `services`: the service of each machine. `directory`: for settings files and logs.
+    /// `services`: the service of each machine. `directory`: for settings files and logs. `behaviours`: of the upstreams, by service.
     Deployment(Record &record, const std::string &root, const std::string &directory,
-               const std::vector<std::string> &services, const std::vector<Route> &routes)
+               const std::vector<std::string> &services, const std::vector<Route> &routes,
+               const std::map<std::string, Upstream::Behaviour> &behaviours = {})
     {
         static const auto Zones =
                 std::vector<std::string>{"ljubljana-center", "ljubljana-bezigrad", "domzale"};
@@ -39,8 +41,12 @@
         for (auto n = std::size_t{0}; n < services.size(); ++n) {
             const auto ip = network + std::to_string(n + 1);
             auto &it = machines.emplace_back();
+            const auto behaviour = behaviours.find(services[n]);
             it.upstream = std::make_unique<Upstream>(record, ip, services[n],
-                                                     "i-" + std::string(1, static_cast<char>('a' + n)));
+                                                     "i-" + std::string(1, static_cast<char>('a' + n)),
+                                                     behaviour == behaviours.end()
+                                                             ? Upstream::Behaviour()
+                                                             : behaviour->second);
             it.node = std::make_unique<Node>(
                     Node::Settings{root, directory, "sidecar-" + Zones[n] + "-1", ip, Zones[n], Zones,
                                    services[n], it.upstream->address(), m_store.address()});
--- a/review/standins/Http.h
+++ b/review/standins/Http.h
@@ -7,7 +7,9 @@
 #include <cstring>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <thread>
@@ -121,6 +123,15 @@
 
     /// Reads one whole message. Nothing if the connection ends or `end` passes before it is whole.
     auto read(Clock::time_point end) -> std::optional<Message>
+    {
+        auto message = readHeader(end);
+        if (!message || !readBody(*message, end))
+            return std::nullopt;
+        return message;
+    }
+
+    /// Reads a message up to the end of its header fields.
+    auto readHeader(Clock::time_point end) -> std::optional<Message>
     {
         auto headerEnd = std::string::npos;
         while ((headerEnd = m_buffer.find("\r\n\r\n")) == std::string::npos) {
@@ -128,15 +139,22 @@
                 return std::nullopt;
         }
         auto message = parseHeader(m_buffer.substr(0, headerEnd));
-        const auto length = message.field("Content-Length");
-        const auto total = headerEnd + 4 + (length.empty() ? 0 : std::stoul(length));
-        while (m_buffer.size() < total) {
+        m_buffer.erase(0, headerEnd + 4);
+        return message;
+    }
+
+    /// Reads the body of the message whose header has been read. Returns whether it is whole.
+    auto readBody(Message &message, Clock::time_point end) -> bool
+    {
+        const auto text = message.field("Content-Length");
+        const auto length = text.empty() ? std::size_t{0} : std::stoul(text);
+        while (m_buffer.size() < length) {
             if (!readMore(end))
-                return std::nullopt;
+                return false;
         }
-        message.body = m_buffer.substr(headerEnd + 4, total - headerEnd - 4);
-        m_buffer.erase(0, total);
-        return message;
+        message.body = m_buffer.substr(0, length);
+        m_buffer.erase(0, length);
+        return true;
     }
 
     /// Waits until `end`. Returns false at once when the far end closes the connection.
@@ -152,7 +170,8 @@
         return true;
     }
 
-    auto shutdown() -> void { ::shutdown(m_fd, SHUT_RDWR); }
+    std::string lateAnswer; ///< What an upstream still sends before its next answer.
+
     auto close() -> void
     {
         if (m_fd >= 0)
@@ -213,13 +232,20 @@
     /// Returns the whole response, or nothing to close the connection without one.
     using Handler = std::function<std::optional<std::string>(Connection &, const Message &)>;
 
-    /// `port` 0: a free one.
-    Server(const std::string &ip, int port, Handler handler)
+    /// Called with each request's header; returns whether the body then arrived whole.
+    using BodyReader = std::function<bool(Connection &, Message &)>;
+
+    /// `port` 0: a free one. `receiveBuffer`: bytes that the kernel takes before the program reads; 0: as ever.
+    Server(const std::string &ip, int port, Handler handler, BodyReader readBody = readAtOnce,
+           int receiveBuffer = 0)
         : m_handler(std::make_shared<Handler>(std::move(handler)))
+        , m_readBody(std::make_shared<BodyReader>(std::move(readBody)))
     {
         m_fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const auto on = 1;
         setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        if (receiveBuffer > 0)
+            setsockopt(m_fd, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
         auto address = socketAddress({ip, port});
         auto size = socklen_t(sizeof address);
         if (::bind(m_fd, reinterpret_cast<sockaddr *>(&address), size) != 0
@@ -227,35 +253,72 @@
             throw std::runtime_error("cannot listen on " + ip + ":" + std::to_string(port));
         getsockname(m_fd, reinterpret_cast<sockaddr *>(&address), &size);
         m_address = {ip, ntohs(address.sin_port)};
-        std::thread([fd = m_fd, handler = m_handler] { accept(fd, handler); }).detach();
+        std::thread([fd = m_fd, handler = m_handler, readBody = m_readBody, open = m_open] {
+            accept(fd, handler, readBody, open);
+        }).detach();
+    }
+
+    static constexpr auto IdleTime = std::chrono::seconds(60);
+
+    static auto readAtOnce(Connection &connection, Message &request) -> bool
+    {
+        return connection.readBody(request, Clock::now() + IdleTime);
     }
 
     auto address() const -> const Address & { return m_address; }
 
-    /// Takes no more connections. Those that are open go on.
+    /// Takes no more connections and ends those that are open, as the end of a process does.
     auto stop() -> void
     {
         if (m_fd >= 0)
             ::shutdown(std::exchange(m_fd, -1), SHUT_RDWR);
+        const auto lock = std::scoped_lock(m_open->mutex);
+        for (const auto fd : m_open->fds)
+            ::shutdown(fd, SHUT_RDWR);
     }
 
 private:
-    static auto accept(int listener, const std::shared_ptr<Handler> &handler) -> void
+    struct OpenConnections
+    {
+        std::mutex mutex;
+        std::set<int> fds;
+    };
+
+    static auto accept(int listener, const std::shared_ptr<Handler> &handler,
+                       const std::shared_ptr<BodyReader> &readBody,
+                       const std::shared_ptr<OpenConnections> &open) -> void
     {
         while (true) {
             const auto fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (fd < 0)
                 break;
-            std::thread([fd, handler] { serve(fd, *handler); }).detach();
+            std::thread([fd, handler, readBody, open] {
+                {
+                    const auto lock = std::scoped_lock(open->mutex);
+                    open->fds.insert(fd);
+                }
+                serve(fd, *handler, *readBody, *open);
+            }).detach();
         }
         ::close(listener);
     }
 
-    static auto serve(int fd, const Handler &handler) -> void
+    static auto serve(int fd, const Handler &handler, const BodyReader &readBody,
+                      OpenConnections &open) -> void
     {
-        static constexpr auto IdleTime = std::chrono::seconds(60);
         auto connection = Connection(fd);
-        while (const auto request = connection.read(Clock::now() + IdleTime)) {
+        answerAll(connection, handler, readBody);
+        const auto lock = std::scoped_lock(open.mutex);
+        open.fds.erase(fd);
+        connection.close();
+    }
+
+    static auto answerAll(Connection &connection, const Handler &handler, const BodyReader &readBody)
+            -> void
+    {
+        while (auto request = connection.readHeader(Clock::now() + IdleTime)) {
+            if (!readBody(connection, *request))
+                return;
             const auto answer = handler(connection, *request);
             if (!answer || !connection.write(*answer))
                 return;
@@ -263,6 +326,8 @@
     }
 
     std::shared_ptr<Handler> m_handler;
+    std::shared_ptr<BodyReader> m_readBody;
+    std::shared_ptr<OpenConnections> m_open = std::make_shared<OpenConnections>();
     int m_fd = -1;
     Address m_address;
 };
--- a/review/standins/Machine.h
+++ b/review/standins/Machine.h
@@ -5,8 +5,9 @@
 #include <cstdlib>
 #include <fstream>
 #include <functional>
+#include <map>
 #include <mutex>
-#include <set>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -40,20 +41,44 @@
 class Upstream
 {
 public:
-    Upstream(Record &record, const std::string &ip, std::string service, std::string instance)
+    /// What it does besides answering at once. All of it is told in PROTOCOL.md.
+    struct Behaviour
+    {
+        /// It reads a body so long after the header, and works meanwhile.
+        Milliseconds readingPause{0};
+        int receiveBuffer = 0; ///< Bytes that its kernel takes before it reads; 0: as ever.
+        double rejectedShare = 0; ///< Requests that it rejects with X-Not-Executed, while disturbed.
+        /// Answers of which a second copy arrives late, where the connection's next answer is expected, while disturbed.
+        double secondAnswerShare = 0;
+        unsigned seed = 1;
+    };
+
+    Upstream(Record &record, const std::string &ip, std::string service, std::string instance,
+             Behaviour behaviour, int port = 0)
         : m_record(record)
         , m_service(std::move(service))
         , m_instance(std::move(instance))
-        , m_server(ip, 0, [this](Connection &connection, const Message &request) {
-            return answer(connection, request);
-        })
+        , m_behaviour(behaviour)
+        , m_random(behaviour.seed)
+        , m_server(
+                  ip, port,
+                  [this](Connection &connection, const Message &request) {
+                      return answer(connection, request);
+                  },
+                  [this](Connection &connection, Message &request) {
+                      return readBody(connection, request);
+                  },
+                  behaviour.receiveBuffer)
     {}
 
     auto address() const -> const Address & { return m_server.address(); }
     auto instance() const -> const std::string & { return m_instance; }
     auto service() const -> const std::string & { return m_service; }
 
-    /// Tells `record` each arrival, with the attempt's id, before the request is worked on.
+    /// Whether it rejects requests and answers them twice as its behaviour says.
+    auto setDisturbed(bool isDisturbed) -> void { m_isDisturbed = isDisturbed; }
+
+    /// Sets a function that is called with the attempt's id at each arrival, before the request is worked on.
     auto setArrivalHandler(std::function<void(const std::string &)> handler) -> void
     {
         m_didArrive = std::move(handler);
@@ -96,47 +121,85 @@
         m_server.stop();
     }
 
-    /// Whether it still worked on this attempt, or had answered it, when the test ended.
-    auto hasAnswered(const std::string &attempt) -> bool
+    /// How often it has begun to work on this attempt.
+    auto runsOf(const std::string &attempt) -> int
     {
         const auto lock = std::scoped_lock(m_mutex);
-        return m_answered.contains(attempt);
+        const auto it = m_runs.find(attempt);
+        return it == m_runs.end() ? 0 : it->second;
+    }
+
+private:
+    auto isMeant(const Message &request) const -> bool
+    {
+        const auto expected = request.field("X-Expect-Instance");
+        return expected.empty() || expected == m_instance;
     }
-    auto hasBegun(const std::string &attempt) -> bool
+
+    auto begin(const Message &request) -> void
     {
+        const auto attempt = request.field("X-Attempt-Id");
         const auto lock = std::scoped_lock(m_mutex);
-        return m_begun.contains(attempt);
+        ++m_runs[attempt];
+        m_record.line("upstream " + m_instance + " begins " + attempt + " (X-Deadline-Ms "
+                      + request.field("X-Deadline-Ms") + ")");
+    }
+
+    auto isDrawn(double share) -> bool
+    {
+        const auto lock = std::scoped_lock(m_mutex);
+        return m_isDisturbed && share > 0 && std::uniform_real_distribution<double>()(m_random) < share;
+    }
+
+    auto readBody(Connection &connection, Message &request) -> bool
+    {
+        if (m_behaviour.readingPause.count() == 0 || !isMeant(request))
+            return Server::readAtOnce(connection, request);
+        begin(request);
+        std::this_thread::sleep_for(m_behaviour.readingPause);
+        if (Server::readAtOnce(connection, request))
+            return true;
+        m_record.line("upstream " + m_instance + " drops " + request.field("X-Attempt-Id")
+                      + ": its connection was closed while the body was read");
+        return false;
     }
 
-private:
     auto answer(Connection &connection, const Message &request) -> std::optional<std::string>
     {
         if (m_hasExited)
             return std::nullopt;
+        if (!connection.lateAnswer.empty() && !connection.write(std::exchange(connection.lateAnswer, {})))
+            return std::nullopt;
+        const auto answer = ownAnswer(connection, request);
+        if (answer && isDrawn(m_behaviour.secondAnswerShare)) {
+            connection.lateAnswer = *answer;
+            m_record.line("upstream " + m_instance + " answers " + request.field("X-Attempt-Id")
+                          + ", and once more when the connection's next request is there");
+        }
+        return answer;
+    }
+
+    auto ownAnswer(Connection &connection, const Message &request) -> std::optional<std::string>
+    {
         const auto attempt = request.field("X-Attempt-Id");
-        const auto expected = request.field("X-Expect-Instance");
         const auto identity = "X-Attempt-Id: " + attempt + "\r\nX-Instance-Id: " + m_instance + "\r\n";
-        if (!expected.empty() && expected != m_instance)
+        if (!isMeant(request))
             return response("421 Misdirected Request", identity, "");
-        m_record.line("upstream " + m_instance + " begins " + attempt + " (X-Deadline-Ms "
-                      + request.field("X-Deadline-Ms") + ")");
+        if (isDrawn(m_behaviour.rejectedShare)) {
+            m_record.line("upstream " + m_instance + " rejects " + attempt + ": full");
+            return response("503 Service Unavailable", identity + "X-Not-Executed: 1\r\n", "");
+        }
+        if (m_behaviour.readingPause.count() == 0)
+            begin(request);
         if (m_didArrive)
             m_didArrive(attempt);
         const auto target = request.target();
         const auto work = Milliseconds(std::stoi(target.substr(target.rfind('/') + 1)));
-        {
-            const auto lock = std::scoped_lock(m_mutex);
-            m_begun.insert(attempt);
-        }
         if (!connection.staysOpenUntil(Clock::now() + work)) {
             m_record.line("upstream " + m_instance + " drops " + attempt
                           + ": its connection was closed while it worked");
             return std::nullopt;
         }
-        {
-            const auto lock = std::scoped_lock(m_mutex);
-            m_answered.insert(attempt);
-        }
         return response("200 OK", identity + "X-Server-Seal: seal-" + attempt + "\r\n",
                         "the bytes of " + m_instance + " for " + attempt);
     }
@@ -144,14 +207,16 @@
     Record &m_record;
     std::string m_service;
     std::string m_instance;
+    Behaviour m_behaviour;
+    std::mt19937 m_random;
     long long m_born = std::chrono::duration_cast<Milliseconds>(
                                std::chrono::system_clock::now().time_since_epoch())
                                .count();
     std::function<void(const std::string &)> m_didArrive;
+    std::atomic<bool> m_isDisturbed = false;
     std::atomic<bool> m_hasExited = false;
     std::mutex m_mutex;
-    std::set<std::string> m_begun;
-    std::set<std::string> m_answered;
+    std::map<std::string, int> m_runs;
     Server m_server;
 };
 
@@ -321,9 +386,10 @@
 
 /// The text of a client's request. `work`: how long the upstream works on it.
 inline auto clientRequest(const std::string &method, const std::string &prefix, Milliseconds work,
-                          const std::string &attempt, Milliseconds deadline) -> std::string
+                          const std::string &attempt, Milliseconds deadline,
+                          std::size_t bodyBytes = 300) -> std::string
 {
-    const auto body = method == "GET" ? std::string() : std::string("an order");
+    const auto body = method == "GET" ? std::string() : std::string(bodyBytes, 'o');
     const auto length =
             body.empty() ? std::string() : "Content-Length: " + std::to_string(body.size()) + "\r\n";
     return method + " " + prefix + std::to_string(work.count())
@@ -338,6 +404,7 @@
     std::string kind;
     std::string service;
     int priority = 0;
+    std::string name{}; ///< Empty: named after the service.
 };
 
 /// The operator's configuration: all routes of one host, each with a time-out of five seconds.
@@ -353,7 +420,7 @@
               {"header_timeout_s", 3},
               {"idle_timeout_s", 15}}}};
     for (const auto &it : routes) {
-        result["routes"]["r-" + it.service] = {{"host", "app.example"},
+        result["routes"][it.name.empty() ? "r-" + it.service : it.name] = {{"host", "app.example"},
                                                {"prefix", it.prefix},
                                                {"kind", it.kind},
                                                {"timeout_s", 5},
