Review: the lost orders with work that the site's sheet allows

Change: menu views of 2.7 s and orders of 0.8 s in place of 3.2 s and 0.4 s, which is what the site's kinds of request can take.

--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -20,8 +20,8 @@
     bool wasSent = false;
 };
 
-static constexpr auto OrderWork = Milliseconds(400);
-static constexpr auto MenuWork = Milliseconds(3'200);
+static constexpr auto OrderWork = Milliseconds(800);
+static constexpr auto MenuWork = Milliseconds(2'700);
 static constexpr auto Deadline = Milliseconds(5'000);
 
 class Clients
