Transport, node: Tell the answers to two sends of one request apart

Cause: answers were matched by the attempt's id. A rejected attempt is sent to the same server again under the same id, on the connection that was used last, where the late second copy of the rejection comes first. It was taken for the answer to the second send, which ran.

Evidence: in the record each order that ran twice has a rejection with a second copy directly before its first run; other ids, closed connections and second gates are not involved. A pool test with the copy in that place returns 503 for a send that the server ran.

Change: the client does not send a request on a connection that has carried its id. The wire has nothing else that tells two sends apart. An answer without an id counts only on a connection that has carried nothing else. Late answers are counted and logged. The platform decodes the id only; comparing moves to the transport.

Why it works: a copy arrives on the connection of the answer that it repeats, and there every other request has another id.

--- a/include/stairspur/node/CallProtocol.h
+++ b/include/stairspur/node/CallProtocol.h
@@ -65,8 +65,8 @@
     std::function<ResponseKind(const transport::HttpResponse &)> readBackendResponse;
     /// Names of the fields by which a backend server states something about itself.
     StatementFields statementFields;
-    /// Returns whether a response on a backend server's connection belongs to the request.
-    std::function<bool(const transport::HttpRequest &, const transport::HttpResponse &)> isAnswerTo;
+    /// Returns the id in the header fields of a request to a backend server, which its response repeats.
+    std::function<std::string_view(const transport::HeaderList &)> echoedId;
 };
 
 } // namespace stairspur::node
--- a/include/stairspur/transport/HttpClient.h
+++ b/include/stairspur/transport/HttpClient.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 
@@ -47,9 +48,12 @@
     /// Bytes that the server's kernel has not acknowledged for this long break the connection. Three retransmissions on a
     /// link of a few milliseconds (RFC 6298: the first after 200 ms on Linux, then doubled), so that a lost packet does not.
     Duration unacknowledgedTimeout{1'500'000};
-    /// Whether an answer belongs to the request. One that does not is dropped, and the next one on the connection is
-    /// read in its place. Empty: each answer does.
-    std::function<bool(const HttpRequest &, const HttpResponse &)> isAnswerTo{};
+    /// Returns the id in the header fields of a request, which the server repeats in its answer; empty if there is none. An
+    /// answer with another id is dropped, and the next one on the connection is read in its place. Null: the server repeats
+    /// no id, and each answer belongs to the request that was sent last.
+    std::function<std::string_view(const HeaderList &)> echoedId{};
+    /// Called for each answer that is dropped. May be null.
+    std::function<void()> didDropAnswer{};
 };
 
 /// HTTP/1.1 to one server over kept connections, one request at a time on each.
@@ -57,6 +61,9 @@
 /// A kept connection may fall silent without a word: packets of an older connection are dropped on the way while new
 /// connections work. One that is found silent makes those suspect that have not been heard from since; they are closed.
 ///
+/// Answers to two requests with the same id can only be told apart by their connection, since an answer may arrive a second
+/// time, late. A request is therefore not sent on a connection that has carried its id before.
+///
 /// A kept connection that turns out closed before any byte of the answer came is only replaced by a fresh one when no
 /// byte of the request can have been read: it is probed for its end before use, and never sent twice.
 class HttpClient
--- a/source/node/BackendClient.cpp
+++ b/source/node/BackendClient.cpp
@@ -12,7 +12,8 @@
 static constexpr auto BackendUnacknowledgedTimeout = Duration{500'000};
 
 static auto clientSettings(const LocalBackend &backend, const config::ServiceLimits &limits,
-                           const CallProtocol *protocol) -> transport::HttpClientSettings
+                           const CallProtocol *protocol, std::function<void()> didDropAnswer)
+        -> transport::HttpClientSettings
 {
     auto client = transport::HttpClientSettings();
     client.address = backend.address;
@@ -20,15 +21,17 @@
     client.maxAnswerBytes = limits.maxAnswerBytes;
     client.unacknowledgedTimeout = BackendUnacknowledgedTimeout;
     if (protocol)
-        client.isAnswerTo = protocol->isAnswerTo;
+        client.echoedId = protocol->echoedId;
+    client.didDropAnswer = std::move(didDropAnswer);
     return client;
 }
 
 BackendClient::BackendClient(transport::asio::io_context &io, const LocalBackend &backend,
-                             const config::ServiceLimits &limits, const CallProtocol *protocol)
+                             const config::ServiceLimits &limits, const CallProtocol *protocol,
+                             std::function<void()> didDropAnswer)
     : m_instance(backend.incarnation.instance)
     , m_protocol(protocol)
-    , m_client(io, clientSettings(backend, limits, protocol))
+    , m_client(io, clientSettings(backend, limits, protocol, std::move(didDropAnswer)))
 {}
 
 /// Returns whether a response comes from the backend server as it sent it.
--- a/source/node/BackendClient.h
+++ b/source/node/BackendClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -32,9 +33,11 @@
 class BackendClient
 {
 public:
-    /// `protocol` is null for the product's own protocol.
+    /// `protocol` is null for the product's own protocol. `didDropAnswer` is called for each answer that belongs to none of the
+    /// calls that wait.
     BackendClient(transport::asio::io_context &io, const LocalBackend &backend,
-                  const config::ServiceLimits &limits, const CallProtocol *protocol);
+                  const config::ServiceLimits &limits, const CallProtocol *protocol,
+                  std::function<void()> didDropAnswer);
 
     /// Sends one call, and waits at most `remaining` for its response.
     auto send(transport::CallRequest request, CallId id, Duration remaining,
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -85,7 +85,9 @@
     const auto former = std::exchange(m_backend, backend);
     if (isReplaced) {
         m_crashes.didReplace(former);
-        m_client = std::make_shared<BackendClient>(m_io, m_backend, limits, m_protocol);
+        m_client = std::make_shared<BackendClient>(
+                m_io, m_backend, limits, m_protocol,
+                [&metrics = m_metrics] { metrics.didDropLateAnswer(); });
         m_admission->didReplaceBackend();
         m_statement.didReplaceBackend(m_backend.incarnation);
         ++m_backendIncarnation;
--- a/source/node/NodeMetrics.cpp
+++ b/source/node/NodeMetrics.cpp
@@ -48,6 +48,8 @@
     , m_backendLatency(
               m_registry.histogram({"stairspur_backend_latency_seconds",
                                     "Time from sending a call to the backend server to its end."}))
+    , m_lateAnswers(m_registry.counter({"stairspur_backend_late_answers_total",
+                                        "Second answers of the backend server that were dropped."}))
     , m_entryClasses(m_registry)
     , m_gateClasses(m_registry)
 {}
--- a/source/node/NodeMetrics.h
+++ b/source/node/NodeMetrics.h
@@ -41,6 +41,9 @@
     /// Records the time that this gate added to a call that ran: its total time here without the time at the backend server.
     auto didAddAtGate(Duration added) -> void { m_gateAdded.record(added); }
 
+    /// Records that the backend server's answer to an earlier call was dropped.
+    auto didDropLateAnswer() -> void { m_lateAnswers.increment(); }
+
     /// Returns the metrics in the Prometheus text format. May be called on any thread.
     [[nodiscard]] auto render() const -> std::string { return m_registry.renderPrometheus(); }
 
@@ -72,6 +75,7 @@
     metrics::LatencyHistogram &m_gateWait;
     metrics::LatencyHistogram &m_gateAdded;
     metrics::LatencyHistogram &m_backendLatency;
+    metrics::Counter &m_lateAnswers;
     MetricsByClass<EntryClass> m_entryClasses;
     MetricsByClass<GateClass> m_gateClasses;
 };
--- a/source/transport/HttpClient.cpp
+++ b/source/transport/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include <stairspur/transport/HttpClient.h>
 
 #include <algorithm>
+#include <iterator>
 #include <vector>
 
 #include <stairspur/log/Log.h>
@@ -56,7 +57,7 @@
         const auto deadline = monotonicNow() + timeout;
         const auto head = makeRequestHead(request, m_host);
         ensureMaySend(cancellation);
-        while (auto connection = takeIdle(maxAge)) {
+        while (auto connection = takeIdle(idOf(request), maxAge)) {
             // Only a request of which no byte was sent goes on to another connection.
             if (auto response = co_await tryKept(connection, head, request, deadline, cancellation))
                 co_return std::move(*response);
@@ -139,20 +140,29 @@
         co_return response;
     }
 
-    /// The kept connection that was used last, which is the least likely to have been closed meanwhile. Those that are too old
-    /// are closed: a fresh one takes their place, beside which they would pile up.
-    auto takeIdle(Duration maxAge) -> ConnectionPtr
+    /// Returns the id that the answer to `request` repeats; empty if the server repeats none.
+    auto idOf(const HttpRequest &request) const -> std::string_view
+    {
+        return m_settings.echoedId ? m_settings.echoedId(request.headers) : std::string_view();
+    }
+
+    /// The kept connection that was used last, which is the least likely to have been closed meanwhile, among those that have
+    /// not carried `id`. Those that are too old are closed: a fresh one takes their place, beside which they would pile up.
+    auto takeIdle(std::string_view id, Duration maxAge) -> ConnectionPtr
     {
         const auto now = monotonicNow();
         if (maxAge < AnyAge)
             closeUnusedSince(now - maxAge);
-        while (!m_idle.empty()) {
-            auto connection = std::move(m_idle.back());
-            m_idle.pop_back();
+        const auto mayCarry = [id](const auto &it) { return !it->hasCarried(id); };
+        while (true) {
+            const auto it = std::find_if(m_idle.rbegin(), m_idle.rend(), mayCarry);
+            if (it == m_idle.rend())
+                return nullptr;
+            auto connection = std::move(*it);
+            m_idle.erase(std::next(it).base());
             if (!connection->isStale(now) && connection->isUsable())
                 return connection;
         }
-        return nullptr;
     }
 
     asio::io_context &m_io;
--- a/source/transport/HttpClientConnection.h
+++ b/source/transport/HttpClientConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <memory>
@@ -14,7 +15,10 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <boost/circular_buffer.hpp>
 
+#include <stairspur/core/Hash.h>
+#include <stairspur/log/Log.h>
 #include <stairspur/transport/HttpClient.h>
 #include <stairspur/transport/Timer.h>
 
@@ -31,8 +35,15 @@
         : m_socket(io)
         , m_timer(io)
         , m_unacknowledgedTimeout(unacknowledgedTimeout)
+        , m_carriedIds(MaxCarriedIds)
     {}
 
+    /// Returns whether a request with this id was sent on this connection, so that its answer may arrive once more.
+    [[nodiscard]] auto hasCarried(std::string_view id) const -> bool
+    {
+        return std::ranges::find(m_carriedIds, hash64(id)) != m_carriedIds.end();
+    }
+
     /// Whether the server has left this kept connection alone, so that a request may be sent on it.
     auto isUsable() -> bool
     {
@@ -61,6 +72,8 @@
                   const HttpClientSettings &settings) -> Task<HttpResponse>
     {
         arm(timeout);
+        if (settings.echoedId)
+            m_carriedIds.push_back(hash64(settings.echoedId(request.headers)));
         const auto buffers =
                 std::array<asio::const_buffer, 2>{asio::buffer(head), asio::buffer(request.body)};
         const auto [ec, n] =
@@ -109,6 +122,9 @@
     static constexpr auto SwitchingProtocols = 101;
     /// Answers to other requests that are passed over in search of the right one.
     static constexpr auto MaxForeignAnswers = 2;
+    /// Requests that a connection remembers. A server sends in order, and no more than MaxForeignAnswers late answers are
+    /// passed over, so that the answer to an earlier request cannot follow.
+    static constexpr auto MaxCarriedIds = std::size_t{64};
     /// A connection is given up so long before the server's idle timeout, since a request that is on its way when the
     /// server closes is lost.
     static constexpr auto IdleMargin = Duration(500'000);
@@ -133,15 +149,47 @@
             -> Task<HttpResponse>
     {
         auto response = co_await readAnswer(request.method, settings.maxAnswerBytes);
-        for (auto skipped = 0; settings.isAnswerTo && !settings.isAnswerTo(request, response);
-             ++skipped) {
+        for (auto skipped = 0; isForeign(request, response, settings); ++skipped) {
+            didDropAnswer(response, settings);
             if (skipped >= MaxForeignAnswers || !m_isKeptAlive)
                 fail(HttpFailure::Broken, "the answer belongs to another request");
             response = co_await readAnswer(request.method, settings.maxAnswerBytes);
         }
+        if (settings.echoedId && settings.echoedId(response.headers).empty())
+            acceptWithoutId();
         co_return response;
     }
 
+    static auto isForeign(const HttpRequest &request, const HttpResponse &response,
+                          const HttpClientSettings &settings) -> bool
+    {
+        if (!settings.echoedId)
+            return false;
+        const auto id = settings.echoedId(response.headers);
+        return !id.empty() && id != settings.echoedId(request.headers);
+    }
+
+    /// A server may refuse a request before it has read its id. On a connection that has carried other requests, the answer
+    /// may be a late one to any of them.
+    auto acceptWithoutId() -> void
+    {
+        if (m_carriedIds.size() > 1)
+            fail(HttpFailure::Broken, "the answer has no id, and may belong to another request");
+        m_mayBeKept = false;
+    }
+
+    static auto didDropAnswer(const HttpResponse &response, const HttpClientSettings &settings)
+            -> void
+    {
+        if (settings.didDropAnswer)
+            settings.didDropAnswer();
+        if (log::isDecisionSampled())
+            log::Line(log::Severity::Info, "late-answer-dropped")
+                    .add("port", settings.port)
+                    .add("id", settings.echoedId(response.headers))
+                    .add("status", response.status);
+    }
+
     auto readAnswer(const std::string &method, std::uint64_t maxAnswerBytes) -> Task<HttpResponse>
     {
         while (true) {
@@ -219,6 +267,7 @@
     asio::ip::tcp::socket m_socket;
     Timer m_timer;
     Duration m_unacknowledgedTimeout;
+    boost::circular_buffer<std::uint64_t> m_carriedIds; ///< Hashes, the latest last.
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     std::uint64_t m_generation = 0;
--- a/tests/platform/TestCallHeaders.cpp
+++ b/tests/platform/TestCallHeaders.cpp
@@ -209,13 +209,12 @@
     }
 }
 
-Test(CallHeaders, anAnswerIsKnownByItsId)
+Test(CallHeaders, anAnswerRepeatsTheIdOfItsRequest)
 {
     const auto calls = platformCalls();
     auto response = HttpResponse();
-    cr_assert(calls.isAnswerTo(request(), response), "a refusal may come without an id");
-    response.headers.set("X-Attempt-Id", "another");
-    cr_assert(!calls.isAnswerTo(request(), response));
-    response.headers.set("X-Attempt-Id", "root.parent.own");
-    cr_assert(calls.isAnswerTo(request(), response));
+    cr_assert(calls.echoedId(response.headers).empty(), "a refusal may come without an id");
+    response.headers.set("x-attempt-id", "root.parent.own");
+    cr_assert_eq(calls.echoedId(response.headers), "root.parent.own");
+    cr_assert_eq(calls.echoedId(request().headers), "root.parent.own");
 }
--- a/tests/platform/TestNodeOnPlatform.cpp
+++ b/tests/platform/TestNodeOnPlatform.cpp
@@ -196,6 +196,7 @@
     machine.start();
     for (const auto &it : {
                  Case{"shed", UpstreamFault::Shed, 200},
+                 Case{"shed-twice", UpstreamFault::ShedTwice, 200},
                  Case{"crash", UpstreamFault::Crash, 502},
                  Case{"truncated", UpstreamFault::Truncate, 502},
                  Case{"extra-answer", UpstreamFault::ExtraAnswer, 200},
--- a/tests/standins/platform/UpstreamStandIn.h
+++ b/tests/standins/platform/UpstreamStandIn.h
@@ -22,6 +22,7 @@
 enum class UpstreamFault {
     None,
     Shed,        ///< Says that it did not run.
+    ShedTwice,   ///< Says so once more before the connection's next answer.
     Crash,       ///< Runs it, and closes the connection without an answer.
     Truncate,    ///< Breaks the answer off in the middle of its body.
     ExtraAnswer, ///< Sends a second answer after the whole one.
@@ -76,6 +77,7 @@
     auto serve(Socket socket) -> transport::Task<void>
     {
         auto buffer = boost::beast::flat_buffer();
+        auto lateCopy = std::string();
         while (true) {
             auto request = Request();
             const auto [ec, n] =
@@ -83,7 +85,9 @@
             if (ec)
                 co_return;
             const auto fault = m_fault.exchange(UpstreamFault::None);
-            const auto text = answerTo(request, fault);
+            const auto answer = answerTo(request, fault);
+            const auto text = lateCopy + answer;
+            lateCopy = fault == UpstreamFault::ShedTwice ? answer : std::string();
             const auto [writeError, written] =
                     co_await boost::asio::async_write(socket, boost::asio::buffer(text), asTuple);
             const auto isLast = fault == UpstreamFault::Crash || fault == UpstreamFault::Truncate
@@ -99,7 +103,7 @@
         const auto expected = request["X-Expect-Instance"];
         if (!expected.empty() && expected != m_instance)
             return unrun("421 Misdirected Request", attempt);
-        if (fault == UpstreamFault::Shed)
+        if (fault == UpstreamFault::Shed || fault == UpstreamFault::ShedTwice)
             return unrun("503 Service Unavailable", attempt);
         ++m_runs;
         const auto whole = answer(attempt, true);
@@ -118,6 +122,7 @@
             return "no answer at all\r\n\r\n";
         case UpstreamFault::None:
         case UpstreamFault::Shed:
+        case UpstreamFault::ShedTwice:
             break;
         }
         return whole;
--- a/tests/transport/TestHttpClient.cpp
+++ b/tests/transport/TestHttpClient.cpp
@@ -201,9 +201,9 @@
     return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\n" + more + "Content-Length: 2\r\n\r\nok";
 }
 
-static auto isSameId(const HttpRequest &request, const HttpResponse &response) -> bool
+static auto idIn(const HeaderList &headers) -> std::string_view
 {
-    return request.headers.find("X-Id") == response.headers.find("X-Id");
+    return headers.find("X-Id");
 }
 
 Test(HttpClient, anAnswerToAnotherRequestIsPassedOver)
@@ -225,7 +225,7 @@
     for (const auto &it : cases) {
         auto io = asio::io_context();
         auto server = ScriptedServer(io, it.bytes, true);
-        auto client = HttpClient(io, {.port = server.port(), .isAnswerTo = isSameId});
+        auto client = HttpClient(io, {.port = server.port(), .echoedId = idIn});
         auto request = get("/");
         request.headers.set("X-Id", "own");
         const auto failure = failureOf(io, client.send(request, LongTimeout, nullptr));
