Node, transport: Refuse what a stopping node could not answer

Cause: the entry stays open as long as calls run at the own gate, since these make calls through it. It took callers' new requests as well, until the drain timeout ended the process with all that ran.

Evidence: all lost orders were accepted within their run time of the end, on new connections, were still worked on, and ended within the same 10 ms as the process. Without a long call at the gate the node ends after the stop notice and loses nothing.

Change: once the stop notice is over, a caller's request is refused (not-run, Retry-After, Connection: close) unless its deadline lies before the drain timeout; calls of requests that run at the gate are accepted. No call gets more time than the node has left. What still runs at the drain timeout is cancelled and answered truthfully before the process ends, and the leave message is sent by then.

Why it works: whatever is accepted late ends by its own deadline before the process does, and the rest has an answer.

--- a/include/stairspur/transport/HttpServer.h
+++ b/include/stairspur/transport/HttpServer.h
@@ -58,6 +58,10 @@
     /// `Connection: close`. `didFinish` runs once none is left.
     auto drain(std::function<void()> didFinish) -> void;
 
+    /// Ends what drain() would wait for: cancels the running requests, and closes their connections once each is answered.
+    /// Connections without a whole request are closed. Replaces the `didFinish` of drain().
+    auto endRequests(std::function<void()> didFinish) -> void;
+
     [[nodiscard]] auto port() const -> std::uint16_t;
     [[nodiscard]] auto connections() const -> std::uint32_t;
 
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -63,6 +63,8 @@
     auto decision = CallerDecision();
     try {
         call = readIncoming(std::move(request), *configuration, start);
+        decision = decideDuringShutdown(call, start);
+        call.deadline = m_shutdown.limit(call.deadline);
     } catch (const CallRejected &error) {
         decision = {error.reason(), error.what()};
     }
@@ -96,6 +98,14 @@
                      m_settings.service, start, m_random);
 }
 
+auto Entry::decideDuringShutdown(const IncomingCall &call, TimePoint now) const -> CallerDecision
+{
+    if (m_shutdown.accepts(call.parent.has_value(), call.deadline, now))
+        return {};
+    return {Reason::Draining, "this node shuts down; send the request to another node",
+            m_shutdown.retryAfter(now)};
+}
+
 auto Entry::refuse(const CallerDecision &decision) -> HttpResponse
 {
     m_metrics.didRefuseAtEntry(decision.refusal);
@@ -202,7 +212,7 @@
 auto Entry::executeKeyed(CallRequest request, CancellationPtr cancellation) -> Task<CallAnswer>
 {
     auto call = IncomingCall();
-    call.deadline = monotonicNow() + request.remaining;
+    call.deadline = m_shutdown.limit(monotonicNow() + request.remaining);
     call.isIdempotent = false;
     if (const auto index = *m_board.configuration.read())
         call.hasDeeperCalls = !index->deeperServices(request.service, request.level.rank()).empty();
@@ -222,7 +232,7 @@
     while (true) {
         const auto now = monotonicNow();
         if (cancellation->isCancelled())
-            co_return finalRefusal(attempts, Reason::Cancelled, Duration::zero());
+            co_return refuseCancelled(attempts, now);
         if (now >= call.deadline)
             co_return finalRefusal(attempts, Reason::DeadlineExceeded, Duration::zero());
         m_routes.refreshMembers(routes);
@@ -336,6 +346,14 @@
     return decision;
 }
 
+/// The caller of a cancelled call still waits if the call was cancelled by the end of the shutdown.
+auto Entry::refuseCancelled(const Attempts &attempts, TimePoint now) -> CallAnswer
+{
+    if (m_shutdown.hasEnded(now))
+        return finalRefusal(attempts, Reason::Draining, m_shutdown.retryAfter(now));
+    return finalRefusal(attempts, Reason::Cancelled, Duration::zero());
+}
+
 /// Returns the final answer of a call without a complete response. It is `not-run` only if no attempt may have run.
 auto Entry::finalRefusal(const Attempts &attempts, Reason reason, Duration retryAfter) -> CallAnswer
 {
--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -26,6 +26,7 @@
 #include "ObservedCalls.h"
 #include "RunningCalls.h"
 #include "ServiceRouteTable.h"
+#include "ShutdownSchedule.h"
 
 namespace stairspur::node {
 
@@ -55,6 +56,12 @@
     /// Applies the limits of a newer configuration.
     auto didChangeConfiguration() -> void { m_routes.didChangeConfiguration(); }
 
+    /// Starts the shutdown, whose notice lasts until stopAcceptingCallers(). No call runs longer than until `end`.
+    auto startShutdown(TimePoint end) -> void { m_shutdown.start(end); }
+
+    /// From now on refuses callers' requests that could still run at the end of the shutdown.
+    auto stopAcceptingCallers() -> void { m_shutdown.endNotice(); }
+
     /// Sends one call to upstreams until it has a final answer, and returns that answer.
     auto route(IncomingCall call, transport::CancellationPtr cancellation)
             -> transport::Task<transport::CallAnswer>;
@@ -80,6 +87,8 @@
     auto readIncoming(transport::HttpRequest request,
                       const config::ConfigurationIndex &configuration, TimePoint start)
             -> IncomingCall;
+    [[nodiscard]] auto decideDuringShutdown(const IncomingCall &call, TimePoint now) const
+            -> CallerDecision;
     auto refuse(const CallerDecision &decision) -> transport::HttpResponse;
     /// Records a deeper call in the observed calls, and sets the call counts in its request.
     auto recordDeeperCall(IncomingCall &call, std::uint32_t ordinal) -> void;
@@ -98,6 +107,7 @@
     auto attempt(const IncomingCall &call, ServiceRoutes &routes, Attempts &attempts,
                  const NodeId &node, const transport::CancellationPtr &cancellation)
             -> transport::Task<void>;
+    auto refuseCancelled(const Attempts &attempts, TimePoint now) -> transport::CallAnswer;
     auto finalRefusal(const Attempts &attempts, Reason reason, Duration retryAfter)
             -> transport::CallAnswer;
     /// Returns whether the service's bucket has a token for the call, and records the demand for it.
@@ -125,6 +135,7 @@
     ServiceRouteTable m_routes;
     ObservedCalls m_observedCalls;
     DeeperFloorReporter m_floorReporter;
+    ShutdownSchedule m_shutdown;
     const CallProtocol *m_protocol; ///< Null for the product's own protocol.
 };
 
--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -20,6 +20,8 @@
 
 /// Time between two updates of the traffic threads' state for the metrics.
 static constexpr auto PublishInterval = Duration{1'000'000};
+/// Time after the drain timeout in which the last answers are written.
+static constexpr auto MaxAnswerTime = Duration{200'000};
 
 static auto seed() -> std::uint64_t
 {
@@ -244,10 +246,12 @@
             return;
         log::Line(log::Severity::Info, "drain-started").add("cause", cause);
         m_board.stage.publish(NodeStage::Draining);
+        const auto end = monotonicNow() + m_settings.drainTimeout;
+        asio::post(m_entryThread.io(), [this, end] { m_entry.startShutdown(end); });
         m_drainTimer.expires_after(m_settings.drainTimeout);
         m_drainTimer.async_wait([this](const boost::system::error_code &ec) {
             if (!ec)
-                finishDrain(false);
+                endRequests();
         });
         stopAcceptingCallers();
     });
@@ -271,6 +275,7 @@
 
 auto Node::stopAcceptingCalls() -> void
 {
+    asio::post(m_entryThread.io(), [this] { m_entry.stopAcceptingCallers(); });
     m_controlPlane->announceDraining();
     drainGate();
 }
@@ -294,13 +299,38 @@
 
 auto Node::drainEntry() -> void
 {
+    leave();
+    asio::post(m_entryThread.io(), [this] {
+        m_entryServer.drain([this] { asio::post(m_control.io(), [this] { drainPeers(); }); });
+    });
+}
+
+auto Node::leave() -> void
+{
+    if (std::exchange(m_isLeaving, true))
+        return;
     m_board.stage.publish(NodeStage::Stopping);
     m_controlPlane->leave([this] {
         m_hasLeft = true;
         finishDrainIfDone();
     });
+}
+
+/// Ends the shutdown after the drain timeout. Each request that still runs at the entry is answered first, since its caller
+/// waits; callers of the calls that run at the gate are answered by their own entries.
+auto Node::endRequests() -> void
+{
+    if (m_isStopped)
+        return;
+    leave();
+    m_drainTimer.expires_after(MaxAnswerTime);
+    m_drainTimer.async_wait([this](const boost::system::error_code &ec) {
+        if (!ec)
+            finishDrain(false);
+    });
     asio::post(m_entryThread.io(), [this] {
-        m_entryServer.drain([this] { asio::post(m_control.io(), [this] { drainPeers(); }); });
+        m_entryServer.endRequests(
+                [this] { asio::post(m_control.io(), [this] { finishDrain(false); }); });
     });
 }
 
--- a/source/node/Node.h
+++ b/source/node/Node.h
@@ -62,6 +62,8 @@
     auto drainKeys() -> void;
     auto drainEntry() -> void;
     auto drainPeers() -> void;
+    auto leave() -> void;
+    auto endRequests() -> void;
     auto sendToGate(const NodeId &to, const std::string &payload) -> void;
     auto requestTokens(const NodeId &grantor, const std::string &payload) -> void;
     auto finishDrainIfDone() -> void;
@@ -92,6 +94,7 @@
     transport::Timer m_noticeTimer;
     bool m_isDraining = false;
     bool m_arePeersDrained = false;
+    bool m_isLeaving = false;
     bool m_hasLeft = false; ///< The leave message to the other nodes has been sent.
     bool m_isStopped = false;
     std::promise<bool> m_stopped;
--- a/source/transport/HttpConnection.h
+++ b/source/transport/HttpConnection.h
@@ -74,6 +74,15 @@
             abort();
     }
 
+    auto endRequest() -> void override
+    {
+        m_isDraining = true;
+        cancelHandler();
+        auto ec = boost::system::error_code();
+        if (m_isWaitingForRead && m_stream.lowest_layer().available(ec) == 0)
+            abort();
+    }
+
     auto abort() -> void override
     {
         auto ec = boost::system::error_code();
--- a/source/transport/HttpConnectionBase.h
+++ b/source/transport/HttpConnectionBase.h
@@ -13,6 +13,8 @@
     virtual ~HttpConnectionBase() = default;
     /// Closes at once when idle, else after the answer to the running request.
     virtual auto drain() -> void = 0;
+    /// Cancels a running handler, and closes after its answer; closes at once while no whole request is there.
+    virtual auto endRequest() -> void = 0;
     /// Closes at once; a running handler is cancelled.
     virtual auto abort() -> void = 0;
 };
--- a/source/transport/HttpServer.cpp
+++ b/source/transport/HttpServer.cpp
@@ -51,6 +51,16 @@
         finishIfDrained();
     }
 
+    auto endRequests(std::function<void()> didFinish) -> void
+    {
+        m_didFinish = std::move(didFinish);
+        m_isDraining = true;
+        m_tcp->close();
+        for (auto *it : m_connections)
+            it->endRequest();
+        finishIfDrained();
+    }
+
     auto setLimits(const HttpServerSettings &settings) -> void
     {
         auto &own = m_context->settings;
@@ -164,6 +174,11 @@
     m_listener->drain(std::move(didFinish));
 }
 
+auto HttpServer::endRequests(std::function<void()> didFinish) -> void
+{
+    m_listener->endRequests(std::move(didFinish));
+}
+
 auto HttpServer::port() const -> std::uint16_t
 {
     return m_listener->port();
--- a/tests/standins/platform/UpstreamStandIn.h
+++ b/tests/standins/platform/UpstreamStandIn.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
+#include <mutex>
+#include <set>
 #include <string>
 
 #include <boost/asio/as_tuple.hpp>
@@ -9,6 +12,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -46,6 +50,13 @@
     [[nodiscard]] auto port() const -> std::uint16_t { return m_acceptor.local_endpoint().port(); }
     [[nodiscard]] auto runs() const -> int { return m_runs; }
 
+    /// Returns whether it has begun to work on a request that asks for a work time.
+    [[nodiscard]] auto hasBegun(const std::string &attempt) const -> bool
+    {
+        const auto lock = std::scoped_lock(m_mutex);
+        return m_begun.contains(attempt);
+    }
+
     /// The next request meets this fault, the ones after it none.
     auto failNext(UpstreamFault fault) -> void { m_fault = fault; }
 
@@ -85,6 +96,7 @@
             if (ec)
                 co_return;
             const auto fault = m_fault.exchange(UpstreamFault::None);
+            co_await work(request);
             const auto answer = answerTo(request, fault);
             const auto text = lateCopy + answer;
             lateCopy = fault == UpstreamFault::ShedTwice ? answer : std::string();
@@ -97,6 +109,21 @@
         }
     }
 
+    /// Works for as many milliseconds as the request asks for.
+    auto work(const Request &request) -> transport::Task<void>
+    {
+        const auto text = std::string(request["X-Work-Ms"]);
+        if (text.empty())
+            co_return;
+        {
+            const auto lock = std::scoped_lock(m_mutex);
+            m_begun.insert(std::string(request["X-Attempt-Id"]));
+        }
+        auto timer = boost::asio::steady_timer(m_acceptor.get_executor(),
+                                               std::chrono::milliseconds(std::stoi(text)));
+        co_await timer.async_wait(asTuple);
+    }
+
     auto answerTo(const Request &request, UpstreamFault fault) -> std::string
     {
         const auto attempt = std::string(request["X-Attempt-Id"]);
@@ -156,6 +183,8 @@
     std::atomic<int> m_runs = 0;
     std::atomic<int> m_rateLimit = 0;
     std::atomic<bool> m_isLeaving = false;
+    mutable std::mutex m_mutex;
+    std::set<std::string> m_begun; ///< Attempt ids.
 };
 
 } // namespace stairspur::standin
--- a/tests/transport/TestHttpServer.cpp
+++ b/tests/transport/TestHttpServer.cpp
@@ -288,6 +288,38 @@
     cr_assert_eq(server.connections(), 0);
 }
 
+/// Guards against requests whose connection closes without an answer when the server ends.
+Test(HttpServer, endRequestsCancelsRunningRequestsAndAnswersThem)
+{
+    auto io = asio::io_context();
+    auto isCancelled = Event(io);
+    auto isRunning = false;
+    auto server = HttpServer(
+            io, settings(), [&](HttpRequest, CancellationPtr cancellation) -> Task<HttpResponse> {
+                isRunning = true;
+                cancellation->onCancel([&] { isCancelled.set(); });
+                co_await isCancelled.wait();
+                co_return HttpResponse{.status = 503, .headers = {}, .body = "not run"};
+            });
+    server.start();
+    auto halfRead = RawPeer(io, server.port());
+    halfRead.write("GET /b HTTP/1.1\r\nHo");
+    auto busy = RawPeer(io, server.port());
+    busy.write(GoodRequest);
+    runUntil(io, [&] { return isRunning; });
+    auto hasDrained = false;
+    server.drain([&] { hasDrained = true; });
+    auto hasEnded = false;
+    server.endRequests([&] { hasEnded = true; });
+    const auto answer = busy.readAll();
+    cr_assert(answer.find("Connection: close") != std::string::npos);
+    cr_assert(answer.ends_with("not run"));
+    cr_assert_eq(halfRead.readAll(), "");
+    runUntil(io, [&] { return hasEnded; });
+    cr_assert(!hasDrained, "one of the two handlers runs");
+    cr_assert_eq(server.connections(), 0);
+}
+
 Test(HttpServer, takenPortIsASettingError)
 {
     auto io = asio::io_context();
