Membership: Let a leaving of a later process end the earlier one

Callers saw: a backend server crashed, started again under its id and announced `draining` first.

Cause: a server that leaves does not replace one that serves, which protects successors from late messages. The rule did not ask which of two processes of one name had started first, so the crashed process counted as serving until its silence had lasted five heartbeats.

Evidence: `backend-leaving` names the new start time; its later heartbeats are ignored with the reason `leaving`, not `outdated`; the requests pass this server's own gate. DELETE with the new start time behaves the same.

Change: a leaving under the current one's name with a later start ends the current process, whether it comes by heartbeat, DELETE or another node's record. Leaving instances are also recorded by an id that orders the processes of a name by their start, so that a restarted node recognizes late heartbeats of the former process. A process that counts as ended returns only if it announces itself without pauses, and for five heartbeats if a later one of its name leaves.

Why it works: a name is used by one process at a time, so that the later start proves the end of the earlier process.

--- a/include/stairspur/membership/Announcement.h
+++ b/include/stairspur/membership/Announcement.h
@@ -31,6 +31,14 @@
 /// Returns the identity of a process instance in messages between nodes; 0 if it has no name.
 auto instanceIdOf(const BackendIncarnation &incarnation) -> std::uint64_t;
 
+/// Returns an id by which the process instances of one name are ordered by their start; see isLaterStart(). 0 if the instance
+/// has no name or no start time.
+auto startIdOf(const BackendIncarnation &incarnation) -> std::uint64_t;
+
+/// Returns whether `id` is the startIdOf() a later process instance with the name of `incarnation`. With a probability of one
+/// in a million it is that of another name, or an instanceIdOf().
+auto isLaterStart(std::uint64_t id, const BackendIncarnation &incarnation) -> bool;
+
 /// The state of a backend server, which it sends to the node of its host every second.
 struct Announcement
 {
--- a/include/stairspur/membership/BackendAnnouncements.h
+++ b/include/stairspur/membership/BackendAnnouncements.h
@@ -16,6 +16,7 @@
 /// as left.
 ///
 /// A server that restarts is a new process instance, with a new name or with the same name and a later start time.
+/// A message of the later one ends the earlier one, whatever it says; a name is used by one process at a time.
 /// Late announcements of an ended process instance are ignored, whatever their sequence number. Start times are read
 /// from the host's clock, which may be set back between two process instances. An instance with an earlier start time
 /// than the current one is therefore accepted if it announces itself for a third of the timeout while the current one
@@ -88,6 +89,7 @@
         BackendIncarnation incarnation;
         std::uint64_t sequence = 0;
         TimePoint since;
+        TimePoint lastSeen;
     };
 
     [[nodiscard]] auto effectiveState() const -> ServingState;
@@ -101,6 +103,9 @@
     /// Returns whether the process instance has ended or started before another one of the same name.
     [[nodiscard]] auto hasEnded(const BackendIncarnation &incarnation) const -> bool;
     [[nodiscard]] auto isCurrent(const BackendIncarnation &incarnation) const -> bool;
+    [[nodiscard]] auto isRetired(const BackendIncarnation &incarnation) const -> bool;
+    /// Records that the current process instance has ended.
+    auto endCurrent() -> void;
     [[nodiscard]] auto reasonToIgnore(const Announcement &announcement) const
             -> std::optional<IgnoreReason>;
     [[nodiscard]] auto lastIncarnationOf(const std::string &instance) const
@@ -111,6 +116,8 @@
     /// Returns whether a process instance that counted as ended still announces itself while its successor sends
     /// nothing.
     auto isConfirmedReturn(const Announcement &announcement, TimePoint now) -> bool;
+    [[nodiscard]] auto maxReturnPause() const -> Duration;
+    [[nodiscard]] auto minReturnTime(const BackendIncarnation &incarnation) const -> Duration;
     [[nodiscard]] auto isReturnCandidate(const BackendIncarnation &incarnation) const -> bool;
 
     Duration m_timeout;
--- a/source/membership/Announcement.cpp
+++ b/source/membership/Announcement.cpp
@@ -19,6 +19,23 @@
     return std::max(id, std::uint64_t{1});
 }
 
+/// Bits of a start id for the start time, in milliseconds; they last for 557 years. The bits above are a hash of the name.
+static constexpr auto StartBits = 44U;
+static constexpr auto MaxStart = (std::uint64_t{1} << StartBits) - 1;
+
+auto startIdOf(const BackendIncarnation &incarnation) -> std::uint64_t
+{
+    if (incarnation.instance.empty() || incarnation.startedAtMs == 0)
+        return 0;
+    return (hash64(incarnation.instance) & ~MaxStart) | std::min(incarnation.startedAtMs, MaxStart);
+}
+
+auto isLaterStart(std::uint64_t id, const BackendIncarnation &incarnation) -> bool
+{
+    const auto own = startIdOf(incarnation);
+    return own != 0 && id > own && (id & ~MaxStart) == (own & ~MaxStart);
+}
+
 static constexpr auto MaxPort = std::uint64_t{65'535};
 static constexpr auto MaxSlots = std::uint64_t{100'000};
 
--- a/source/membership/BackendAnnouncements.cpp
+++ b/source/membership/BackendAnnouncements.cpp
@@ -5,6 +5,9 @@
 
 namespace stairspur::membership {
 
+/// Far more process instances than one host starts while an announcement is in transit.
+static constexpr auto MaxRetired = std::size_t{32};
+
 static auto acceptsWork(ServingState state) -> bool
 {
     return state == ServingState::Starting || state == ServingState::Serving;
@@ -35,11 +38,16 @@
     return m_current && m_current->incarnation == incarnation;
 }
 
+auto BackendAnnouncements::isRetired(const BackendIncarnation &incarnation) const -> bool
+{
+    return std::ranges::find(m_retired, incarnation) != m_retired.end();
+}
+
 auto BackendAnnouncements::isLeaving(const BackendIncarnation &incarnation) const -> bool
 {
     if (incarnation.instance.empty())
         return m_isUnnamedLeaving;
-    return m_leaving.contains(instanceIdOf(incarnation));
+    return m_leaving.contains(incarnation);
 }
 
 auto BackendAnnouncements::recordLeaving(const BackendIncarnation &incarnation) -> bool
@@ -48,7 +56,16 @@
         return !std::exchange(m_isUnnamedLeaving, true);
     if (isReturnCandidate(incarnation))
         m_isContested = true;
-    return m_leaving.add(instanceIdOf(incarnation));
+    if (m_current && !isRetired(incarnation)
+        && isLaterStart(startIdOf(incarnation), m_current->incarnation))
+        endCurrent();
+    return m_leaving.add(incarnation);
+}
+
+auto BackendAnnouncements::endCurrent() -> void
+{
+    m_announcedState = ServingState::Left;
+    retire(m_current->incarnation);
 }
 
 auto BackendAnnouncements::didStateLeaving(const BackendIncarnation &incarnation)
@@ -66,8 +83,11 @@
                                         std::uint64_t receivedAtMs) -> bool
 {
     m_leftByNameAtMs = std::max(m_leftByNameAtMs, receivedAtMs);
-    for (const auto id : ids)
-        m_leaving.add(id);
+    for (const auto id : ids) {
+        const auto isNew = m_leaving.add(id);
+        if (isNew && m_current && isLaterStart(id, m_current->incarnation))
+            endCurrent();
+    }
     if (m_current && hasLeftByName(m_current->incarnation))
         recordLeaving(m_current->incarnation);
     return refreshState();
@@ -101,10 +121,13 @@
 {
     if (incarnation.instance.empty())
         return false;
-    if (std::ranges::find(m_retired, incarnation) != m_retired.end())
+    if (isRetired(incarnation))
         return true;
+    if (isCurrent(incarnation))
+        return false;
     const auto last = lastIncarnationOf(incarnation.instance);
-    return last && incarnation.startedAtMs < last->startedAtMs;
+    return m_leaving.containsLaterThan(incarnation)
+           || (last && incarnation.startedAtMs < last->startedAtMs);
 }
 
 auto BackendAnnouncements::reasonToIgnore(const Announcement &announcement) const
@@ -118,7 +141,7 @@
         return IgnoreReason::Outdated;
     // A server that leaves does not take the place of one that serves.
     const auto wouldReplace =
-            m_current && !isCurrent(announcement.incarnation) && acceptsWork(m_current->state);
+            m_current && !isCurrent(announcement.incarnation) && acceptsWork(effectiveState());
     if (wouldReplace && isLeaving(announcement.incarnation))
         return IgnoreReason::Leaving;
     return std::nullopt;
@@ -129,7 +152,7 @@
     if (incarnation.instance.empty())
         return;
     m_retired.push_back(incarnation);
-    if (m_retired.size() > LeavingInstances::MaxInstances)
+    if (m_retired.size() > MaxRetired)
         m_retired.pop_front();
 }
 
@@ -141,23 +164,36 @@
 
 /// A node that has just started may receive a late announcement of an ended process instance after the first one of
 /// the running instance, and regard the ended one as newer. A clock that was set back makes a new instance appear
-/// earlier than its predecessor. Late announcements arrive together when a network partition ends; an instance that
-/// announces itself over some time is running.
+/// earlier than its predecessor. Late announcements arrive together when a network partition ends, or one by one; an
+/// instance that announces itself without a pause is running.
 auto BackendAnnouncements::isConfirmedReturn(const Announcement &announcement, TimePoint now)
         -> bool
 {
-    /// Fraction of the timeout that counts as silence. With three announcements in it, two in a row are needed.
-    static constexpr auto ReturnDivisor = 3;
     if (isLeaving(announcement.incarnation))
         return false;
     const auto isSameCandidate = isReturnCandidate(announcement.incarnation)
-                                 && m_returnCandidate->sequence < announcement.sequence;
-    if (!isSameCandidate) {
-        m_returnCandidate = ReturnCandidate{announcement.incarnation, announcement.sequence, now};
-        return false;
-    }
+                                 && m_returnCandidate->sequence < announcement.sequence
+                                 && now - m_returnCandidate->lastSeen <= maxReturnPause();
+    if (!isSameCandidate)
+        m_returnCandidate = ReturnCandidate{announcement.incarnation, 0, now, now};
     m_returnCandidate->sequence = announcement.sequence;
-    return now - m_returnCandidate->since >= m_timeout / ReturnDivisor;
+    m_returnCandidate->lastSeen = now;
+    return isSameCandidate
+           && now - m_returnCandidate->since >= minReturnTime(announcement.incarnation);
+}
+
+/// Returns the longest pause between two announcements of an instance that runs. The usual one is a fifth of the timeout.
+auto BackendAnnouncements::maxReturnPause() const -> Duration
+{
+    static constexpr auto ReturnDivisor = 3;
+    return m_timeout / ReturnDivisor;
+}
+
+/// Returns for how long an instance that counted as ended must announce itself. Requests to it would reach a later
+/// instance of its name, so that it takes longer if that one leaves.
+auto BackendAnnouncements::minReturnTime(const BackendIncarnation &incarnation) const -> Duration
+{
+    return m_leaving.containsLaterThan(incarnation) ? m_timeout : maxReturnPause();
 }
 
 /// Returns whether a server without a start time would replace one that sends it. The two are of different
--- a/source/membership/LeavingMessage.cpp
+++ b/source/membership/LeavingMessage.cpp
@@ -46,7 +46,7 @@
         fail("an item is missing");
     auto message = LeavingMessage();
     message.isReply = parts[0].get<bool>();
-    for (const auto &it : readList(parts[1], LeavingInstances::MaxInstances))
+    for (const auto &it : readList(parts[1], LeavingInstances::MaxIds))
         message.ids.push_back(readUnsigned(it));
     for (const auto &it : readList(parts[2], MaxReplicas))
         message.replicas.push_back(readNode(it));
--- a/tests/membership/TestLeavingProperties.cpp
+++ b/tests/membership/TestLeavingProperties.cpp
@@ -63,6 +63,7 @@
         TimePoint nextHeartbeat;
         TimePoint leavesAt;
         TimePoint endsAt;
+        bool crashes = false; ///< Ends without a leaving.
         bool isLeaving = false;
         bool usesDelete = false;
         bool statesInAnswers = false;
@@ -90,8 +91,10 @@
         const auto number = std::to_string(m_keepsName ? 1 : m_instances.size() + 1);
         instance.incarnation = {"i-" + number, m_hasStartTimes ? unixMilliseconds() : 0};
         instance.nextHeartbeat = m_now;
-        instance.leavesAt = m_now + random(3 * Second, 20 * Second);
+        // Some processes leave before they have announced that they serve.
+        instance.leavesAt = happens(4) ? m_now : m_now + random(3 * Second, 20 * Second);
         instance.endsAt = instance.leavesAt + random(Second, 8 * Second);
+        instance.crashes = happens(4);
         instance.usesDelete = happens(3);
         instance.deletesByName = !m_keepsName && happens(2);
         instance.statesInAnswers = !instance.usesDelete && happens(4);
@@ -152,7 +155,7 @@
         const auto isLast = index + 1 == m_instances.size();
         // In the calm end the last instance goes on, unless it leaves already.
         const auto mayLeave = !(m_isCalm && isLast && !it.isLeaving);
-        if (mayLeave && !it.isLeaving && m_now >= it.leavesAt) {
+        if (mayLeave && !it.crashes && !it.isLeaving && m_now >= it.leavesAt) {
             it.isLeaving = true;
             sendLeaving(index);
         }
@@ -283,10 +286,19 @@
         return m_node->current() && m_node->current()->incarnation == it.incarnation;
     }
 
+    /// Returns whether requests to the current process instance reach this one. A request names the instance, so that it reaches
+    /// the process that runs under this name.
+    [[nodiscard]] auto isReached(std::size_t index) const -> bool
+    {
+        if (!m_keepsName)
+            return isCurrent(m_instances[index]);
+        return index + 1 == m_instances.size();
+    }
+
     auto expectNothingSent() const -> void
     {
         for (const auto index : m_acknowledged)
-            cr_assert(!m_node->isServing() || !isCurrent(m_instances[index]),
+            cr_assert(!m_node->isServing() || !isReached(index),
                       "seed %llu: instance %zu serves after its leaving was acknowledged",
                       static_cast<unsigned long long>(m_seed), index);
     }
--- a/tests/platform/ProcessFleet.h
+++ b/tests/platform/ProcessFleet.h
@@ -115,9 +115,13 @@
     /// Announces that a process instance has left, and returns the status of the acknowledgement.
     static auto leave(const Host &host, const Backend &backend) -> unsigned
     {
+        const auto body = backend.startedAtMs == 0
+                                  ? std::string()
+                                  : "{\"born\":" + std::to_string(backend.startedAtMs) + "}";
         const auto response = exchange(host.address, ControlPort,
                                        "DELETE /v1/instances/" + backend.instance
-                                               + " HTTP/1.1\r\nHost: c\r\n\r\n");
+                                               + " HTTP/1.1\r\nHost: c\r\nContent-Length: "
+                                               + std::to_string(body.size()) + "\r\n\r\n" + body);
         return response ? response->result_int() : 0;
     }
 
--- a/tests/platform/TestAcknowledgedLeaving.cpp
+++ b/tests/platform/TestAcknowledgedLeaving.cpp
@@ -26,6 +26,8 @@
 
     auto sendReady() -> void { ProcessFleet::beat(host, backend, "ready"); }
 
+    static constexpr auto FirstStart = std::uint64_t{1'700'000'000'000};
+
     ProcessFleet fleet;
     ProcessFleet::Host &host;
     ProcessFleet::Backend &backend;
@@ -126,3 +128,20 @@
     test.fleet.drive(1s, [&] { ProcessFleet::beat(test.host, successor, "ready"); });
     cr_assert_gt(successor.server->runs(), before);
 }
+
+/// Guards against requests to a restarted backend server that leaves at once, while its former process counts as serving.
+Test(AcknowledgedLeaving, ofAServerThatHasStartedAgainUnderItsNameEndsTheFormerProcess)
+{
+    for (const auto usesDelete : {false, true}) {
+        auto test = LateRequests(usesDelete ? 101 : 102);
+        test.backend.startedAtMs = LateRequests::FirstStart;
+        test.sendReady();
+        test.fleet.drive(1s, [&] { test.sendReady(); });
+        test.backend.startedAtMs = LateRequests::FirstStart + 1;
+        test.backend.sequence = 0;
+        const auto status = usesDelete ? ProcessFleet::leave(test.host, test.backend)
+                                       : ProcessFleet::beat(test.host, test.backend, "draining");
+        cr_assert_eq(status, 200);
+        test.expectNone();
+    }
+}
