Transport: Match whole names in the Connection field

Cause: the field was searched for the name as text, and only the first of several Connection fields was read.

Change: Beast's token list compares whole names, over all Connection fields.

Test, failing before: EndToEnd::onlyWholeNamesInTheConnectionFieldEndAtThisHop.

--- a/source/transport/EndToEnd.cpp
+++ b/source/transport/EndToEnd.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <array>
+#include <string>
 
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 
 namespace stairspur::transport {
 
@@ -19,33 +21,29 @@
                                                                            "Content-Length",
                                                                            "Host"};
 
-/// Names of fields are ASCII (RFC 9110, section 5.1); a comparison by a locale costs a search for its facet each time.
-static auto startsWithName(std::string_view text, std::string_view start) -> bool
+/// Returns whether a field ends at this hop, as some always do and others where the Connection field names them (RFC 9110,
+/// section 7.6.1).
+static auto belongsToConnection(std::string_view name, std::string_view connection) -> bool
 {
-    return boost::beast::iequals(text.substr(0, start.size()), start);
+    const auto isName = [name](auto it) { return boost::beast::iequals(name, it); };
+    return std::ranges::any_of(ConnectionHeaders, isName)
+           || boost::beast::http::token_list(connection).exists(name);
 }
 
-static auto containsName(std::string_view text, std::string_view name) -> bool
+/// Returns the values of all Connection fields as one list.
+static auto connectionOptions(const HeaderList &headers) -> std::string
 {
-    for (auto rest = text; rest.size() >= name.size(); rest.remove_prefix(1)) {
-        if (startsWithName(rest, name))
-            return true;
+    auto options = std::string();
+    for (const auto &it : headers.fields()) {
+        if (boost::beast::iequals(it.name, "Connection"))
+            options += options.empty() ? it.value : "," + it.value;
     }
-    return false;
-}
-
-static auto belongsToConnection(std::string_view name, std::string_view connection) -> bool
-{
-    if (std::ranges::any_of(ConnectionHeaders,
-                            [name](auto it) { return boost::beast::iequals(name, it); }))
-        return true;
-    // The Connection field may name further fields that end at this hop.
-    return !connection.empty() && containsName(connection, name);
+    return options;
 }
 
 auto endToEndFields(const HeaderList &headers) -> std::vector<HeaderField>
 {
-    const auto connection = headers.find("Connection");
+    const auto connection = connectionOptions(headers);
     auto kept = std::vector<HeaderField>();
     for (const auto &it : headers.fields()) {
         if (!belongsToConnection(it.name, connection))
