Node, tests: Name the end of the stop notice, suspend a node that stops

Cause: Entry::stopAcceptingCallers() ended the notice that Node::stopAcceptingCallers() starts, two steps under one name. What a suspension, a second SIGTERM and SIGHUP do during the shutdown was only reasoned.

Change: endStopNotice(); a test with real processes that get all three.

--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -56,11 +56,11 @@
     /// Applies the limits of a newer configuration.
     auto didChangeConfiguration() -> void { m_routes.didChangeConfiguration(); }
 
-    /// Starts the shutdown, whose notice lasts until stopAcceptingCallers(). No call runs longer than until `end`.
+    /// Starts the shutdown, whose notice lasts until endStopNotice(). No call runs longer than until `end`.
     auto startShutdown(TimePoint end) -> void { m_shutdown.start(end); }
 
     /// From now on refuses callers' requests that could still run at the end of the shutdown.
-    auto stopAcceptingCallers() -> void { m_shutdown.endNotice(); }
+    auto endStopNotice() -> void { m_shutdown.endNotice(); }
 
     /// Sends one call to upstreams until it has a final answer, and returns that answer.
     auto route(IncomingCall call, transport::CancellationPtr cancellation)
--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -275,7 +275,7 @@
 
 auto Node::stopAcceptingCalls() -> void
 {
-    asio::post(m_entryThread.io(), [this] { m_entry.stopAcceptingCallers(); });
+    asio::post(m_entryThread.io(), [this] { m_entry.endStopNotice(); });
     m_controlPlane->announceDraining();
     drainGate();
 }
--- a/tests/platform/TestStoppingNode.cpp
+++ b/tests/platform/TestStoppingNode.cpp
@@ -51,13 +51,23 @@
             if (Clock::now() >= nextHeartbeat) {
                 nextHeartbeat += ProcessFleet::HeartbeatInterval;
                 fleet.sendOtherHeartbeats();
-                ProcessFleet::beat(m_host, *m_host.backends[0], "ready");
+                if (!m_isSuspended)
+                    ProcessFleet::beat(m_host, *m_host.backends[0], "ready");
             }
             everyPause();
             std::this_thread::sleep_for(Pause);
         }
     }
 
+    /// Suspends or resumes the stopping node. Its heartbeats pause meanwhile, since nobody would answer them.
+    auto setSuspended(bool isSuspended) -> void
+    {
+        m_isSuspended = isSuspended;
+        m_host.node->signal(isSuspended ? SIGSTOP : SIGCONT);
+    }
+
+    auto signal(int number) const -> void { m_host.node->signal(number); }
+
     /// Sends a request through the stopping node, on a connection of its own.
     auto sendOrder(std::chrono::milliseconds work, std::chrono::milliseconds deadline) -> void
     {
@@ -113,6 +123,7 @@
     }
 
     ProcessFleet::Host &m_host;
+    bool m_isSuspended = false;
     std::mutex m_mutex;
     std::map<std::string, unsigned> m_sent; ///< Status by attempt id; 0 without a response.
     std::vector<std::future<void>> m_requests;
@@ -145,3 +156,27 @@
     cr_expect_eq(test.countOf(502) + test.countOf(504), 5,
                  "nobody can promise that they did not run");
 }
+
+/// Guards against requests that are lost because the process is suspended, or gets other signals, while it stops.
+Test(StoppingNode, answersAllBesideASuspensionAndFurtherSignals)
+{
+    auto test = StoppingNode(112);
+    test.occupyBackends(8s);
+    const auto start = Clock::now();
+    auto wasSuspended = false;
+    auto wasResumed = false;
+    test.stop(6500ms, [&] {
+        test.sendOrder(800ms, 5s);
+        if (!wasSuspended && Clock::now() - start > 2s) {
+            wasSuspended = true;
+            test.signal(SIGTERM);
+            test.signal(SIGHUP);
+            test.setSuspended(true);
+        }
+        if (!wasResumed && Clock::now() - start > 4s) {
+            wasResumed = true;
+            test.setSuspended(false);
+        }
+    });
+    test.expectNothingLost();
+}
