Membership, node: Reword comments, keep a check of the property test

The comments on ended and returning process instances had fallen behind the code, and the property test no longer failed for an acknowledged instance that is not the last of its name but counts as the current one.

Change: comments; that check holds again, beside the new one.

--- a/include/stairspur/membership/Announcement.h
+++ b/include/stairspur/membership/Announcement.h
@@ -35,8 +35,8 @@
 /// has no name or no start time.
 auto startIdOf(const BackendIncarnation &incarnation) -> std::uint64_t;
 
-/// Returns whether `id` is the startIdOf() a later process instance with the name of `incarnation`. With a probability of one
-/// in a million it is that of another name, or an instanceIdOf().
+/// Returns whether `id` is the startIdOf() of a later process instance with the name of `incarnation`. An unrelated id is
+/// mistaken for one with a probability of one in a million.
 auto isLaterStart(std::uint64_t id, const BackendIncarnation &incarnation) -> bool;
 
 /// The state of a backend server, which it sends to the node of its host every second.
--- a/include/stairspur/membership/BackendAnnouncements.h
+++ b/include/stairspur/membership/BackendAnnouncements.h
@@ -15,12 +15,13 @@
 /// Tracks the one backend server of this host by its announcements. A server that sends none for the timeout counts
 /// as left.
 ///
-/// A server that restarts is a new process instance, with a new name or with the same name and a later start time.
-/// A message of the later one ends the earlier one, whatever it says; a name is used by one process at a time.
-/// Late announcements of an ended process instance are ignored, whatever their sequence number. Start times are read
-/// from the host's clock, which may be set back between two process instances. An instance with an earlier start time
-/// than the current one is therefore accepted if it announces itself for a third of the timeout while the current one
-/// sends nothing.
+/// A server that restarts is a new process instance, with a new name or with the same name and a later start time. A
+/// name is used by one process at a time, so that any message of the later one proves that the earlier one has ended.
+/// Late announcements of an ended process instance are ignored, whatever their sequence number.
+///
+/// Start times are read from the host's clock, which may be set back between two process instances. An instance that
+/// seems to have ended is therefore accepted if it announces itself without a pause for a third of the timeout while
+/// the current one sends nothing; for the whole timeout if a later instance of its name leaves.
 ///
 /// A process instance that leaves never serves again. Each message that says so is recorded, whatever its order and
 /// whether or not it belongs to the current instance, so that its acknowledgement holds. A server without a name is
@@ -116,7 +117,9 @@
     /// Returns whether a process instance that counted as ended still announces itself while its successor sends
     /// nothing.
     auto isConfirmedReturn(const Announcement &announcement, TimePoint now) -> bool;
+    /// Returns the longest pause between two announcements of an instance that runs.
     [[nodiscard]] auto maxReturnPause() const -> Duration;
+    /// Returns for how long an instance that counted as ended must announce itself.
     [[nodiscard]] auto minReturnTime(const BackendIncarnation &incarnation) const -> Duration;
     [[nodiscard]] auto isReturnCandidate(const BackendIncarnation &incarnation) const -> bool;
 
--- a/source/membership/BackendAnnouncements.cpp
+++ b/source/membership/BackendAnnouncements.cpp
@@ -182,15 +182,14 @@
            && now - m_returnCandidate->since >= minReturnTime(announcement.incarnation);
 }
 
-/// Returns the longest pause between two announcements of an instance that runs. The usual one is a fifth of the timeout.
+/// A running instance announces itself five times in the timeout.
 auto BackendAnnouncements::maxReturnPause() const -> Duration
 {
     static constexpr auto ReturnDivisor = 3;
     return m_timeout / ReturnDivisor;
 }
 
-/// Returns for how long an instance that counted as ended must announce itself. Requests to it would reach a later
-/// instance of its name, so that it takes longer if that one leaves.
+/// Requests to an instance reach whichever process runs under its name, also a later one that leaves.
 auto BackendAnnouncements::minReturnTime(const BackendIncarnation &incarnation) const -> Duration
 {
     return m_leaving.containsLaterThan(incarnation) ? m_timeout : maxReturnPause();
--- a/source/node/Node.cpp
+++ b/source/node/Node.cpp
@@ -305,6 +305,7 @@
     });
 }
 
+/// Sends the leave message. It is sent once, by the end of the drain timeout at the latest.
 auto Node::leave() -> void
 {
     if (std::exchange(m_isLeaving, true))
--- a/tests/membership/TestLeavingProperties.cpp
+++ b/tests/membership/TestLeavingProperties.cpp
@@ -286,13 +286,12 @@
         return m_node->current() && m_node->current()->incarnation == it.incarnation;
     }
 
-    /// Returns whether requests to the current process instance reach this one. A request names the instance, so that it reaches
-    /// the process that runs under this name.
+    /// Returns whether requests to the current process instance reach this one: it is the current one, or runs under the name of
+    /// that.
     [[nodiscard]] auto isReached(std::size_t index) const -> bool
     {
-        if (!m_keepsName)
-            return isCurrent(m_instances[index]);
-        return index + 1 == m_instances.size();
+        const auto isLast = index + 1 == m_instances.size();
+        return isCurrent(m_instances[index]) || (m_keepsName && isLast);
     }
 
     auto expectNothingSent() const -> void
