Log, node: Log what happens to calls that must run once

The users' record of requests that ran twice has no line that names one: lines of decisions are sampled, and each is cut after 200 characters, before the id, the upstream and the attempt.

Audit lines are never sampled and count against a bound of their own (500 per second after a burst of 5,000; what is beyond is counted in log-dropped). They tell of a call that must run once: each further send (retry), a promise to its caller after a send (promise), a backend server that did not run it (backend-not-run), and late or nameless answers. A gate learns from an appended item of the call whether it must run once; older nodes pass over it and send none.

Lines begin with the id, the decision and the upstream. IncomingCall::isIdempotent is the same fact and goes.

--- a/include/stairspur/log/Log.h
+++ b/include/stairspur/log/Log.h
@@ -26,6 +26,12 @@
 
 namespace stairspur::log {
 
+/// Which bound a line counts against. Each kind has its own, so that a flood of one does not displace the other.
+enum class LineKind {
+    Ordinary,
+    Audit, ///< An event about which somebody may ask later, such as a request that is sent again. Never sampled.
+};
+
 /// Settings of the log: which lines are written, and the node that they name.
 struct LogSettings
 {
@@ -68,7 +74,7 @@
 class Line
 {
 public:
-    Line(Severity severity, std::string_view event);
+    Line(Severity severity, std::string_view event, LineKind kind = LineKind::Ordinary);
     ~Line();
     Line(const Line &) = delete;
     Line(Line &&) = delete;
@@ -104,6 +110,7 @@
 
 private:
     Severity m_severity;
+    LineKind m_kind;
     bool m_isEnabled;
     std::string m_text;
 };
--- a/include/stairspur/transport/CallMessages.h
+++ b/include/stairspur/transport/CallMessages.h
@@ -38,6 +38,7 @@
     /// What the sender knows of the statement of the receiver's backend server.
     admission::InstanceStatement statement{};
     std::string originService{}; ///< Of the backend server on the host where the request began.
+    bool mustRunOnce = false;    ///< The call is not idempotent.
     std::string method;
     std::string target;
     HeaderList headers; ///< End-to-end headers only.
--- a/source/log/Log.cpp
+++ b/source/log/Log.cpp
@@ -9,6 +9,8 @@
 
 #include <easylogging++.h>
 
+#include <stairspur/core/TokenBucket.h>
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace stairspur::log {
@@ -17,6 +19,10 @@
 /// delay traffic.
 static constexpr auto MaxPendingLines = std::size_t{20000};
 
+/// Audit lines that may be written per second, and those that may be written at once after a quiet time.
+static constexpr auto AuditLinesPerSecond = 500.0;
+static constexpr auto AuditLineBurst = 5000.0;
+
 /// Time for which the writer collects lines before it writes them in one batch. A wakeup and a system call for each
 /// line would cost several times as much as the line itself. Warnings and errors are written immediately.
 static constexpr auto BatchInterval = std::chrono::milliseconds(50);
@@ -53,14 +59,12 @@
         m_thread.join();
     }
 
-    auto push(Severity severity, std::string text) -> void
+    auto push(Severity severity, LineKind kind, std::string text) -> void
     {
         {
             const auto lock = std::scoped_lock(m_mutex);
-            if (m_pending.size() >= MaxPendingLines) {
-                ++m_dropped;
+            if (!admits(kind))
                 return;
-            }
             m_pending.push_back({severity, std::move(text)});
             const auto wasUrgent = std::exchange(m_isUrgent, m_isUrgent || isUrgent(severity));
             if (m_pending.size() > 1 && wasUrgent == m_isUrgent)
@@ -82,6 +86,19 @@
     [[nodiscard]] auto suffix() const -> const std::string & { return m_suffix; }
 
 private:
+    /// Counts a line against the bound of its kind. Returns whether it may be written.
+    auto admits(LineKind kind) -> bool
+    {
+        if (kind == LineKind::Audit) {
+            const auto isAdmitted = m_auditBudget.tryTake(monotonicNow());
+            m_droppedAudit += isAdmitted ? 0 : 1;
+            return isAdmitted;
+        }
+        const auto isAdmitted = m_ordinaryPending < MaxPendingLines;
+        ++(isAdmitted ? m_ordinaryPending : m_dropped);
+        return isAdmitted;
+    }
+
     static auto isUrgent(Severity severity) -> bool { return severity >= Severity::Warning; }
 
     static auto configureLibrary() -> void
@@ -126,13 +143,16 @@
             auto lines = std::move(m_pending);
             m_pending.clear();
             m_isUrgent = false;
+            m_ordinaryPending = 0;
             const auto dropped = std::exchange(m_dropped, 0);
+            const auto droppedAudit = std::exchange(m_droppedAudit, 0);
             lock.unlock();
             for (const auto &it : lines)
                 writeLine(it);
-            if (dropped > 0)
+            if (dropped + droppedAudit > 0)
                 writeLine({Severity::Warning,
-                           "event=log-dropped lines=" + std::to_string(dropped) + m_suffix});
+                           "event=log-dropped lines=" + std::to_string(dropped)
+                                   + " audit_lines=" + std::to_string(droppedAudit) + m_suffix});
             std::fwrite(batch().data(), 1, batch().size(), stdout);
             std::fflush(stdout);
             batch().clear();
@@ -165,7 +185,10 @@
     std::mutex m_mutex;
     std::condition_variable m_wakeUp;
     std::vector<PendingLine> m_pending;
+    std::uint64_t m_ordinaryPending = 0;
     std::uint64_t m_dropped = 0;
+    std::uint64_t m_droppedAudit = 0;
+    TokenBucket m_auditBudget{AuditLinesPerSecond, AuditLineBurst};
     bool m_isUrgent = false;
     bool m_isStopping = false;
     std::thread m_thread;
@@ -197,8 +220,9 @@
     return writer().isDecisionSampled();
 }
 
-Line::Line(Severity severity, std::string_view event)
+Line::Line(Severity severity, std::string_view event, LineKind kind)
     : m_severity(severity)
+    , m_kind(kind)
     , m_isEnabled(log::isEnabled(severity))
 {
     add("event", event);
@@ -207,7 +231,7 @@
 Line::~Line()
 {
     if (m_isEnabled)
-        writer().push(m_severity, std::move(m_text) + writer().suffix());
+        writer().push(m_severity, m_kind, std::move(m_text) + writer().suffix());
 }
 
 /// Returns whether `c` is printable ASCII. Other bytes are escaped, since some log readers break lines at U+0085 or
--- a/source/node/CallIntake.cpp
+++ b/source/node/CallIntake.cpp
@@ -249,7 +249,7 @@
         call.deadline = std::min(call.deadline, *origin.parentDeadline);
     call.needsConfigurationProof = !call.parent;
     call.quota = origin.quota;
-    call.isIdempotent = service.isIdempotent;
+    call.request.mustRunOnce = !service.isIdempotent;
     call.hasDeeperCalls =
             !configuration.deeperServices(service.name, origin.priorityClass->rank).empty();
     call.request.idempotencyKey = readIdempotencyKey(headers, service);
--- a/source/node/CallIntake.h
+++ b/source/node/CallIntake.h
@@ -21,7 +21,6 @@
 {
     transport::CallRequest request;
     TimePoint deadline;
-    bool isIdempotent = true;
     bool hasDeeperCalls = false; ///< Whether its service calls others according to the call paths.
     /// Whether the caller was identified by a key, which may have been revoked since.
     bool needsConfigurationProof = false;
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -75,7 +75,7 @@
         decision = co_await m_callers.admit(call, proof);
     }
     if (decision.refusal != Reason::None)
-        co_return refuse(decision);
+        co_return refuse(decision, call.request.attemptId);
     const auto className = call.request.className;
     const auto attemptId = call.request.attemptId;
     const auto caller = call.request.caller;
@@ -106,11 +106,12 @@
             m_shutdown.retryAfter(now)};
 }
 
-auto Entry::refuse(const CallerDecision &decision) -> HttpResponse
+auto Entry::refuse(const CallerDecision &decision, const std::string &attemptId) -> HttpResponse
 {
     m_metrics.didRefuseAtEntry(decision.refusal);
     if (log::isDecisionSampled())
         log::Line(log::Severity::Info, "call-rejected")
+                .add("id", attemptId)
                 .add("reason", decision.refusal)
                 .add("detail", decision.detail);
     if (m_protocol)
@@ -175,6 +176,7 @@
     else
         answer = co_await attemptUntilFinal(call, m_routes.routesFor(call.request.service),
                                             attempts, cancellation);
+    logPromise(call, answer, attempts);
     answer.unspentBudget = attempts.budget.remaining();
     co_return answer;
 }
@@ -213,11 +215,11 @@
 {
     auto call = IncomingCall();
     call.deadline = m_shutdown.limit(monotonicNow() + request.remaining);
-    call.isIdempotent = false;
     if (const auto index = *m_board.configuration.read())
         call.hasDeeperCalls = !index->deeperServices(request.service, request.level.rank()).empty();
     auto attempts = Attempts{.budget = retry::CallBudget(request.retryBudget, request.isRepeat)};
     call.request = std::move(request);
+    call.request.mustRunOnce = true;
     auto &routes = m_routes.routesFor(call.request.service);
     auto answer = co_await attemptUntilFinal(call, routes, attempts, cancellation);
     answer.unspentBudget = attempts.budget.remaining();
@@ -259,7 +261,7 @@
         if (attempts.last.outcome == Outcome::Answered)
             co_return std::move(attempts.last);
         const auto step = nextStep(call, routes, attempts);
-        recordRetryDecision(call, step, attempts);
+        recordRetryDecision(call, step, *decision.node, attempts);
         if (step == RetryDecision::GiveUp)
             co_return finalRefusal(attempts, attempts.last.reason, attempts.last.retryAfter);
         if (step == RetryDecision::Retry)
@@ -332,7 +334,7 @@
     end.reason = attempts.last.reason;
     end.wasDispatched = attempts.last.wasDispatched || attempts.last.outcome != Outcome::NotRun;
     end.wasRefusedByBackend = m_protocol && wasShed(attempts);
-    end.isIdempotent = call.isIdempotent;
+    end.isIdempotent = !call.request.mustRunOnce;
     end.budget = end.wasRefusedByBackend ? 1 : attempts.budget.remaining();
     end.hasServiceToken = true;
     end.remaining = call.deadline - monotonicNow();
--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -89,7 +89,8 @@
             -> IncomingCall;
     [[nodiscard]] auto decideDuringShutdown(const IncomingCall &call, TimePoint now) const
             -> CallerDecision;
-    auto refuse(const CallerDecision &decision) -> transport::HttpResponse;
+    auto refuse(const CallerDecision &decision, const std::string &attemptId = {})
+            -> transport::HttpResponse;
     /// Records a deeper call in the observed calls, and sets the call counts in its request.
     auto recordDeeperCall(IncomingCall &call, std::uint32_t ordinal) -> void;
     auto routeWithShare(IncomingCall call, const ChildShare &share,
@@ -119,7 +120,10 @@
     auto logDecision(const IncomingCall &call, const routing::RouteDecision &decision,
                      const Attempts &attempts) -> void;
     auto recordRetryDecision(const IncomingCall &call, retry::RetryDecision decision,
-                             const Attempts &attempts) -> void;
+                             const NodeId &upstream, const Attempts &attempts) -> void;
+    /// Logs that the caller is promised that a call, which was sent, did not run.
+    static auto logPromise(const IncomingCall &call, const transport::CallAnswer &answer,
+                           const Attempts &attempts) -> void;
 
     transport::asio::io_context &m_io;
     const NodeSettings &m_settings;
--- a/source/node/EntryLog.cpp
+++ b/source/node/EntryLog.cpp
@@ -5,16 +5,16 @@
 namespace stairspur::node {
 
 using retry::RetryDecision;
+using transport::CallAnswer;
 using transport::CallRequest;
 
-/// Adds the keys that identify the decisions of one call in the log.
+/// Adds what tells calls of one kind apart. Comes last, since collectors may cut lines.
 static auto addCall(log::Line &line, const CallRequest &request) -> void
 {
     line.add("service", request.service)
             .add("class", request.className)
             .add("level", request.level.value)
-            .add("root", request.root.toString())
-            .add("id", request.attemptId);
+            .add("root", request.root.toString());
 }
 
 auto Entry::logDecision(const IncomingCall &call, const routing::RouteDecision &decision,
@@ -24,29 +24,50 @@
     if (!log::isDecisionSampled())
         return;
     auto line = log::Line(log::Severity::Info, "route");
-    line.add("choice", decision.choice);
-    addCall(line, call.request);
-    line.add("upstream", decision.node ? *decision.node : std::string("-"))
+    line.add("id", call.request.attemptId)
+            .add("choice", decision.choice)
+            .add("upstream", decision.node ? *decision.node : std::string("-"))
             .add("reason", decision.refusal)
-            .add("candidates", decision.candidates)
-            .add("path_floor", decision.pathFloor.value)
-            .add("path_floor_age_us", decision.pathFloorAge.value_or(Duration{-1}))
             .add("attempt", attempts.sent + 1)
             .add("budget", attempts.budget.remaining());
+    addCall(line, call.request);
+    line.add("candidates", decision.candidates)
+            .add("path_floor", decision.pathFloor.value)
+            .add("path_floor_age_us", decision.pathFloorAge.value_or(Duration{-1}));
 }
 
 auto Entry::recordRetryDecision(const IncomingCall &call, RetryDecision decision,
-                                const Attempts &attempts) -> void
+                                const NodeId &upstream, const Attempts &attempts) -> void
 {
     m_metrics.didDecideRetry(decision);
-    if (!log::isDecisionSampled())
+    const auto isSentAgain = decision != RetryDecision::GiveUp;
+    const auto isAudited = call.request.mustRunOnce && isSentAgain;
+    if (!isAudited && !log::isDecisionSampled())
         return;
-    auto line = log::Line(log::Severity::Info, "retry");
-    line.add("decision", decision)
+    auto line = log::Line(log::Severity::Info, "retry",
+                          isAudited ? log::LineKind::Audit : log::LineKind::Ordinary);
+    line.add("id", call.request.attemptId)
+            .add("decision", decision)
             .add("outcome", attempts.last.outcome)
-            .add("reason", attempts.last.reason);
+            .add("reason", attempts.last.reason)
+            .add("upstream", upstream)
+            .add("attempt", attempts.sent)
+            .add("budget", attempts.budget.remaining());
+    addCall(line, call.request);
+}
+
+auto Entry::logPromise(const IncomingCall &call, const CallAnswer &answer, const Attempts &attempts)
+        -> void
+{
+    const auto isPromise = answer.outcome == Outcome::NotRun && attempts.sent > 0;
+    if (!isPromise || !call.request.mustRunOnce)
+        return;
+    auto line = log::Line(log::Severity::Info, "promise", log::LineKind::Audit);
+    line.add("id", call.request.attemptId)
+            .add("outcome", answer.outcome)
+            .add("reason", answer.reason)
+            .add("attempts", attempts.sent);
     addCall(line, call.request);
-    line.add("attempt", attempts.sent).add("budget", attempts.budget.remaining());
 }
 
 } // namespace stairspur::node
--- a/source/node/Gate.cpp
+++ b/source/node/Gate.cpp
@@ -139,19 +139,7 @@
     answer.retryAfter = retryAfter;
     answer.report = report();
     m_metrics.didRefuseAtGate(request.className, reason);
-    if (log::isDecisionSampled()) {
-        log::Line(log::Severity::Info, "admission")
-                .add("decision", "refuse")
-                .add("reason", reason)
-                .add("service", request.service)
-                .add("class", request.className)
-                .add("level", request.level.value)
-                .add("root", request.root.toString())
-                .add("id", request.attemptId)
-                .add("floor",
-                     answer.report->floorFor({request.level.rank(), request.floorPath()}).value)
-                .add("retry_after_us", retryAfter);
-    }
+    logRefusal(request, answer);
     return answer;
 }
 
@@ -276,6 +264,8 @@
                     request.path, request.callsPerRoot, request.callsLeft},
                    request.retryBudget, request.isRepeat);
     const auto incarnation = m_backendIncarnation;
+    const auto auditedId = request.mustRunOnce ? request.attemptId : std::string();
+    const auto instance = m_backend.incarnation.instance;
     const auto client = m_client; // Stays open if the backend server is replaced.
     m_crashes.didSend(id, fingerprint);
     auto reply = co_await client->send(std::move(request), id, deadline - start,
@@ -287,6 +277,8 @@
     // This call's crash may have quarantined its request. The reason then stops further attempts.
     if (reply.failure && m_quarantine.decide(fingerprint).status == QuarantineStatus::Refused)
         result.reason = Reason::Quarantined;
+    if (!auditedId.empty() && result.outcome == Outcome::NotRun)
+        logUnrun(auditedId, instance, result.reason);
     const auto now = monotonicNow();
     auto answer = CallAnswer();
     answer.status = reply.status;
--- a/source/node/Gate.h
+++ b/source/node/Gate.h
@@ -102,6 +102,10 @@
     auto recordStatement(const BackendReply &reply, TimePoint sentAt) -> void;
     auto refusal(const transport::CallRequest &request, Reason reason, Duration retryAfter)
             -> transport::CallAnswer;
+    static auto logRefusal(const transport::CallRequest &request,
+                           const transport::CallAnswer &answer) -> void;
+    /// Records that a call that must run once was given to the backend server `instance`, and did not run there.
+    auto logUnrun(const std::string &attemptId, const std::string &instance, Reason reason) -> void;
     auto ensureTicking() -> void;
     auto didTick() -> void;
     auto finishDrainIfIdle() -> void;
--- a/source/node/RoutedIntake.cpp
+++ b/source/node/RoutedIntake.cpp
@@ -134,7 +134,7 @@
     if (!request.parentAttemptId.empty())
         parent = running.find(callIdOf(request.parentAttemptId));
     setOrigin(request, route, configuration, parent, call);
-    call.isIdempotent = route.isIdempotent;
+    call.request.mustRunOnce = !route.isIdempotent;
     call.request.service = drawTarget(route, random);
     call.request.path = pathKeyOf(route.name);
     call.request.retryBudget = std::max(route.maxAttempts, 1U) - 1;
--- a/source/transport/CallCodec.cpp
+++ b/source/transport/CallCodec.cpp
@@ -9,8 +9,10 @@
 
 namespace stairspur::transport {
 
-/// Older nodes send neither the counts of the calls that a root makes nor, after them, the backend server's statement.
-static constexpr auto CallItems = std::uint64_t{20};
+/// Older nodes do not send the counts of the calls that a root makes, nor the items after them: the backend server's statement,
+/// and whether the call must run once.
+static constexpr auto CallItems = std::uint64_t{21};
+static constexpr auto CallItemsWithStatement = std::uint64_t{20};
 static constexpr auto CallItemsWithCounts = std::uint64_t{19};
 static constexpr auto AnswerItems = std::uint64_t{8};
 /// Older nodes send neither the incarnation of the backend server nor, after it, its statement.
@@ -158,6 +160,7 @@
             .addUnsigned(request.callsPerRoot)
             .addUnsigned(request.callsLeft);
     addStatement(writer, request.statement);
+    writer.addBoolean(request.mustRunOnce);
     return bytes;
 }
 
@@ -187,8 +190,10 @@
         request.callsPerRoot = static_cast<std::uint32_t>(reader.readUnsigned(MostCallsPerRoot));
         request.callsLeft = static_cast<std::uint32_t>(reader.readUnsigned(MostCallsPerRoot));
     }
-    if (fieldReader.items() >= CallItems)
+    if (fieldReader.items() >= CallItemsWithStatement)
         request.statement = readStatement(reader).value_or(admission::InstanceStatement());
+    if (fieldReader.items() >= CallItems)
+        request.mustRunOnce = reader.readBoolean();
     fieldReader.finish();
     return request;
 }
--- a/source/transport/HttpClientConnection.h
+++ b/source/transport/HttpClientConnection.h
@@ -156,7 +156,7 @@
             response = co_await readAnswer(request.method, settings.maxAnswerBytes);
         }
         if (settings.echoedId && settings.echoedId(response.headers).empty())
-            acceptWithoutId();
+            acceptWithoutId(request, response, settings);
         co_return response;
     }
 
@@ -171,9 +171,16 @@
 
     /// A server may refuse a request before it has read its id. On a connection that has carried other requests, the answer
     /// may be a late one to any of them.
-    auto acceptWithoutId() -> void
+    auto acceptWithoutId(const HttpRequest &request, const HttpResponse &response,
+                         const HttpClientSettings &settings) -> void
     {
-        if (m_carriedIds.size() > 1)
+        const auto isAccepted = m_carriedIds.size() <= 1;
+        log::Line(log::Severity::Info, "answer-without-id", log::LineKind::Audit)
+                .add("id", settings.echoedId(request.headers))
+                .add("accepted", isAccepted)
+                .add("status", response.status)
+                .add("port", settings.port);
+        if (!isAccepted)
             fail(HttpFailure::Broken, "the answer has no id, and may belong to another request");
         m_mayBeKept = false;
     }
@@ -183,11 +190,10 @@
     {
         if (settings.didDropAnswer)
             settings.didDropAnswer();
-        if (log::isDecisionSampled())
-            log::Line(log::Severity::Info, "late-answer-dropped")
-                    .add("port", settings.port)
-                    .add("id", settings.echoedId(response.headers))
-                    .add("status", response.status);
+        log::Line(log::Severity::Info, "late-answer-dropped", log::LineKind::Audit)
+                .add("id", settings.echoedId(response.headers))
+                .add("status", response.status)
+                .add("port", settings.port);
     }
 
     auto readAnswer(const std::string &method, std::uint64_t maxAnswerBytes) -> Task<HttpResponse>
--- a/tests/log/CapturedLog.h
+++ b/tests/log/CapturedLog.h
@@ -4,6 +4,7 @@
 #include <cassert>
 #include <string>
 
+#include <fcntl.h>
 #include <unistd.h>
 
 #include <stairspur/log/Log.h>
@@ -21,6 +22,7 @@
     {
         [[maybe_unused]] const auto result = ::pipe(m_ends.data());
         assert(result == 0);
+        ::fcntl(m_ends[1], F_SETPIPE_SZ, PipeBytes);
         ::dup2(m_ends[1], STDOUT_FILENO);
         start(settings);
     }
@@ -52,6 +54,8 @@
     }
 
 private:
+    static constexpr auto PipeBytes = 1 << 20;
+
     int m_standardOutput;
     std::array<int, 2> m_ends{};
 };
--- a/tests/log/TestLog.cpp
+++ b/tests/log/TestLog.cpp
@@ -87,3 +87,32 @@
     cr_assert_eq(sampled, 10);
     log.finish();
 }
+
+/// Lines that are logged before the writer starts wait as they do while it falls behind.
+Test(Log, aFloodOfDecisionsDisplacesNoAuditLine)
+{
+    static constexpr auto AuditLines = 400;
+    for (auto n = 0; n < 25'000; ++n)
+        Line(Severity::Info, "d");
+    for (auto n = 0; n < AuditLines; ++n)
+        Line(Severity::Info, "audit", LineKind::Audit).add("n", n);
+    auto log = CapturedLog({Severity::Info, "", 100});
+    const auto text = log.finish();
+    cr_expect(text.find("event=log-dropped lines=5000 audit_lines=0") != std::string::npos);
+    for (auto n = 0; n < AuditLines; ++n)
+        cr_expect(text.find("event=audit n=" + std::to_string(n) + "\n") != std::string::npos, "%d",
+                  n);
+}
+
+Test(Log, auditLinesPastTheirBoundAreCounted)
+{
+    for (auto n = 0; n < 6'000; ++n)
+        Line(Severity::Info, "a", LineKind::Audit);
+    auto log = CapturedLog({});
+    const auto text = log.finish();
+    const auto written = std::count(text.begin(), text.end(), '\n') - 1;
+    const auto at = text.find("event=log-dropped lines=0 audit_lines=");
+    cr_assert(at != std::string::npos);
+    cr_expect_eq(written + std::stoi(text.substr(text.rfind('=') + 1)), 6'000);
+    cr_expect_geq(written, 5'000);
+}
--- a/tests/log/TestLogPage.cpp
+++ b/tests/log/TestLogPage.cpp
@@ -31,7 +31,7 @@
 
 Test(LogPage, listsEachEventAndItsKeys)
 {
-    static const auto lines = std::regex(R"(log::Line\([^"]*"([^"]+)\"\)([^;]*);)");
+    static const auto lines = std::regex(R"(log::Line\([^"]*"([^"]+)\"(?:,[^)]*)?\)([^;]*);)");
     static const auto keys = std::regex(R"(\.add\("([^"]+)\")");
     const auto root = repository();
     const auto page = readFile(root / "docs/operations/logs.md");
--- a/tests/node/TestRoutedIntake.cpp
+++ b/tests/node/TestRoutedIntake.cpp
@@ -89,7 +89,7 @@
     cr_assert_eq(call.request.level.rank(), 1);
     cr_assert_eq(call.request.originService, "own");
     cr_assert_eq(call.request.retryBudget, 0, "one attempt and no further ones");
-    cr_assert(!call.isIdempotent);
+    cr_assert(call.request.mustRunOnce);
     cr_assert(!call.parent);
 }
 
--- a/tests/transport/TestFrames.cpp
+++ b/tests/transport/TestFrames.cpp
@@ -159,10 +159,11 @@
     auto fields = writeCall(request);
     cr_assert_eq(readCall(fields).callsPerRoot, 8);
     cr_assert_eq(readCall(fields).callsLeft, 3);
-    // The last item, an empty statement, and the two counts before it have a byte each: 0x94 is an array of 20 items.
-    cr_assert_eq(static_cast<unsigned char>(fields[0]), 0x94);
+    // The last two items, an empty statement and a boolean, and the two counts before them have a byte each: 0x95 is an
+    // array of 21 items.
+    cr_assert_eq(static_cast<unsigned char>(fields[0]), 0x95);
     fields[0] = static_cast<char>(0x93);
-    fields.resize(fields.size() - 1);
+    fields.resize(fields.size() - 2);
     cr_assert_eq(readCall(fields).callsPerRoot, 8);
     cr_assert_eq(readCall(fields).callsLeft, 3);
     // An older node sends an array of 17 items, without the counts.
@@ -174,6 +175,21 @@
     cr_assert_eq(read.service, request.service);
 }
 
+Test(CallCodec, whetherACallMustRunOnceIsToldAndMayBeMissing)
+{
+    for (const auto mustRunOnce : {false, true}) {
+        auto request = sampleCall();
+        request.mustRunOnce = mustRunOnce;
+        auto fields = writeCall(request);
+        cr_assert_eq(readCall(fields).mustRunOnce, mustRunOnce);
+        // An older node sends an array of 20 items.
+        fields[0] = static_cast<char>(0x94);
+        fields.resize(fields.size() - 1);
+        cr_assert(!readCall(fields).mustRunOnce);
+        cr_assert_eq(readCall(fields).service, request.service);
+    }
+}
+
 Test(CallCodec, answersSurvive)
 {
     const auto fields = writeAnswer(sampleAnswer());
