--- a/tests/platform/NodeProcess.h
+++ b/tests/platform/NodeProcess.h
@@ -36,7 +36,7 @@
         posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, m_logPath.c_str(),
                                          O_WRONLY | O_CREAT | O_APPEND, LogMode);
         posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
-        auto program = std::string(STAIRSPUR_PROGRAM);
+        auto program = programPath();
         auto command = std::string("node");
         char *arguments[] = {program.data(), command.data(), nullptr};
         char *environment[] = {m_bootVariable.data(), nullptr};
@@ -68,6 +68,13 @@
     }
 
 private:
+    /// Returns STAIRSPUR_TEST_PROGRAM, if it is set, so that a test can be run on an earlier build.
+    static auto programPath() -> std::string
+    {
+        const auto *path = std::getenv("STAIRSPUR_TEST_PROGRAM");
+        return path ? path : STAIRSPUR_PROGRAM;
+    }
+
     auto waitForEnd() -> int
     {
         if (m_pid <= 0)
--- a/tests/platform/ProcessFleet.h
+++ b/tests/platform/ProcessFleet.h
@@ -27,14 +27,16 @@
 using namespace std::chrono_literals;
 
 /// Three nodes of one failure domain as real processes, with a backend server beside each. The test sends the heartbeats.
-class ProcessFleet
+/// `Upstream` is a stand-in of a backend server.
+template <typename Upstream>
+class BasicProcessFleet
 {
 public:
     /// One process instance of a backend server.
     struct Backend
     {
         std::string instance;
-        std::unique_ptr<standin::UpstreamStandIn> server;
+        std::unique_ptr<Upstream> server;
         std::uint64_t sequence = 0;
         std::uint64_t startedAtMs = 0;
     };
@@ -48,13 +50,13 @@
 
     /// `network` is the third number of the hosts' loopback addresses; each test has its own. The second one depends on the
     /// process, so that runs side by side do not share addresses.
-    explicit ProcessFleet(int network)
+    explicit BasicProcessFleet(int network, const std::string &configuration = MenuConfiguration)
         : m_store(m_io)
         , m_work(boost::asio::make_work_guard(m_io))
     {
         auto pattern = (std::filesystem::temp_directory_path() / "fleet-XXXXXX").string();
         m_directory = ::mkdtemp(pattern.data());
-        m_store.put("op/config", MenuConfiguration);
+        m_store.put("op/config", configuration);
         for (auto n = 1; n <= HostCount; ++n) {
             auto &host = hosts.emplace_back();
             host.address = "127." + std::to_string(FirstNetwork + ::getpid() % Networks) + "."
@@ -72,7 +74,7 @@
             waitUntil([&] { return servingMembers(it) == HostCount; });
     }
 
-    ~ProcessFleet()
+    ~BasicProcessFleet()
     {
         for (auto &it : hosts)
             it.node.reset();
@@ -82,8 +84,8 @@
         std::filesystem::remove_all(m_directory);
     }
 
-    ProcessFleet(const ProcessFleet &) = delete;
-    auto operator=(const ProcessFleet &) -> ProcessFleet & = delete;
+    BasicProcessFleet(const BasicProcessFleet &) = delete;
+    auto operator=(const BasicProcessFleet &) -> BasicProcessFleet & = delete;
 
     /// Adds a process instance of a backend server. It is not announced yet.
     auto addBackend(Host &host, const std::string &instance, std::uint64_t startedAtMs = 0)
@@ -92,7 +94,7 @@
         auto &it = host.backends.emplace_back(std::make_unique<Backend>());
         it->instance = instance;
         it->startedAtMs = startedAtMs;
-        it->server = std::make_unique<standin::UpstreamStandIn>(m_io, host.address, instance);
+        it->server = std::make_unique<Upstream>(m_io, host.address, instance);
         return *it;
     }
 
@@ -233,4 +235,6 @@
     int m_requests = 0;
 };
 
+using ProcessFleet = BasicProcessFleet<standin::UpstreamStandIn>;
+
 } // namespace stairspur::platform
--- a/tests/platform/TestLeavingSoak.cpp
+++ b/tests/platform/TestLeavingSoak.cpp
@@ -2,6 +2,7 @@
 #include <map>
 #include <random>
 
+#include "KeptConnection.h"
 #include "ProcessFleet.h"
 
 /// Real processes under seeded series of leavings, delayed and repeated heartbeats, successors and signals to the node.
@@ -9,39 +10,6 @@
 using namespace stairspur::platform;
 using Clock = std::chrono::steady_clock;
 
-/// A client that keeps its connection until the node closes it.
-class KeptConnection
-{
-public:
-    explicit KeptConnection(std::string address)
-        : m_address(std::move(address))
-    {}
-
-    /// Returns the status of the response; 0 without one.
-    auto send(const std::string &text) -> unsigned
-    {
-        auto ec = boost::system::error_code();
-        if (!m_socket.is_open())
-            m_socket.connect({boost::asio::ip::make_address(m_address), EntryPort}, ec);
-        if (!ec)
-            boost::asio::write(m_socket, boost::asio::buffer(text), ec);
-        auto response = PlatformResponse();
-        if (!ec)
-            boost::beast::http::read(m_socket, m_buffer, response, ec);
-        if (ec || !response.keep_alive()) {
-            m_socket.close();
-            m_buffer.clear();
-        }
-        return ec ? 0 : response.result_int();
-    }
-
-private:
-    std::string m_address;
-    boost::asio::io_context m_io;
-    boost::asio::ip::tcp::socket m_socket{m_io};
-    boost::beast::flat_buffer m_buffer;
-};
-
 class LeavingSoak
 {
 public:
