Platform, node: Forward no refusal that a backend server has not proved

Cause: the status of a backend server's answer was passed on whatever it was.

Change: such an answer counts as failed, as before, and its status and body are not forwarded, so that the caller gets 502.

Why it works: the only statuses left that promise something come from outcome not-run.

--- a/include/stairspur/node/CallProtocol.h
+++ b/include/stairspur/node/CallProtocol.h
@@ -40,6 +40,8 @@
     Shed, ///< The backend server reports that the attempt did not run, because it is full or leaving.
     Damaged, ///< The response reports success but is not the backend server's complete response.
     WrongInstance, ///< Another backend server has the address; the attempt did not run.
+    /// Its status would tell the caller that the attempt did not run, but the backend server does not say so.
+    UnprovenRefusal,
 };
 
 /// The protocol of callers and backend servers that don't use the product's own protocol.
--- a/source/node/BackendAnswer.cpp
+++ b/source/node/BackendAnswer.cpp
@@ -34,6 +34,8 @@
         return {Outcome::NotRun, Reason::BackendShed, Completion::Shed};
     case ResponseKind::Damaged:
         return {Outcome::Unknown, Reason::DamagedAnswer, Completion::Failed};
+    case ResponseKind::UnprovenRefusal:
+        return {Outcome::Failed, Reason::BackendFailed, Completion::Failed, true};
     case ResponseKind::WrongInstance:
         break;
     }
--- a/source/node/BackendAnswer.h
+++ b/source/node/BackendAnswer.h
@@ -14,6 +14,8 @@
     Outcome outcome = Outcome::Unknown;
     Reason reason = Reason::None;
     admission::Completion completion = admission::Completion::Succeeded;
+    /// The response is not forwarded, because its status would be an untrue promise.
+    bool isWithheld = false;
 };
 
 /// Returns the result of a complete response. Only the backend server's header `Stairspur-Outcome: not-run` proves that the
--- a/source/node/BackendClient.cpp
+++ b/source/node/BackendClient.cpp
@@ -51,7 +51,8 @@
         if (isOwnResponse(reply.result.reason))
             reply.statement = statementIn(response);
         const auto outcome = reply.result.outcome;
-        if (outcome == Outcome::Answered || outcome == Outcome::Failed) {
+        const auto hasRun = outcome == Outcome::Answered || outcome == Outcome::Failed;
+        if (hasRun && !reply.result.isWithheld) {
             reply.status = response.status;
             reply.headers = answerHeaders(std::move(response.headers));
             reply.body = std::move(response.body);
--- a/tests/node/TestBackendAnswer.cpp
+++ b/tests/node/TestBackendAnswer.cpp
@@ -58,6 +58,16 @@
     cr_assert_eq(request.headers.find("Idempotency-Key"), "k1");
 }
 
+Test(BackendAnswer, aRefusalWithoutTheServersWordIsAFailureAndNotForwarded)
+{
+    const auto unproven = resultFor(ResponseKind::UnprovenRefusal);
+    cr_expect(unproven.outcome == Outcome::Failed);
+    cr_expect(unproven.isWithheld);
+    for (const auto kind : {ResponseKind::Answered, ResponseKind::Failed})
+        cr_expect(!resultFor(kind).isWithheld);
+    cr_expect(resultFor(ResponseKind::Shed).outcome == Outcome::NotRun);
+}
+
 Test(EndToEndHeaders, connectionFieldsAndReservedFieldsAreRemoved)
 {
     auto headers = transport::HeaderList();
--- a/tests/platform/TestCallHeaders.cpp
+++ b/tests/platform/TestCallHeaders.cpp
@@ -194,7 +194,11 @@
             {500, false, true, ResponseKind::Failed},
             {503, true, false, ResponseKind::Shed},
             {429, true, false, ResponseKind::Shed},
-            {503, false, false, ResponseKind::Failed},
+            {503, false, false, ResponseKind::UnprovenRefusal},
+            {503, false, true, ResponseKind::UnprovenRefusal},
+            {429, false, true, ResponseKind::UnprovenRefusal},
+            {408, false, true, ResponseKind::UnprovenRefusal},
+            {408, true, false, ResponseKind::Shed},
             {504, false, true, ResponseKind::Failed},
             {421, false, false, ResponseKind::WrongInstance},
     };
