Retry, node: Keep the stages of an attempt in one state machine

What an entry knows of an attempt's runs stood in four fields (sent, mayHaveRun, hasReachedBackend, and outcome and reason of the last answer), read in different combinations by the retry decision, the final answer and the log. Nothing kept an order from being sent again after it may have run but the order of the checks.

AttemptProgress holds them: a promise is given only from not-sent and rejected, an attempt that must run once and may have run is not sent again, whatever the retry decision says; an event out of place throws IllegalProgress, which ends the request with 500. An answer not-run that says it was dispatched counts as a run, as before.

--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -167,7 +167,8 @@
 {
     const auto isKeyed = !call.request.idempotencyKey.empty();
     const auto isRefused = share.refusal != Reason::None;
-    auto attempts = Attempts{.budget = retry::CallBudget(share.budget, share.isRepeat)};
+    auto attempts = Attempts{.budget = retry::CallBudget(share.budget, share.isRepeat),
+                             .progress = retry::AttemptProgress(call.request.mustRunOnce)};
     auto answer = CallAnswer();
     if (isKeyed)
         answer = co_await routeKeyed(std::move(call), attempts, cancellation, isRefused);
@@ -217,9 +218,11 @@
     call.deadline = m_shutdown.limit(monotonicNow() + request.remaining);
     if (const auto index = *m_board.configuration.read())
         call.hasDeeperCalls = !index->deeperServices(request.service, request.level.rank()).empty();
-    auto attempts = Attempts{.budget = retry::CallBudget(request.retryBudget, request.isRepeat)};
     call.request = std::move(request);
     call.request.mustRunOnce = true;
+    auto attempts =
+            Attempts{.budget = retry::CallBudget(call.request.retryBudget, call.request.isRepeat),
+                     .progress = retry::AttemptProgress(call.request.mustRunOnce)};
     auto &routes = m_routes.routesFor(call.request.service);
     auto answer = co_await attemptUntilFinal(call, routes, attempts, cancellation);
     answer.unspentBudget = attempts.budget.remaining();
@@ -252,7 +255,8 @@
         }
         if (!decision.node) {
             // The reason of the last upstream is more precise than that of a pool without candidates.
-            const auto hasSent = attempts.sent > 0 && decision.refusal == Reason::NoUpstream;
+            const auto hasSent =
+                    attempts.progress.sends() > 0 && decision.refusal == Reason::NoUpstream;
             co_return finalRefusal(attempts, hasSent ? attempts.last.reason : decision.refusal,
                                    std::max(decision.retryAfter, attempts.last.retryAfter));
         }
@@ -289,15 +293,16 @@
                     const NodeId &node, const CancellationPtr &cancellation) -> Task<void>
 {
     const auto start = monotonicNow();
+    const auto hadArrived = attempts.progress.hasArrived();
+    attempts.progress.didSend();
     auto request = call.request;
     request.remaining = call.deadline - start;
     const auto share = attempts.budget.startAttempt(call.hasDeeperCalls);
     request.retryBudget = share.retryBudget;
-    request.isRepeat = share.isRepeat || (m_protocol && attempts.hasReachedBackend);
-    if (m_protocol && share.isRepeat && !attempts.hasReachedBackend)
+    request.isRepeat = share.isRepeat || (m_protocol && hadArrived);
+    if (m_protocol && share.isRepeat && !hadArrived)
         routes.bucket.chargeRepeat();
     request.statement = routes.pool.statementOf(node);
-    ++attempts.sent;
     routes.pool.didSend(node, start);
     auto answer = co_await m_peers.call(node, std::move(request), cancellation);
     const auto now = monotonicNow();
@@ -306,10 +311,7 @@
                        now, m_random);
     if (answer.outcome != Outcome::Unknown)
         attempts.budget.didReceiveAnswer(answer.unspentBudget);
-    attempts.mayHaveRun =
-            attempts.mayHaveRun || answer.wasDispatched || answer.outcome == Outcome::Unknown;
-    attempts.hasReachedBackend = attempts.hasReachedBackend || answer.outcome != Outcome::NotRun
-                                 || answer.reason == Reason::BackendShed;
+    attempts.progress.didEnd(retry::sendEndOf(answer.outcome, answer.reason, answer.wasDispatched));
     m_metrics.didEndAttempt(answer.outcome, answer.reason);
     routes.bucket.advanceTo(now);
     if (answer.outcome == Outcome::Answered)
@@ -343,13 +345,13 @@
         end.hasServiceToken = hasToken(call.request, routes);
     const auto decision = retry::decideRetry(end);
     const auto isUnrun = decision == RetryDecision::Elsewhere || end.wasRefusedByBackend;
-    if (isUnrun && attempts.sent > retry::MaxElsewhereTries)
+    if (isUnrun && attempts.progress.sends() > retry::MaxElsewhereTries)
         return RetryDecision::GiveUp;
     return decision;
 }
 
 /// The caller of a cancelled call still waits if the call was cancelled by the end of the shutdown.
-auto Entry::refuseCancelled(const Attempts &attempts, TimePoint now) -> CallAnswer
+auto Entry::refuseCancelled(Attempts &attempts, TimePoint now) -> CallAnswer
 {
     if (m_shutdown.hasEnded(now))
         return finalRefusal(attempts, Reason::Draining, m_shutdown.retryAfter(now));
@@ -357,20 +359,21 @@
 }
 
 /// Returns the final answer of a call without a complete response. It is `not-run` only if no attempt may have run.
-auto Entry::finalRefusal(const Attempts &attempts, Reason reason, Duration retryAfter) -> CallAnswer
+auto Entry::finalRefusal(Attempts &attempts, Reason reason, Duration retryAfter) -> CallAnswer
 {
-    if (attempts.sent == 0)
+    if (attempts.progress.sends() == 0)
         m_metrics.didRefuseAtEntry(reason);
+    const auto isPromise = attempts.progress.finish();
     auto answer = CallAnswer();
     if (attempts.last.outcome == Outcome::Failed && attempts.last.status != 0)
         answer = attempts.last;
-    else if (attempts.mayHaveRun)
+    else if (isPromise)
+        answer.outcome = Outcome::NotRun;
+    else
         answer.outcome =
                 attempts.last.outcome == Outcome::Failed ? Outcome::Failed : Outcome::Unknown;
-    else
-        answer.outcome = Outcome::NotRun;
     answer.reason = reason;
-    answer.wasDispatched = attempts.mayHaveRun;
+    answer.wasDispatched = !isPromise;
     answer.retryAfter = retryAfter;
     return answer;
 }
--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -10,6 +10,7 @@
 #include <stairspur/keyed/KeyedRouter.h>
 #include <stairspur/node/CallProtocol.h>
 #include <stairspur/node/NodeSettings.h>
+#include <stairspur/retry/AttemptProgress.h>
 #include <stairspur/retry/CallBudget.h>
 #include <stairspur/retry/RetryPolicy.h>
 #include <stairspur/retry/RetryPrecedence.h>
@@ -77,10 +78,7 @@
     {
         std::vector<NodeId> excluded{};
         retry::CallBudget budget;
-        std::uint32_t sent = 0;
-        bool mayHaveRun = false;
-        bool hasReachedBackend =
-                false; ///< A backend server received the call, whether it ran it or not.
+        retry::AttemptProgress progress;
         transport::CallAnswer last{}; ///< Answer to the latest attempt.
     };
 
@@ -108,8 +106,8 @@
     auto attempt(const IncomingCall &call, ServiceRoutes &routes, Attempts &attempts,
                  const NodeId &node, const transport::CancellationPtr &cancellation)
             -> transport::Task<void>;
-    auto refuseCancelled(const Attempts &attempts, TimePoint now) -> transport::CallAnswer;
-    auto finalRefusal(const Attempts &attempts, Reason reason, Duration retryAfter)
+    auto refuseCancelled(Attempts &attempts, TimePoint now) -> transport::CallAnswer;
+    auto finalRefusal(Attempts &attempts, Reason reason, Duration retryAfter)
             -> transport::CallAnswer;
     /// Returns whether the service's bucket has a token for the call, and records the demand for it.
     [[nodiscard]] auto hasToken(const transport::CallRequest &request, ServiceRoutes &routes) const
--- a/source/node/EntryLog.cpp
+++ b/source/node/EntryLog.cpp
@@ -28,7 +28,7 @@
             .add("choice", decision.choice)
             .add("upstream", decision.node ? *decision.node : std::string("-"))
             .add("reason", decision.refusal)
-            .add("attempt", attempts.sent + 1)
+            .add("attempt", attempts.progress.sends() + 1)
             .add("budget", attempts.budget.remaining());
     addCall(line, call.request);
     line.add("candidates", decision.candidates)
@@ -51,7 +51,7 @@
             .add("outcome", attempts.last.outcome)
             .add("reason", attempts.last.reason)
             .add("upstream", upstream)
-            .add("attempt", attempts.sent)
+            .add("attempt", attempts.progress.sends())
             .add("budget", attempts.budget.remaining());
     addCall(line, call.request);
 }
@@ -59,14 +59,14 @@
 auto Entry::logPromise(const IncomingCall &call, const CallAnswer &answer, const Attempts &attempts)
         -> void
 {
-    const auto isPromise = answer.outcome == Outcome::NotRun && attempts.sent > 0;
+    const auto isPromise = answer.outcome == Outcome::NotRun && attempts.progress.sends() > 0;
     if (!isPromise || !call.request.mustRunOnce)
         return;
     auto line = log::Line(log::Severity::Info, "promise", log::LineKind::Audit);
     line.add("id", call.request.attemptId)
             .add("outcome", answer.outcome)
             .add("reason", answer.reason)
-            .add("attempts", attempts.sent);
+            .add("attempts", attempts.progress.sends());
     addCall(line, call.request);
 }
 
--- a/tests/platform/TestPromiseSoak.cpp
+++ b/tests/platform/TestPromiseSoak.cpp
@@ -234,6 +234,13 @@
                         status, n);
         std::printf("# seed %llu: orders %zu run twice %d run though refused %d\n",
                     static_cast<unsigned long long>(m_seed), orders.size(), runTwice, runRefused);
+        for (const auto &it : m_fleet.hosts) {
+            const auto &server = *it.backends[0]->server;
+            std::printf("# seed %llu: connections %llu, at once %zu\n",
+                        static_cast<unsigned long long>(m_seed),
+                        static_cast<unsigned long long>(server.connections()),
+                        server.mostConnections());
+        }
         std::fflush(stdout);
         cr_expect_gt(counts[200], 0);
         cr_expect_eq(runTwice, 0, "seed %llu", static_cast<unsigned long long>(m_seed));
@@ -268,6 +275,7 @@
 
 /// Weights of: serve, reject, late, early, nameless, misdirect, unmarked, lose, break off, unframed.
 static constexpr auto Rejecting = FaultPlan{{50, 20, 10, 8, 4, 2, 0, 2, 2, 2}, 0.2};
+static constexpr auto MostlyRejecting = FaultPlan{{30, 40, 10, 10, 4, 2, 0, 1, 1, 2}, 0.4};
 static constexpr auto Unmarked = FaultPlan{{50, 20, 10, 8, 4, 2, 5, 2, 2, 2}, 0.2};
 
 Test(PromiseSoak, ordersRunOnceBesideLateCopies, .timeout = 3'600)
@@ -276,6 +284,12 @@
         PromiseSoak(seed, 120 + static_cast<int>(seed % 50), Rejecting).run(8s, false);
 }
 
+Test(PromiseSoak, ordersRunOnceBesideLateCopiesOfMostlyRejections, .timeout = 3'600)
+{
+    for (auto seed = std::uint64_t{1}; seed <= seedsToRun(); ++seed)
+        PromiseSoak(seed, 50 + static_cast<int>(seed % 50), MostlyRejecting).run(8s, false);
+}
+
 Test(PromiseSoak, ordersRunOnceBesideSignalsAndRestarts, .timeout = 3'600)
 {
     for (auto seed = std::uint64_t{1}; seed <= seedsToRun(); ++seed)
--- a/tests/standins/platform/FaultyUpstream.h
+++ b/tests/standins/platform/FaultyUpstream.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -206,7 +208,7 @@
             connection->socket.set_option(boost::asio::ip::tcp::no_delay(true));
             connection->number = ++m_connections;
             m_open.insert(connection);
-            m_mostConnections = std::max(m_mostConnections, m_open.size());
+            m_mostConnections = std::max(m_mostConnections.load(), m_open.size());
             boost::asio::co_spawn(m_io, serve(connection), [this, connection](auto) {
                 closeSocket(*connection);
                 m_open.erase(connection);
@@ -362,8 +364,8 @@
     std::uint16_t m_port = 0;
     std::optional<boost::asio::ip::tcp::acceptor> m_acceptor;
     std::set<ConnectionPtr> m_open;
-    std::uint64_t m_connections = 0;
-    std::size_t m_mostConnections = 0;
+    std::atomic<std::uint64_t> m_connections = 0;
+    std::atomic<std::size_t> m_mostConnections = 0;
     ArrivalRecord *m_record = nullptr;
     mutable std::mutex m_mutex;
     std::string m_instance;
