Tests: Let callers leave, nodes reread settings and configurations change in the soak

The soak had neither callers that leave before their answer nor SIGHUP nor changes of the configuration, and a node that got SIGTERM stayed away until another action. One request in twelve is now left after 0 to 60 ms, both are actions, and a node that has ended is started at once, so that disorders overlap.

--- a/tests/platform/KeptConnection.h
+++ b/tests/platform/KeptConnection.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <string>
+#include <thread>
 #include <utility>
 
 #include "PlatformClient.h"
@@ -33,6 +35,19 @@
         return ec ? 0 : response.result_int();
     }
 
+    /// Sends a request and closes the connection after `patience`, without having read a response.
+    auto sendAndLeave(const std::string &text, std::chrono::milliseconds patience) -> void
+    {
+        auto ec = boost::system::error_code();
+        if (!m_socket.is_open())
+            connect(ec);
+        if (!ec)
+            boost::asio::write(m_socket, boost::asio::buffer(text), ec);
+        std::this_thread::sleep_for(patience);
+        m_socket.close(ec);
+        m_buffer.clear();
+    }
+
 private:
     auto connect(boost::system::error_code &ec) -> void
     {
--- a/tests/platform/NodeProcess.h
+++ b/tests/platform/NodeProcess.h
@@ -60,6 +60,14 @@
         waitForEnd();
     }
 
+    /// Returns whether the process has ended by itself or by a signal.
+    auto hasEnded() -> bool
+    {
+        if (m_pid > 0 && ::waitpid(m_pid, nullptr, WNOHANG) == m_pid)
+            m_pid = 0;
+        return m_pid <= 0;
+    }
+
     /// Returns the exit code after SIGTERM; -1 if a signal has ended the process.
     auto stop() -> int
     {
--- a/tests/platform/ProcessFleet.h
+++ b/tests/platform/ProcessFleet.h
@@ -195,6 +195,12 @@
         boost::asio::post(m_io, [this] { m_store.failNext(standin::KvFault::Busy, UINT32_MAX); });
     }
 
+    /// Writes a configuration as the operators do.
+    auto configure(const std::string &configuration) -> void
+    {
+        boost::asio::post(m_io, [this, configuration] { m_store.put("op/config", configuration); });
+    }
+
     std::vector<Host> hosts;
 
     static constexpr auto HeartbeatInterval = 300ms;
--- a/tests/platform/TestPromiseSoak.cpp
+++ b/tests/platform/TestPromiseSoak.cpp
@@ -19,11 +19,17 @@
 using Clock = std::chrono::steady_clock;
 using Fleet = BasicProcessFleet<FaultyUpstream>;
 
-static constexpr auto Configuration = R"({"version": 7, "routes": {
+static constexpr auto FirstVersion = 7;
+
+/// Returns a configuration that differs from others by its version only.
+static auto configuration(int version) -> std::string
+{
+    return R"({"version": )" + std::to_string(version) + R"(, "routes": {
 "orders": {"host": "a.example", "prefix": "/o/", "kind": "unsafe", "timeout_s": 20, "target_latency_s": 1.5, "priority": 0,
   "service": "menu", "max_attempts": 3}},
 "services": {"menu": {"health_path": "/health", "max_connections": 634}},
 "limits": {"max_header_bytes": 4096, "max_body_bytes": 200000, "header_timeout_s": 3, "idle_timeout_s": 15}})";
+}
 
 /// Statuses that promise that an attempt has not run and never will.
 static auto isPromise(unsigned status) -> bool
@@ -76,7 +82,7 @@
             do {
                 const auto attempt = "c" + std::to_string(number) + "-" + std::to_string(n) + "-"
                                      + std::to_string(order.size());
-                const auto status = connection.send(request(attempt, random));
+                const auto status = place(connection, request(attempt, random), random);
                 order.emplace_back(attempt, status);
                 if (status == 0 || isPromise(status))
                     std::this_thread::sleep_for(PauseWithoutService);
@@ -86,6 +92,18 @@
         }
     }
 
+    /// Returns the status of the response; 0 without one. Some callers leave before it comes.
+    static auto place(KeptConnection &connection, const std::string &text, std::mt19937_64 &random)
+            -> unsigned
+    {
+        static constexpr auto MostPatience = 60U;
+        static constexpr auto OneLeavesIn = 12U;
+        if (random() % OneLeavesIn != 0)
+            return connection.send(text);
+        connection.sendAndLeave(text, std::chrono::milliseconds(random() % MostPatience));
+        return 0;
+    }
+
     static auto request(const std::string &attempt, std::mt19937_64 &random) -> std::string
     {
         static constexpr auto BodySizes = std::array<std::size_t, 5>{0, 0, 200, 20'000, 150'000};
@@ -108,7 +126,7 @@
     PromiseSoak(std::uint64_t seed, int network, const FaultPlan &plan)
         : m_seed(seed)
         , m_random(seed)
-        , m_fleet(network, Configuration)
+        , m_fleet(network, configuration(FirstVersion))
     {
         for (auto &host : m_fleet.hosts) {
             host.backends[0]->server->setRecord(m_record);
@@ -127,6 +145,7 @@
         auto nextAction = Clock::now() + 300ms;
         for (const auto end = Clock::now() + length; Clock::now() < end;) {
             resumeDue();
+            startEnded();
             if (Clock::now() >= nextHeartbeat) {
                 nextHeartbeat = Clock::now() + Fleet::HeartbeatInterval;
                 announce();
@@ -169,6 +188,14 @@
         }
     }
 
+    auto startEnded() -> void
+    {
+        for (auto &it : m_fleet.hosts) {
+            if (it.node->hasEnded())
+                it.node->start();
+        }
+    }
+
     auto resume(std::size_t n) -> void
     {
         m_fleet.hosts[n].node->signal(SIGCONT);
@@ -181,25 +208,24 @@
         static constexpr auto SuspensionRange = 4'700;
         const auto n = below(m_fleet.hosts.size());
         auto &host = m_fleet.hosts[n];
-        switch (below(8)) {
+        switch (below(10)) {
         case 0:
             resume(n);
-            host.node->kill();
-            return host.node->start();
+            return host.node->kill();
         case 1:
-            resume(n);
-            host.node->signal(SIGTERM);
-            return;
         case 2:
             resume(n);
-            host.node->stop();
-            return host.node->start();
+            return host.node->signal(SIGTERM);
         case 3:
         case 4:
             host.node->signal(SIGSTOP);
             m_resumeAt[n] = Clock::now()
                             + std::chrono::milliseconds(LeastSuspension + below(SuspensionRange));
             return;
+        case 5:
+            return host.node->signal(SIGHUP);
+        case 6:
+            return m_fleet.configure(configuration(++m_version));
         default:
             return restartBackend(*host.backends[0]);
         }
@@ -264,6 +290,7 @@
     Fleet m_fleet;
     std::vector<Clock::time_point> m_resumeAt; ///< By host; the epoch if it is not suspended.
     int m_restarts = 0;
+    int m_version = FirstVersion;
 };
 
 static auto seedsToRun() -> std::uint64_t
