--- a/source/transport/HttpConnection.h
+++ b/source/transport/HttpConnection.h
@@ -279,7 +279,7 @@
             if (ec && ec != boost::beast::http::error::need_more)
                 return refusalFor(ec);
             if (m_parser->is_header_done()) {
-                if (auto refusal = checkHeader())
+                if (auto refusal = refusalForHeader(m_parser->get(), m_parser->chunked()))
                     return refusal;
             }
             if (n == 0)
@@ -288,20 +288,6 @@
         return std::nullopt;
     }
 
-    /// What RFC 9112 asks for beyond what the parser checks (sections 3.2 and 6.1).
-    auto checkHeader() const -> std::optional<HttpRefusal>
-    {
-        namespace http = boost::beast::http;
-        const auto &message = m_parser->get();
-        if (message.version() == 11 && message.count(http::field::host) != 1)
-            return HttpRefusal{400, Reason::BadRequest, "send exactly one Host field"};
-        if (message.count(http::field::transfer_encoding) > 0 && !m_parser->chunked())
-            return HttpRefusal{
-                    400, Reason::BadRequest,
-                    "the transfer encoding is unknown; send chunked or a Content-Length"};
-        return std::nullopt;
-    }
-
     auto endedEarly() -> std::optional<HttpRefusal>
     {
         if (m_readError == asio::error::operation_aborted)
--- a/source/transport/HttpRefusal.cpp
+++ b/source/transport/HttpRefusal.cpp
@@ -15,4 +15,18 @@
             "the request is malformed (" + ec.message() + "); send HTTP/1.1 as RFC 9112 says"};
 }
 
+auto refusalForHeader(
+        const boost::beast::http::header<true, boost::beast::http::fields> &requestHeader,
+        bool isChunked) -> std::optional<HttpRefusal>
+{
+    static constexpr auto Http11 = 11U;
+    namespace http = boost::beast::http;
+    if (requestHeader.version() == Http11 && requestHeader.count(http::field::host) != 1)
+        return HttpRefusal{400, Reason::BadRequest, "send exactly one Host field"};
+    if (requestHeader.count(http::field::transfer_encoding) > 0 && !isChunked)
+        return HttpRefusal{400, Reason::BadRequest,
+                           "the transfer encoding is unknown; send chunked or a Content-Length"};
+    return std::nullopt;
+}
+
 } // namespace stairspur::transport
