Retry, node, tests: Use the terms of refusals in place of promises

'Promise' is a word of the users' pages. A refusal guarantees that a call has not run and never will: AttemptStage::Refused, isProvenNotRun(), the event refused-after-send, RunOnceSoak. Comments of the new code name the thing and not who says it.

No change of behaviour; test_retry, test_log, test_node, AuditLog and PlatformPath pass.

--- a/include/stairspur/log/Log.h
+++ b/include/stairspur/log/Log.h
@@ -29,7 +29,7 @@
 /// Which bound a line counts against. Each kind has its own, so that a flood of one does not displace the other.
 enum class LineKind {
     Ordinary,
-    Audit, ///< An event about which somebody may ask later, such as a request that is sent again. Never sampled.
+    Audit, ///< Evidence of what happened to a single call, such as a further send. Never sampled.
 };
 
 /// Settings of the log: which lines are written, and the node that they name.
--- a/include/stairspur/node/CallProtocol.h
+++ b/include/stairspur/node/CallProtocol.h
@@ -40,7 +40,7 @@
     Shed, ///< The backend server reports that the attempt did not run, because it is full or leaving.
     Damaged, ///< The response reports success but is not the backend server's complete response.
     WrongInstance, ///< Another backend server has the address; the attempt did not run.
-    /// Its status would tell the caller that the attempt did not run, but the backend server does not say so.
+    /// Callers conclude from its status that the attempt did not run, but it lacks the backend server's mark for that.
     UnprovenRefusal,
 };
 
--- a/include/stairspur/retry/AttemptProgress.h
+++ b/include/stairspur/retry/AttemptProgress.h
@@ -14,18 +14,18 @@
 enum class AttemptStage {
     NotSent,    ///< No backend server has received the attempt.
     Sent,       ///< A send is under way, and no earlier one may have run.
-    Rejected,   ///< Backend servers have received it, and each has proved that it did not run.
+    Rejected,   ///< Backend servers have received it, and each has refused to run it.
     MayHaveRun, ///< A send ran, or may still run. Nothing takes this back.
     SentAgain,  ///< A send is under way after one that may have run.
-    Answered,   ///< The caller gets the backend server's answer.
-    Promised,   ///< The caller is told that the attempt has not run and never will.
-    GivenUp,    ///< The caller is told that the attempt may have run.
+    Answered,   ///< Ended with a backend server's answer.
+    Refused,    ///< Ended without a run, now or later.
+    GivenUp,    ///< Ended without an answer, and may have run.
 };
 
 /// How a send has ended.
 enum class SendEnd {
     NotArrived, ///< No backend server has received it, and none can receive it later.
-    Rejected,   ///< A backend server has received it, and says that it did not run.
+    Rejected,   ///< A backend server has received it and refused to run it.
     MayHaveRun, ///< It failed, or its end is not known.
     Answered,
 };
@@ -35,7 +35,7 @@
 template <>
 inline constexpr auto stairspur::enumNames<stairspur::retry::AttemptStage> =
         std::array<std::string_view, 8>{"not-sent",   "sent",     "rejected", "may-have-run",
-                                        "sent-again", "answered", "promised", "given-up"};
+                                        "sent-again", "answered", "refused",  "given-up"};
 
 template <>
 inline constexpr auto stairspur::enumNames<stairspur::retry::SendEnd> =
@@ -51,7 +51,7 @@
     IllegalProgress(AttemptStage stage, std::string_view event);
 };
 
-/// State machine of one attempt (docs/design/retries.md has the table). Only the stages NotSent and Rejected lead to a promise.
+/// State machine of one attempt (docs/design/retries.md has the table). Only the stages NotSent and Rejected lead to Refused.
 class AttemptProgress
 {
 public:
@@ -68,8 +68,8 @@
     /// Returns whether a backend server has received the attempt, whether it ran it or not.
     [[nodiscard]] auto hasArrived() const -> bool { return m_hasArrived; }
 
-    /// Returns whether the caller may be told that the attempt has not run and never will.
-    [[nodiscard]] auto mayPromise() const -> bool;
+    /// Returns whether the attempt has provably not run, and never will if it is not sent again.
+    [[nodiscard]] auto isProvenNotRun() const -> bool;
 
     /// Returns whether a send may start.
     [[nodiscard]] auto maySend() const -> bool;
@@ -80,8 +80,8 @@
     /// Records the end of the send that is under way. Throws IllegalProgress if there is none.
     auto didEnd(SendEnd end) -> void;
 
-    /// Records that the caller gets an answer without a send under way: a promise if one may be given. Returns whether it is.
-    /// Throws IllegalProgress if the caller has its answer already.
+    /// Ends the attempt without an answer of a backend server. Returns isProvenNotRun(). Throws IllegalProgress if a send is under
+    /// way or the attempt has ended.
     auto finish() -> bool;
 
 private:
@@ -91,7 +91,8 @@
     bool m_hasArrived = false;
 };
 
-/// Returns how a send has ended, by what its answer says. An answer that contradicts itself counts as a run.
+/// Returns how a send has ended, from the fields of its answer. `not-run` with `wasDispatched` is a contradiction and counts as a
+/// run.
 auto sendEndOf(Outcome outcome, Reason reason, bool wasDispatched) -> SendEnd;
 
 } // namespace stairspur::retry
--- a/source/node/BackendAnswer.h
+++ b/source/node/BackendAnswer.h
@@ -14,7 +14,7 @@
     Outcome outcome = Outcome::Unknown;
     Reason reason = Reason::None;
     admission::Completion completion = admission::Completion::Succeeded;
-    /// The response is not forwarded, because its status would be an untrue promise.
+    /// The response is not forwarded, because callers would take its status for a proof that the call did not run.
     bool isWithheld = false;
 };
 
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -177,7 +177,7 @@
     else
         answer = co_await attemptUntilFinal(call, m_routes.routesFor(call.request.service),
                                             attempts, cancellation);
-    logPromise(call, answer, attempts);
+    logLateRefusal(call, answer, attempts);
     answer.unspentBudget = attempts.budget.remaining();
     co_return answer;
 }
@@ -363,17 +363,17 @@
 {
     if (attempts.progress.sends() == 0)
         m_metrics.didRefuseAtEntry(reason);
-    const auto isPromise = attempts.progress.finish();
+    const auto isProvenNotRun = attempts.progress.finish();
     auto answer = CallAnswer();
     if (attempts.last.outcome == Outcome::Failed && attempts.last.status != 0)
         answer = attempts.last;
-    else if (isPromise)
+    else if (isProvenNotRun)
         answer.outcome = Outcome::NotRun;
     else
         answer.outcome =
                 attempts.last.outcome == Outcome::Failed ? Outcome::Failed : Outcome::Unknown;
     answer.reason = reason;
-    answer.wasDispatched = !isPromise;
+    answer.wasDispatched = !isProvenNotRun;
     answer.retryAfter = retryAfter;
     return answer;
 }
--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -119,9 +119,9 @@
                      const Attempts &attempts) -> void;
     auto recordRetryDecision(const IncomingCall &call, retry::RetryDecision decision,
                              const NodeId &upstream, const Attempts &attempts) -> void;
-    /// Logs that the caller is promised that a call, which was sent, did not run.
-    static auto logPromise(const IncomingCall &call, const transport::CallAnswer &answer,
-                           const Attempts &attempts) -> void;
+    /// Logs the refusal of a call that must run once and was sent before.
+    static auto logLateRefusal(const IncomingCall &call, const transport::CallAnswer &answer,
+                               const Attempts &attempts) -> void;
 
     transport::asio::io_context &m_io;
     const NodeSettings &m_settings;
--- a/source/node/EntryLog.cpp
+++ b/source/node/EntryLog.cpp
@@ -8,7 +8,7 @@
 using transport::CallAnswer;
 using transport::CallRequest;
 
-/// Adds what tells calls of one kind apart. Comes last, since collectors may cut lines.
+/// Adds the class and the root of a call. They come last, since collectors may cut lines.
 static auto addCall(log::Line &line, const CallRequest &request) -> void
 {
     line.add("service", request.service)
@@ -56,13 +56,13 @@
     addCall(line, call.request);
 }
 
-auto Entry::logPromise(const IncomingCall &call, const CallAnswer &answer, const Attempts &attempts)
-        -> void
+auto Entry::logLateRefusal(const IncomingCall &call, const CallAnswer &answer,
+                           const Attempts &attempts) -> void
 {
-    const auto isPromise = answer.outcome == Outcome::NotRun && attempts.progress.sends() > 0;
-    if (!isPromise || !call.request.mustRunOnce)
+    const auto isLateRefusal = answer.outcome == Outcome::NotRun && attempts.progress.sends() > 0;
+    if (!isLateRefusal || !call.request.mustRunOnce)
         return;
-    auto line = log::Line(log::Severity::Info, "promise", log::LineKind::Audit);
+    auto line = log::Line(log::Severity::Info, "refused-after-send", log::LineKind::Audit);
     line.add("id", call.request.attemptId)
             .add("outcome", answer.outcome)
             .add("reason", answer.reason)
--- a/source/retry/AttemptProgress.cpp
+++ b/source/retry/AttemptProgress.cpp
@@ -10,14 +10,14 @@
             "report this as a fault of stairspur, with the log lines of the attempt")
 {}
 
-auto AttemptProgress::mayPromise() const -> bool
+auto AttemptProgress::isProvenNotRun() const -> bool
 {
     return m_stage == AttemptStage::NotSent || m_stage == AttemptStage::Rejected;
 }
 
 auto AttemptProgress::maySend() const -> bool
 {
-    return mayPromise() || (m_stage == AttemptStage::MayHaveRun && !m_mustRunOnce);
+    return isProvenNotRun() || (m_stage == AttemptStage::MayHaveRun && !m_mustRunOnce);
 }
 
 auto AttemptProgress::didSend() -> void
@@ -44,11 +44,11 @@
 
 auto AttemptProgress::finish() -> bool
 {
-    const auto isPromise = mayPromise();
-    if (!isPromise && m_stage != AttemptStage::MayHaveRun)
+    const auto isRefusal = isProvenNotRun();
+    if (!isRefusal && m_stage != AttemptStage::MayHaveRun)
         throw IllegalProgress(m_stage, "finish");
-    m_stage = isPromise ? AttemptStage::Promised : AttemptStage::GivenUp;
-    return isPromise;
+    m_stage = isRefusal ? AttemptStage::Refused : AttemptStage::GivenUp;
+    return isRefusal;
 }
 
 auto sendEndOf(Outcome outcome, Reason reason, bool wasDispatched) -> SendEnd
--- a/tests/platform/TestAuditLog.cpp
+++ b/tests/platform/TestAuditLog.cpp
@@ -54,7 +54,8 @@
                             "upstream=127.0.0.1:")
                           != std::string::npos,
                   "%s", it.c_str());
-    cr_expect(contains(keptLines(log, "promise"), "id=" + id + " outcome=not-run reason="));
+    cr_expect(contains(keptLines(log, "refused-after-send"),
+                       "id=" + id + " outcome=not-run reason="));
     cr_expect(contains(keptLines(log, "backend-not-run"),
                        "id=" + id + " reason=backend-shed instance="));
 }
@@ -62,6 +63,6 @@
 Test(AuditLog, hasNoLinesOfRequestsThatMayRunAgain)
 {
     const auto log = logOfRejected("/v/1", "view");
-    for (const auto *it : {"retry", "promise", "backend-not-run"})
+    for (const auto *it : {"retry", "refused-after-send", "backend-not-run"})
         cr_expect(keptLines(log, it).empty(), "%s", log.c_str());
 }
--- a/tests/platform/TestPromiseSoak.cpp
+++ b/tests/platform/TestRunOnceSoak.cpp
@@ -31,13 +31,13 @@
 "limits": {"max_header_bytes": 4096, "max_body_bytes": 200000, "header_timeout_s": 3, "idle_timeout_s": 15}})";
 }
 
-/// Statuses that promise that an attempt has not run and never will.
-static auto isPromise(unsigned status) -> bool
+/// Returns whether the status guarantees that the attempt has not run and never will.
+static auto isRefusal(unsigned status) -> bool
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-/// Callers that place orders one after the other, each at the node of its host, and try again after a promise.
+/// Callers that place orders one after the other, each at the node of its host, and try again after a refusal.
 class Callers
 {
 public:
@@ -84,9 +84,9 @@
                                      + std::to_string(order.size());
                 const auto status = place(connection, request(attempt, random), random);
                 order.emplace_back(attempt, status);
-                if (status == 0 || isPromise(status))
+                if (status == 0 || isRefusal(status))
                     std::this_thread::sleep_for(PauseWithoutService);
-            } while (isPromise(order.back().second) && order.size() < MaxAttempts);
+            } while (isRefusal(order.back().second) && order.size() < MaxAttempts);
             const auto lock = std::scoped_lock(m_mutex);
             m_orders.push_back(std::move(order));
         }
@@ -120,10 +120,10 @@
     std::vector<std::thread> m_threads;
 };
 
-class PromiseSoak
+class RunOnceSoak
 {
 public:
-    PromiseSoak(std::uint64_t seed, int network, const FaultPlan &plan)
+    RunOnceSoak(std::uint64_t seed, int network, const FaultPlan &plan)
         : m_seed(seed)
         , m_random(seed)
         , m_fleet(network, configuration(FirstVersion))
@@ -248,7 +248,7 @@
                 ++counts[status];
                 const auto runs = m_record.runs(attempt);
                 const auto isTwice = runs > 1;
-                const auto isRefused = runs > 0 && isPromise(status);
+                const auto isRefused = runs > 0 && isRefusal(status);
                 runTwice += isTwice ? 1 : 0;
                 runRefused += isRefused ? 1 : 0;
                 if (isTwice || isRefused)
@@ -305,26 +305,26 @@
 static constexpr auto MostlyRejecting = FaultPlan{{30, 40, 10, 10, 4, 2, 0, 1, 1, 2}, 0.4};
 static constexpr auto Unmarked = FaultPlan{{50, 20, 10, 8, 4, 2, 5, 2, 2, 2}, 0.2};
 
-Test(PromiseSoak, ordersRunOnceBesideLateCopies, .timeout = 3'600)
+Test(RunOnceSoak, ordersRunOnceBesideLateCopies, .timeout = 3'600)
 {
     for (auto seed = std::uint64_t{1}; seed <= seedsToRun(); ++seed)
-        PromiseSoak(seed, 120 + static_cast<int>(seed % 50), Rejecting).run(8s, false);
+        RunOnceSoak(seed, 120 + static_cast<int>(seed % 50), Rejecting).run(8s, false);
 }
 
-Test(PromiseSoak, ordersRunOnceBesideLateCopiesOfMostlyRejections, .timeout = 3'600)
+Test(RunOnceSoak, ordersRunOnceBesideLateCopiesOfMostlyRejections, .timeout = 3'600)
 {
     for (auto seed = std::uint64_t{1}; seed <= seedsToRun(); ++seed)
-        PromiseSoak(seed, 50 + static_cast<int>(seed % 50), MostlyRejecting).run(8s, false);
+        RunOnceSoak(seed, 50 + static_cast<int>(seed % 50), MostlyRejecting).run(8s, false);
 }
 
-Test(PromiseSoak, ordersRunOnceBesideSignalsAndRestarts, .timeout = 3'600)
+Test(RunOnceSoak, ordersRunOnceBesideSignalsAndRestarts, .timeout = 3'600)
 {
     for (auto seed = std::uint64_t{1}; seed <= seedsToRun(); ++seed)
-        PromiseSoak(seed, 170 + static_cast<int>(seed % 50), Rejecting).run(12s, true);
+        RunOnceSoak(seed, 170 + static_cast<int>(seed % 50), Rejecting).run(12s, true);
 }
 
-Test(PromiseSoak, unmarkedRejectionsAreNoPromise, .timeout = 3'600)
+Test(RunOnceSoak, refusalsWithoutTheServersMarkAreNotForwarded, .timeout = 3'600)
 {
     for (auto seed = std::uint64_t{1}; seed <= seedsToRun(); ++seed)
-        PromiseSoak(seed, 220 + static_cast<int>(seed % 30), Unmarked).run(4s, false);
+        RunOnceSoak(seed, 220 + static_cast<int>(seed % 30), Unmarked).run(4s, false);
 }
--- a/tests/retry/TestAttemptProgress.cpp
+++ b/tests/retry/TestAttemptProgress.cpp
@@ -75,12 +75,12 @@
     return std::ranges::count(events, event);
 }
 
-Test(AttemptProgress, anAttemptThatMayHaveRunIsNeverPromisedNorSentAgain)
+Test(AttemptProgress, anAttemptThatMayHaveRunIsNeitherRefusedNorSentAgain)
 {
     static constexpr auto MaxEvents = std::size_t{9};
     for (const auto mustRunOnce : {false, true}) {
         auto orders = 0;
-        auto promises = 0;
+        auto refusals = 0;
         auto events = std::vector<Event>();
         forEachOrder(AttemptProgress(mustRunOnce), events, MaxEvents,
                      [&](const auto &order, const auto &progress) {
@@ -89,17 +89,17 @@
                                            + countOf(order, Event::Answered);
                          if (mustRunOnce)
                              cr_expect_leq(runs, 1);
-                         if (progress.stage() == AttemptStage::Promised) {
-                             ++promises;
+                         if (progress.stage() == AttemptStage::Refused) {
+                             ++refusals;
                              cr_expect_eq(runs, 0);
                          }
-                         cr_expect(!progress.mayPromise() || runs == 0);
+                         cr_expect(!progress.isProvenNotRun() || runs == 0);
                          cr_expect_eq(progress.sends(), countOf(order, Event::Send));
                          cr_expect_eq(progress.hasArrived(),
                                       runs + countOf(order, Event::Rejected) > 0);
                      });
         cr_expect_gt(orders, 100);
-        cr_expect_gt(promises, 10);
+        cr_expect_gt(refusals, 10);
     }
 }
 
@@ -108,7 +108,7 @@
     auto events = std::vector<Event>();
     forEachOrder(AttemptProgress(false), events, 5, [](const auto &, const auto &progress) {
         const auto stage = progress.stage();
-        const auto isFinal = stage == AttemptStage::Answered || stage == AttemptStage::Promised
+        const auto isFinal = stage == AttemptStage::Answered || stage == AttemptStage::Refused
                              || stage == AttemptStage::GivenUp;
         for (const auto it : Events)
             cr_expect(!isFinal || !stageAfter(progress, it));
--- a/tests/standins/platform/FaultyUpstream.h
+++ b/tests/standins/platform/FaultyUpstream.h
@@ -33,12 +33,12 @@
 /// What a FaultyUpstream does with one request.
 enum class Treatment {
     Serve,          ///< Runs it, and answers with success.
-    Reject,         ///< Says that it did not run.
+    Reject,         ///< Refuses to run it.
     RejectLate,     ///< The same after a wait in its queue.
     RejectEarly,    ///< The same before it has read the body, which it reads afterwards.
     RejectNameless, ///< The same without the attempt's id, and closes.
-    Misdirect,      ///< Says that another instance is meant.
-    FailUnmarked,   ///< Runs it, and answers 503 or 429 without saying that it did not run.
+    Misdirect,      ///< Refuses it, because another process instance is meant.
+    FailUnmarked,   ///< Runs it, and answers 503 or 429 without the mark of a refusal.
     LoseAnswer,     ///< Runs it, and closes the connection without an answer.
     BreakOff,       ///< Runs it, and closes the connection within the answer.
     Unframed,       ///< Runs it; the answer ends with its connection.
