Node: Log the refusal of a call before it can be moved

The linter found that routeWithShare() logged a keyed call that had been moved into routeKeyed(). The line was never written there, since keyed calls have no sends of their own, but the read was wrong. It is logged where the call is still owned.

--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -170,14 +170,15 @@
     auto attempts = Attempts{.budget = retry::CallBudget(share.budget, share.isRepeat),
                              .progress = retry::AttemptProgress(call.request.mustRunOnce)};
     auto answer = CallAnswer();
-    if (isKeyed)
+    if (isKeyed) {
         answer = co_await routeKeyed(std::move(call), attempts, cancellation, isRefused);
-    else if (isRefused)
+    } else if (isRefused) {
         answer = finalRefusal(attempts, share.refusal, Duration::zero());
-    else
+    } else {
         answer = co_await attemptUntilFinal(call, m_routes.routesFor(call.request.service),
                                             attempts, cancellation);
-    logLateRefusal(call, answer, attempts);
+        logLateRefusal(call, answer, attempts);
+    }
     answer.unspentBudget = attempts.budget.remaining();
     co_return answer;
 }
