Node: Repeat a request only under a configuration that is proven to be current

Cause: whether a request may run again was read once, at its arrival, from the configuration in force on its host. Nothing asked whether that configuration was current, or whether a newer one had come into force before the second send.

Change: RepeatGuard decides at each further send of a request that may have run. It must be idempotent according to the configuration that it was read with and the one in force, which must be proven to be the newest within the configuration bound before the arrival (--configuration-bound; config_s on the platform). AttemptProgress::forbidRepeats() makes a further send an error. Proofs of freshness are kept on all deployments.

Why this works: a proof from within the bound before the arrival is newer than each version that was acknowledged earlier than the bound, and counts only once its version is in force. No suspension has to be detected, so that it also covers nodes that are cut off.

The test of the harness publishes a current proof, as the distribution does.

--- a/include/stairspur/cli/Flags.h
+++ b/include/stairspur/cli/Flags.h
@@ -25,6 +25,7 @@
 DECLARE_string(announcement_timeout);
 DECLARE_string(drain_timeout);
 DECLARE_string(revocation_bound);
+DECLARE_string(configuration_bound);
 DECLARE_string(store_timeout);
 DECLARE_uint32(store_calls_per_second);
 DECLARE_uint32(subset_size);
--- a/include/stairspur/node/NodeSettings.h
+++ b/include/stairspur/node/NodeSettings.h
@@ -46,6 +46,10 @@
     /// disconnected: a host serves callers only if its configuration was proven to be the newest within this time.
     /// 0: no such guarantee.
     Duration revocationBound{0};
+    /// Time within which each node that is not disconnected acts on an applied configuration. A call that may have run is sent
+    /// again only if the configuration was proven to be the newest at most this long before the call arrived.
+    /// 0: no proof is needed.
+    Duration configurationBound{5'000'000};
     Duration storeTimeout{2'000'000};
     /// Longest random delay before a node claims a free rendezvous slot. When a whole failure domain starts at once, the delay
     /// limits the rate of calls to the store, but it also delays the start.
--- a/include/stairspur/retry/AttemptProgress.h
+++ b/include/stairspur/retry/AttemptProgress.h
@@ -60,6 +60,9 @@
         : m_mustRunOnce(mustRunOnce)
     {}
 
+    /// From now on the attempt is not sent again once it may have run.
+    auto forbidRepeats() -> void { m_mustRunOnce = true; }
+
     [[nodiscard]] auto stage() const -> AttemptStage { return m_stage; }
 
     /// Returns the number of sends.
--- a/source/cli/Command.cpp
+++ b/source/cli/Command.cpp
@@ -21,6 +21,7 @@
                                                                    "announcement-timeout",
                                                                    "drain-timeout",
                                                                    "revocation-bound",
+                                                                   "configuration-bound",
                                                                    "store-timeout",
                                                                    "store-calls-per-second",
                                                                    "subset-size",
--- a/source/cli/Flags.cpp
+++ b/source/cli/Flags.cpp
@@ -39,6 +39,11 @@
         "in "
         "touch or not: one that cannot prove its configuration to be that new serves no caller. "
         "0s: not promised; else from 3s");
+DEFINE_string(
+        configuration_bound, "5s",
+        "within this time of an apply every node that is not cut off acts on it. A request that "
+        "may have run is sent again only if the configuration was proven to be the newest at most "
+        "this long before the request arrived. 0s: no proof is needed; else from 2s");
 DEFINE_string(store_timeout, "2s", "for one attempt at a call to the store");
 DEFINE_uint32(store_calls_per_second, 5, "calls to the store at most, all kinds together");
 DEFINE_uint32(subset_size, 16, "upstreams of each service that this node keeps links to");
--- a/source/cli/NodeSettingsReader.cpp
+++ b/source/cli/NodeSettingsReader.cpp
@@ -15,6 +15,8 @@
 static constexpr auto MaxDecisionSample = std::uint32_t{1'000'000};
 /// Proofs are up to 2.3 s old where a tenth of all datagrams is lost and a relay is paused.
 static constexpr auto LeastRevocationBound = Duration{3s};
+/// Proofs are about 1.2 s old, or 1.7 s if a relay does not respond.
+static constexpr auto LeastConfigurationBound = Duration{2s};
 static constexpr auto KiB = std::uint64_t{1} << 10U;
 static constexpr auto MiB = std::uint64_t{1} << 20U;
 
@@ -79,6 +81,12 @@
         throw SettingError("--revocation-bound is shorter than proofs are old: "
                                    + FLAGS_revocation_bound,
                            "give 0s, or a value from 3s on");
+    settings.configurationBound =
+            parseDurationSetting("configuration-bound", FLAGS_configuration_bound, 0s, 1h);
+    if (settings.configurationBound > 0s && settings.configurationBound < LeastConfigurationBound)
+        throw SettingError("--configuration-bound is shorter than proofs are old: "
+                                   + FLAGS_configuration_bound,
+                           "give 0s, or a value from 2s on");
     settings.requestTimeout =
             parseDurationSetting("request-timeout", FLAGS_request_timeout, 100ms, 10min);
 }
--- a/source/node/CallIntake.cpp
+++ b/source/node/CallIntake.cpp
@@ -244,6 +244,7 @@
         throw CallRejected(Reason::TooLarge, "the body is larger than the service allows",
                            "send less, or raise max_request_bytes of the service");
     }
+    call.arrivedAt = now;
     call.deadline = now + readTimeout(headers, service.limits);
     if (origin.parentDeadline)
         call.deadline = std::min(call.deadline, *origin.parentDeadline);
--- a/source/node/CallIntake.h
+++ b/source/node/CallIntake.h
@@ -20,6 +20,9 @@
 struct IncomingCall
 {
     transport::CallRequest request;
+    TimePoint arrivedAt;
+    std::string host{}; ///< Host and path by which the call was routed; empty if it names its service.
+    std::string path{};
     TimePoint deadline;
     bool hasDeeperCalls = false; ///< Whether its service calls others according to the call paths.
     /// Whether the caller was identified by a key, which may have been revoked since.
--- a/source/node/CallerAdmission.cpp
+++ b/source/node/CallerAdmission.cpp
@@ -27,11 +27,11 @@
 /// Retry delay if a newer configuration arrived during the wait, which may have the key.
 static constexpr auto NewerRetryAfter = Duration{20'000};
 
-auto isProofFresh(const ConfigurationProof &proof, Duration revocationBound, TimePoint now) -> bool
+auto isProofFresh(const ConfigurationProof &proof, Duration bound, TimePoint time) -> bool
 {
-    if (revocationBound <= Duration::zero())
+    if (bound <= Duration::zero())
         return true;
-    return proof.provenAt && now - *proof.provenAt < revocationBound - ClockMargin;
+    return proof.provenAt && time - *proof.provenAt < bound - ClockMargin;
 }
 
 auto refusalWithoutConfiguration() -> CallerDecision
@@ -54,6 +54,7 @@
 auto CallerAdmission::admit(const IncomingCall &call, const ConfigurationProof &proof)
         -> Task<CallerDecision>
 {
+    // A configuration that was the newest before a key was revoked still has this key.
     if (call.needsConfigurationProof
         && !isProofFresh(proof, m_settings.revocationBound, monotonicNow()))
         co_return CallerDecision{
--- a/source/node/CallerAdmission.h
+++ b/source/node/CallerAdmission.h
@@ -18,10 +18,9 @@
 
 namespace stairspur::node {
 
-/// Returns whether the proof lets a host serve callers at `now`. A configuration that was the latest one before a key was
-/// revoked still has this key, so it admits no callers once the revocation bound has passed since its proof. Always returns
-/// true without a bound.
-auto isProofFresh(const ConfigurationProof &proof, Duration revocationBound, TimePoint now) -> bool;
+/// Returns whether the configuration was proven to be the newest within `bound` before `time`, so that it contains each change
+/// that was applied earlier. Always returns true without a bound.
+auto isProofFresh(const ConfigurationProof &proof, Duration bound, TimePoint time) -> bool;
 
 /// The decision on the caller of a request.
 struct CallerDecision
--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -86,7 +86,8 @@
             m_handlers.didFindSilence};
     m_peers.setSilenceObserver(m_handlers.didFindSilence);
     auto settings = distribution::DistributionSettings();
-    settings.isProvingFreshness = m_settings.revocationBound > Duration::zero();
+    settings.isProvingFreshness = m_settings.revocationBound > Duration::zero()
+                                  || m_settings.configurationBound > Duration::zero();
     m_distribution.emplace(io, m_settings.nodeId(), m_settings.failureDomain, settings,
                            std::move(parts), seed);
     m_membership.setAnnotationCallback([this](const NodeId &from, const std::string &bytes) {
--- a/source/node/Entry.cpp
+++ b/source/node/Entry.cpp
@@ -34,6 +34,7 @@
     , m_keyedRouter(io, {{settings.nodeId(), start}, {}}, peers, seed + 1)
     , m_random(seed)
     , m_callers(io, settings, board, seed + 2, std::move(sendTokenRequest))
+    , m_repeatGuard(settings, board)
     , m_routes(settings, board)
     , m_floorReporter(io, board, m_observedCalls,
                       [this](const auto &call, auto rank, auto now) {
@@ -265,6 +266,7 @@
         co_await attempt(call, routes, attempts, *decision.node, cancellation);
         if (attempts.last.outcome == Outcome::Answered)
             co_return std::move(attempts.last);
+        checkRepeat(call, attempts);
         const auto step = nextStep(call, routes, attempts);
         recordRetryDecision(call, step, *decision.node, attempts);
         if (step == RetryDecision::GiveUp)
@@ -329,15 +331,29 @@
     return routes.bucket.hasTokenFor(precedence);
 }
 
+auto Entry::checkRepeat(const IncomingCall &call, Attempts &attempts) const -> void
+{
+    if (attempts.progress.isProvenNotRun())
+        return;
+    const auto refusal = m_repeatGuard.reasonToRefuse(call);
+    if (refusal == RepeatRefusal::None)
+        return;
+    attempts.progress.forbidRepeats();
+    if (!call.request.mustRunOnce)
+        logRepeatRefusal(call, refusal);
+}
+
 auto Entry::nextStep(const IncomingCall &call, ServiceRoutes &routes,
                      const Attempts &attempts) const -> RetryDecision
 {
+    if (!attempts.progress.maySend())
+        return RetryDecision::GiveUp;
     auto end = retry::EndedAttempt();
     end.outcome = attempts.last.outcome;
     end.reason = attempts.last.reason;
     end.wasDispatched = attempts.last.wasDispatched || attempts.last.outcome != Outcome::NotRun;
     end.wasRefusedByBackend = m_protocol && wasShed(attempts);
-    end.isIdempotent = !call.request.mustRunOnce;
+    end.isIdempotent = true; // Whether the call may be sent again after a run was checked above.
     end.budget = end.wasRefusedByBackend ? 1 : attempts.budget.remaining();
     end.hasServiceToken = true;
     end.remaining = call.deadline - monotonicNow();
--- a/source/node/Entry.h
+++ b/source/node/Entry.h
@@ -25,6 +25,7 @@
 #include "NodeBoard.h"
 #include "NodeMetrics.h"
 #include "ObservedCalls.h"
+#include "RepeatGuard.h"
 #include "RunningCalls.h"
 #include "ServiceRouteTable.h"
 #include "ShutdownSchedule.h"
@@ -112,6 +113,8 @@
     /// Returns whether the service's bucket has a token for the call, and records the demand for it.
     [[nodiscard]] auto hasToken(const transport::CallRequest &request, ServiceRoutes &routes) const
             -> bool;
+    /// Forbids further sends of a call that may have run, unless it may run again.
+    auto checkRepeat(const IncomingCall &call, Attempts &attempts) const -> void;
     [[nodiscard]] auto nextStep(const IncomingCall &call, ServiceRoutes &routes,
                                 const Attempts &attempts) const -> retry::RetryDecision;
 
@@ -119,6 +122,8 @@
                      const Attempts &attempts) -> void;
     auto recordRetryDecision(const IncomingCall &call, retry::RetryDecision decision,
                              const NodeId &upstream, const Attempts &attempts) -> void;
+    /// Logs that an idempotent call is not sent again.
+    auto logRepeatRefusal(const IncomingCall &call, RepeatRefusal refusal) const -> void;
     /// Logs the refusal of a call that must run once and was sent before.
     static auto logLateRefusal(const IncomingCall &call, const transport::CallAnswer &answer,
                                const Attempts &attempts) -> void;
@@ -134,6 +139,7 @@
     std::uint64_t m_keyedConfigurationGeneration = 0;
     Random m_random;
     CallerAdmission m_callers;
+    RepeatGuard m_repeatGuard;
     ServiceRouteTable m_routes;
     ObservedCalls m_observedCalls;
     DeeperFloorReporter m_floorReporter;
--- a/source/node/EntryLog.cpp
+++ b/source/node/EntryLog.cpp
@@ -56,6 +56,18 @@
     addCall(line, call.request);
 }
 
+auto Entry::logRepeatRefusal(const IncomingCall &call, RepeatRefusal refusal) const -> void
+{
+    if (!log::isDecisionSampled())
+        return;
+    const auto proofAge = m_board.configurationProof.read()->age(call.arrivedAt);
+    auto line = log::Line(log::Severity::Info, "repeat-refused");
+    line.add("id", call.request.attemptId)
+            .add("reason", refusal)
+            .add("proof_age_ms", toMilliseconds(proofAge.value_or(Duration{-1'000})));
+    addCall(line, call.request);
+}
+
 auto Entry::logLateRefusal(const IncomingCall &call, const CallAnswer &answer,
                            const Attempts &attempts) -> void
 {
--- a/source/node/RoutedIntake.cpp
+++ b/source/node/RoutedIntake.cpp
@@ -127,6 +127,7 @@
         throw CallRejected(Reason::TooLarge, "the body is larger than the operators allow",
                            "send a smaller body");
     auto call = IncomingCall();
+    call.arrivedAt = now;
     call.deadline = now + route.timeout;
     if (request.remaining)
         call.deadline = std::min(call.deadline, now + *request.remaining);
@@ -138,6 +139,8 @@
     call.request.service = drawTarget(route, random);
     call.request.path = pathKeyOf(route.name);
     call.request.retryBudget = std::max(route.maxAttempts, 1U) - 1;
+    call.host = std::move(request.host);
+    call.path = std::move(request.path);
     call.request.attemptId = std::move(request.attemptId);
     call.request.originService = ownService;
     call.request.headers = std::move(request.headers);
--- a/tests/cli/TestNodeSettingsReader.cpp
+++ b/tests/cli/TestNodeSettingsReader.cpp
@@ -65,6 +65,7 @@
                                 "--announcement-timeout=7s",
                                 "--drain-timeout=1m",
                                 "--revocation-bound=5s",
+                                "--configuration-bound=4s",
                                 "--store-timeout=3s",
                                 "--store-calls-per-second=9",
                                 "--subset-size=8",
@@ -88,6 +89,8 @@
     cr_assert(read.protocolPeriod == 500ms);
     cr_assert(read.announcementTimeout == 7s);
     cr_assert(read.drainTimeout == 1min);
+    cr_assert(read.revocationBound == 5s);
+    cr_assert(read.configurationBound == 4s);
     cr_assert(read.storeTimeout == 3s);
     cr_assert_eq(read.storeCallsPerSecond, 9);
     cr_assert_eq(read.subsetSize, 8);
--- a/tests/node/CallPathHarness.h
+++ b/tests/node/CallPathHarness.h
@@ -110,6 +110,7 @@
     {
         settings.failureDomain = "centre";
         auto configuration = config::VersionedConfiguration();
+        board.configurationProof.publish({monotonicNow()});
         configuration.version = 1;
         configuration.configuration.classes = {{"orders", 0}, {"browse", 1}};
         configuration.configuration.services = {
--- a/tests/platform/TestBootSettings.cpp
+++ b/tests/platform/TestBootSettings.cpp
@@ -107,6 +107,12 @@
     cr_assert_throw(readBootFile("/nowhere/node.yaml"), SettingError);
 }
 
+Test(BootSettings, configurationBoundIsThePlatforms)
+{
+    const auto bounded = replaced("\"odd\"", "\"config_s=2.5\"");
+    cr_assert(nodeSettingsOf(parseBootSettings(bounded)).configurationBound == 2'500ms);
+}
+
 Test(BootSettings, keysAreTakenAwayInTimeOnlyWhereThePlatformAsksForIt)
 {
     cr_assert(parseBootSettings(std::string(Whole)).revocationBound == 0s);
