--- a/include/stairspur/membership/LeavingReplication.h
+++ b/include/stairspur/membership/LeavingReplication.h
@@ -17,8 +17,7 @@
 namespace stairspur::membership {
 
 /// Records the leaving process instances of each host on some other nodes, its replicas, so that a node that has
-/// restarted gets those of its host back. Only memory is used: if a node and all its replicas restart at once, the
-/// records are lost.
+/// restarted gets those of its host back. Only memory is used, so the records don't outlast a restart of all nodes.
 ///
 /// The replicas are the first alive nodes of the host's failure domain by rendezvous rank, and the first one of two other
 /// domains. A request carries all ids of the sender's host and is answered with all ids recorded for it. Both sides add
--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -70,6 +70,7 @@
     makeDistribution(io, seed + 3);
     makeListeners(io);
 }
+        m_leaving.setStore(*m_store);
 
 ControlPlane::~ControlPlane() = default;
 
--- a/tests/platform/ProcessFleet.h
+++ b/tests/platform/ProcessFleet.h
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <thread>
 #include <vector>
@@ -134,6 +135,22 @@
         waitUntil([&] { return isReady(host); });
     }
 
+    /// Kills the nodes of all hosts but the last `spared` ones at once, starts them again after `pause`, and waits until they are
+    /// ready.
+    auto restartNodes(std::chrono::milliseconds pause, std::size_t spared = 0) -> void
+    {
+        const auto killed = std::span(hosts).first(hosts.size() - spared);
+        for (const auto &it : killed)
+            it.node->signal(SIGKILL);
+        for (const auto &it : killed)
+            it.node->kill();
+        std::this_thread::sleep_for(pause);
+        for (const auto &it : killed)
+            it.node->start();
+        for (const auto &it : killed)
+            waitUntil([&] { return isReady(it); });
+    }
+
     /// Sends requests through all nodes for `length`, and heartbeats `ready` of the other hosts' backend servers. Calls
     /// `everyHeartbeat` beside these. Returns how many requests through the other hosts had another status than 200.
     auto drive(std::chrono::milliseconds length, const std::function<void()> &everyHeartbeat = {})
--- a/tests/platform/TestAcknowledgedLeaving.cpp
+++ b/tests/platform/TestAcknowledgedLeaving.cpp
@@ -145,3 +145,39 @@
         test.expectNone();
     }
 }
+
+// Late heartbeats brought a server back into service whose leaving had been acknowledged before all nodes, or all but one, were
+// killed at the same time.
+Test(AcknowledgedLeaving, outlastsAKillOfAllNodes, .timeout = 300)
+{
+    struct
+    {
+        int network;
+        bool usesDelete;
+        std::size_t sparedNodes;
+        std::chrono::milliseconds pause;
+    } const cases[] = {{103, true, 0, 500ms},
+                       {104, false, 0, 500ms},
+                       {105, true, 1, 500ms},
+                       {106, true, 0, 0ms}};
+    for (const auto &it : cases) {
+        auto test = LateRequests(it.network);
+        const auto status = it.usesDelete ? ProcessFleet::leave(test.host, test.backend)
+                                          : ProcessFleet::beat(test.host, test.backend, "draining");
+        cr_assert_eq(status, 200);
+        test.fleet.restartNodes(it.pause, it.sparedNodes);
+        test.fleet.drive(2s, [&] { test.sendReady(); });
+        test.expectNone([&] { test.sendReady(); });
+    }
+}
+
+// A server that was never told to leave has to serve again after a kill of all nodes.
+Test(AcknowledgedLeaving, doesNotKeepOtherServersFromServingAfterAKillOfAllNodes, .timeout = 120)
+{
+    auto test = LateRequests(107);
+    test.fleet.restartNodes(0ms);
+    test.fleet.drive(3s, [&] { test.sendReady(); });
+    const auto before = test.backend.server->runs();
+    cr_assert_eq(test.fleet.drive(1s, [&] { test.sendReady(); }), 0);
+    cr_assert_gt(test.backend.server->runs(), before);
+}
