Quota: Count what hosts have used when their grantor changes or restarts

Cause: a grantor's account contained what its process had granted, not what the caller had used. A resumed grantor went on with an empty window and a full bucket beside its successor, a restarted one began with an empty window, and a host that had just started selected nodes that each granted it a full bucket.

Change: hosts send what they have used within the window to a grantor that may not know it, which counts it as its own; grantors have epochs, so that a host of an earlier one is asked for its history. A grantor that was suspended drops its accounts and grants nothing until others can select it again. A node grants only what it is selected for in its own view. A grantor whose hosts leave yields most of the rate to its successor. Older versions ignore the new elements of messages.

Why this works: once the hosts of a caller have spoken, the window of its grantor contains all that the caller has used, whoever granted it, so that its limit holds for all of it. Until then, former and new grantor together fill at no more than the rate.

QuotaGuarantee's mutant that starts full now also ignores histories: with them, the window alone stops a full bucket, so that the mutant would no longer exceed the quota. The bound and the scenario are unchanged. The node harness gives its grantor a board of its own, in whose view it is selected.

--- a/include/stairspur/quota/AliveNodes.h
+++ b/include/stairspur/quota/AliveNodes.h
@@ -30,6 +30,9 @@
     /// Sets the nodes that are alive, including this one.
     auto setNodes(const std::vector<AliveNode> &nodes, TimePoint now) -> void;
 
+    /// Records that `node`, this node, was suspended. Others may have taken it for dead, so it becomes mature as a new node does.
+    auto didResume(const NodeId &node, TimePoint now) -> void;
+
     /// Returns the mature nodes ordered by their ids; all nodes if none is mature.
     [[nodiscard]] auto mature(TimePoint now) const -> std::vector<NodeId>;
     /// Returns when the next node becomes mature; TimePoint::max() if all are.
--- a/include/stairspur/quota/GrantorSelector.h
+++ b/include/stairspur/quota/GrantorSelector.h
@@ -23,6 +23,9 @@
     /// Sets the nodes that are alive, including this one.
     auto setNodes(const std::vector<AliveNode> &nodes, TimePoint now) -> void;
 
+    /// Records that `node`, this node, was suspended; see AliveNodes::didResume().
+    auto didResume(const NodeId &node, TimePoint now) -> void;
+
     /// Returns the grantor of `caller`; empty while there are no nodes.
     auto grantorOf(const std::string &caller, TimePoint now) -> NodeId;
 
--- a/include/stairspur/quota/Messages.h
+++ b/include/stairspur/quota/Messages.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
 
 #include <stairspur/core/Time.h>
+#include <stairspur/quota/GrantWindow.h>
 
 /// Messages between hosts and the grantor of a caller, as CBOR in datagrams.
 namespace stairspur::quota {
@@ -19,6 +21,12 @@
     std::uint32_t returned = 0; ///< Tokens of earlier grants that are unspent and still valid.
     /// Whether the host's last request for this caller, a short time ago, went to another grantor.
     bool hasChangedGrantor = false;
+    /// Epoch of the grantor that the host's last grant for this caller came from; 0 if it came from another node.
+    std::uint64_t epoch = 0;
+    /// The host requests its tokens from another grantor from now on.
+    bool isLeaving = false;
+    /// Tokens that the host has used for this caller within the last window, for a grantor that may not have granted them.
+    std::optional<GrantWindow::History> history{};
 };
 
 /// Response of a grantor to a request for tokens.
@@ -31,6 +39,10 @@
     Duration retryAfter{0};
     /// False if the sender's configuration has no quota for the caller, or if the sender doesn't grant it yet after a takeover.
     bool isGrantor = true;
+    /// Identifies the time for which the grantor has kept its accounts without a break.
+    std::uint64_t epoch = 0;
+    /// The sender's accounts are newer than the host assumes. The host must repeat the request with its history.
+    bool needsHistory = false;
 };
 
 using Message = std::variant<TokenRequest, TokenGrant>;
--- a/include/stairspur/quota/QuotaHolder.h
+++ b/include/stairspur/quota/QuotaHolder.h
@@ -10,6 +10,7 @@
 #include <stairspur/core/Identifiers.h>
 #include <stairspur/core/Random.h>
 #include <stairspur/core/Time.h>
+#include <stairspur/quota/GrantWindow.h>
 #include <stairspur/quota/GrantorSelector.h>
 #include <stairspur/quota/Messages.h>
 #include <stairspur/quota/QuotaSettings.h>
@@ -54,6 +55,9 @@
     /// Sets the nodes that are alive, including this one.
     auto setNodes(const std::vector<AliveNode> &nodes, TimePoint now) -> void;
 
+    /// Records that `node`, this node, was suspended; see AliveNodes::didResume().
+    auto didResume(const NodeId &node, TimePoint now) -> void { m_selector.didResume(node, now); }
+
     /// Offers a request for admission. takeDecisions() returns the decision, at once or after a later grant or tick.
     auto offer(RequestNumber request, const std::string &caller, const config::RequestQuota &quota,
                TimePoint now) -> void;
@@ -92,6 +96,7 @@
     struct PendingRequest
     {
         std::uint64_t number = 0;
+        NodeId grantor;
         TimePoint sentAt;
         bool isRetry = false; ///< Repeats a request that had no response.
     };
@@ -108,6 +113,9 @@
         TimePoint stockPauseEnd{};     ///< Until then no tokens are requested in advance.
         NodeId grantor;                ///< Receiver of the last request for tokens.
         TimePoint requestedAt{};       ///< Time of the last request for tokens.
+        NodeId grantedBy;              ///< Sender of the last grant.
+        std::uint64_t epoch = 0;       ///< Epoch of the last grant.
+        GrantWindow used;              ///< Tokens of grants and of the even share.
         bool isUsingEvenShare = false; ///< The grantor does not respond or does not grant.
         bool isContended = false; ///< The grantor refused shortly before it stopped responding.
         double demand = 0;        ///< Requests per second, averaged over about a second.
@@ -131,6 +139,8 @@
     auto refuse(RequestNumber request, Duration wait) -> void;
     /// Requests tokens if requests wait or the stock is low, unless a request is pending or the caller is refused.
     auto requestTokensIfNeeded(const std::string &caller, Account &account, TimePoint now) -> void;
+    /// Informs the grantor of the last request that the next ones go to another node.
+    auto leaveGrantor(const std::string &caller, const Account &account) -> void;
     /// Sends a request for tokens to the caller's grantor.
     auto requestTokens(const std::string &caller, Account &account, TimePoint now, bool isRetry)
             -> void;
--- a/source/node/CallerAdmission.cpp
+++ b/source/node/CallerAdmission.cpp
@@ -48,7 +48,7 @@
     : m_io(io)
     , m_settings(settings)
     , m_board(board)
-    , m_quotas(io, board, seed, std::move(send))
+    , m_quotas(io, board, settings.nodeId(), seed, std::move(send))
 {}
 
 auto CallerAdmission::admit(const IncomingCall &call, const ConfigurationProof &proof)
--- a/source/node/ControlPlane.cpp
+++ b/source/node/ControlPlane.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 
+#include <stairspur/core/Hash.h>
 #include <stairspur/log/Log.h>
 #include <stairspur/store/EtcdStore.h>
 
@@ -22,6 +23,8 @@
 /// Protocol periods for which a leaving node repeats its leave message. One is enough: receivers forward the message at
 /// once, and refusals of the gate carry the same information.
 static constexpr auto LeavePeriods = 1;
+/// Protocol periods that a process may pause without being taken for dead by other nodes.
+static constexpr auto SuspendedPeriods = 2;
 
 ControlPlane::ControlPlane(asio::io_context &io, const NodeSettings &settings,
                            const NodeAdapter &adapter, NodeBoard &board, NodeMetrics &metrics,
@@ -35,7 +38,8 @@
     , m_peers(io, peerSettings(settings))
     , m_membership(io, m_datagrams, membershipSettings(settings, start), seed)
     , m_grantor(
-              board, settings.nodeId(),
+              board, settings.nodeId(), settings.protocolPeriod * SuspendedPeriods,
+              hash64(settings.nodeId(), seed) | 1U,
               [this](const auto &to, const auto &payload) {
                   m_datagrams.send(to, QuotaTopic, payload);
               },
@@ -66,11 +70,11 @@
         m_quarantineArchive.emplace(io, *m_store, [this](const std::string &saved) {
             m_handlers.restoreQuarantine(saved);
         });
+        m_leaving.setStore(*m_store);
     }
     makeDistribution(io, seed + 3);
     makeListeners(io);
 }
-        m_leaving.setStore(*m_store);
 
 ControlPlane::~ControlPlane() = default;
 
@@ -277,6 +281,7 @@
         if (m_announcements.tick(monotonicNow()))
             publishBackend();
         m_leaving.tick();
+        m_grantor.tick();
         logProofChange();
         scheduleTick();
     });
--- a/source/node/GrantorService.cpp
+++ b/source/node/GrantorService.cpp
@@ -8,12 +8,14 @@
 
 namespace stairspur::node {
 
-GrantorService::GrantorService(const NodeBoard &board, NodeId ownNode, Send send, DidGrant didGrant)
+GrantorService::GrantorService(NodeBoard &board, NodeId ownNode, Duration suspensionLimit,
+                               std::uint64_t epoch, Send send, DidGrant didGrant)
     : m_board(board)
     , m_ownNode(std::move(ownNode))
     , m_send(std::move(send))
     , m_didGrant(std::move(didGrant))
-    , m_grantor(quota::QuotaSettings(), monotonicNow())
+    , m_suspension(suspensionLimit, monotonicNow())
+    , m_grantor(quota::QuotaSettings(), m_ownNode, monotonicNow(), epoch)
 {}
 
 auto GrantorService::requestTokens(const NodeId &grantor, const std::string &payload) -> void
@@ -37,7 +39,7 @@
 
 auto GrantorService::process(const NodeId &from, const quota::TokenRequest &request) -> void
 {
-    const auto grant = grantFor(request);
+    const auto grant = grantFor(from, request);
     if (request.wanted == 0)
         return; // The request only returned tokens.
     if (from == m_ownNode)
@@ -51,15 +53,26 @@
     m_didGrant(grant);
 }
 
-auto GrantorService::grantFor(const quota::TokenRequest &request) -> quota::TokenGrant
+auto GrantorService::detectSuspension(TimePoint now) -> void
+{
+    if (!m_suspension.didRun(now))
+        return;
+    log::Line(log::Severity::Warning, "quota-grantor-resigned").add("node", m_ownNode);
+    m_grantor.didResume(now);
+    m_board.resumedAt.publish(now);
+}
+
+auto GrantorService::grantFor(const NodeId &from, const quota::TokenRequest &request)
+        -> quota::TokenGrant
 {
     const auto now = monotonicNow();
+    detectSuspension(now);
     refreshNodes(now);
     const auto configuration = *m_board.configuration.read();
     const auto *caller = configuration ? configuration->findCaller(request.caller) : nullptr;
     if (!caller || !caller->quota)
         return {.number = request.number, .caller = request.caller, .isGrantor = false};
-    return m_grantor.grantTokens(request, *caller->quota, now);
+    return m_grantor.grantTokens(from, request, *caller->quota, now);
 }
 
 auto GrantorService::refreshNodes(TimePoint now) -> void
--- a/source/node/GrantorService.h
+++ b/source/node/GrantorService.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <string>
 
+#include <stairspur/core/SuspensionDetector.h>
 #include <stairspur/quota/QuotaGrantor.h>
 
 #include "NodeBoard.h"
@@ -20,8 +21,13 @@
     using Send = std::function<void(const NodeId &to, const std::string &payload)>;
     using DidGrant = std::function<void(const quota::TokenGrant &grant)>;
 
-    /// `didGrant` is called with each grant for this host's entry.
-    GrantorService(const NodeBoard &board, NodeId ownNode, Send send, DidGrant didGrant);
+    /// `didGrant` is called with each grant for this host's entry. A pause of this process that is longer than
+    /// `suspensionLimit` counts as a suspension. `epoch` differs between processes and is not 0.
+    GrantorService(NodeBoard &board, NodeId ownNode, Duration suspensionLimit, std::uint64_t epoch,
+                   Send send, DidGrant didGrant);
+
+    /// Detects suspensions. Called several times within the suspension limit.
+    auto tick() -> void { detectSuspension(monotonicNow()); }
 
     /// Sends a token request of this host's entry to the grantor, or processes it here if this node is the grantor.
     auto requestTokens(const NodeId &grantor, const std::string &payload) -> void;
@@ -31,13 +37,15 @@
 private:
     auto process(const NodeId &from, const quota::TokenRequest &request) -> void;
     auto process(const NodeId &from, const quota::TokenGrant &grant) -> void;
-    auto grantFor(const quota::TokenRequest &request) -> quota::TokenGrant;
+    auto grantFor(const NodeId &from, const quota::TokenRequest &request) -> quota::TokenGrant;
+    auto detectSuspension(TimePoint now) -> void;
     auto refreshNodes(TimePoint now) -> void;
 
-    const NodeBoard &m_board;
+    NodeBoard &m_board;
     NodeId m_ownNode;
     Send m_send;
     DidGrant m_didGrant;
+    SuspensionDetector m_suspension;
     quota::QuotaGrantor m_grantor;
     std::uint64_t m_membersGeneration = 0;
 };
--- a/source/node/NodeBoard.h
+++ b/source/node/NodeBoard.h
@@ -88,7 +88,9 @@
     /// Written by the distribution controller, after the configuration to which it refers.
     blackboard::Entry<ConfigurationProof> configurationProof;
     blackboard::Entry<membership::MembershipView>
-            members;                         ///< Written by the membership controller.
+            members; ///< Written by the membership controller.
+    /// When this process last resumed after a suspension; written by the control thread.
+    blackboard::Entry<std::optional<TimePoint>> resumedAt;
     blackboard::Entry<LocalBackend> backend; ///< Written by the announcement controller.
     blackboard::Entry<NodeStage> stage;      ///< Written by the drain controller.
     blackboard::Entry<ReportedDeeperFloors> deeperFloors; ///< Written by the entry.
--- a/source/node/QuotaService.cpp
+++ b/source/node/QuotaService.cpp
@@ -13,10 +13,11 @@
 /// Time between two ticks, short compared to the 80 ms after which a token request is given up.
 static constexpr auto TickInterval = Duration{20'000};
 
-QuotaService::QuotaService(transport::asio::io_context &io, const NodeBoard &board,
+QuotaService::QuotaService(transport::asio::io_context &io, const NodeBoard &board, NodeId ownNode,
                            std::uint64_t seed, Send send)
     : m_io(io)
     , m_board(board)
+    , m_ownNode(std::move(ownNode))
     , m_holder({}, seed, monotonicNow())
     , m_send(std::move(send))
     , m_ticker(io)
@@ -25,11 +26,15 @@
 auto QuotaService::refreshNodes(TimePoint now) -> void
 {
     const auto generation = m_board.members.generation();
-    if (generation == m_membersGeneration)
+    if (generation != m_membersGeneration) {
+        m_membersGeneration = generation;
+        m_holder.setNodes(aliveNodes(*m_board.members.read()), now);
+    }
+    if (m_board.resumedAt.generation() == m_resumeGeneration)
         return;
-    m_membersGeneration = generation;
-    const auto view = m_board.members.read();
-    m_holder.setNodes(aliveNodes(*view), now);
+    m_resumeGeneration = m_board.resumedAt.generation();
+    if (const auto resumedAt = *m_board.resumedAt.read())
+        m_holder.didResume(m_ownNode, *resumedAt);
 }
 
 auto QuotaService::admit(const std::string &caller, const config::RequestQuota &quota)
--- a/source/node/QuotaService.h
+++ b/source/node/QuotaService.h
@@ -25,8 +25,8 @@
     /// Sends a datagram to the grantor, which may be this node.
     using Send = std::function<void(const NodeId &to, const std::string &payload)>;
 
-    QuotaService(transport::asio::io_context &io, const NodeBoard &board, std::uint64_t seed,
-                 Send send);
+    QuotaService(transport::asio::io_context &io, const NodeBoard &board, NodeId ownNode,
+                 std::uint64_t seed, Send send);
 
     /// Waits until it is decided whether a request of the caller may run: immediately, within a few milliseconds, or at the
     /// latest after two unanswered token requests.
@@ -56,11 +56,13 @@
 
     transport::asio::io_context &m_io;
     const NodeBoard &m_board;
+    NodeId m_ownNode;
     quota::QuotaHolder m_holder;
     Send m_send;
     transport::Timer m_ticker;
     bool m_isTicking = false;
     std::uint64_t m_membersGeneration = 0;
+    std::uint64_t m_resumeGeneration = 0;
     quota::RequestNumber m_lastRequest = 0;
     std::unordered_map<quota::RequestNumber, std::shared_ptr<Waiter>> m_waiters;
 };
--- a/source/quota/AliveNodes.cpp
+++ b/source/quota/AliveNodes.cpp
@@ -30,6 +30,13 @@
         m_matureAt.emplace(it.node, matureTimeOf(it, newest, now));
 }
 
+auto AliveNodes::didResume(const NodeId &node, TimePoint now) -> void
+{
+    const auto it = m_matureAt.find(node);
+    if (it != m_matureAt.end())
+        it->second = now + m_maturity;
+}
+
 auto AliveNodes::mature(TimePoint now) const -> std::vector<NodeId>
 {
     auto nodes = std::vector<NodeId>();
--- a/source/quota/GrantorSelector.cpp
+++ b/source/quota/GrantorSelector.cpp
@@ -12,6 +12,12 @@
     refresh(now);
 }
 
+auto GrantorSelector::didResume(const NodeId &node, TimePoint now) -> void
+{
+    m_nodes.didResume(node, now);
+    refresh(now);
+}
+
 auto GrantorSelector::refresh(TimePoint now) -> void
 {
     m_chosen.clear();
--- a/source/quota/Messages.cpp
+++ b/source/quota/Messages.cpp
@@ -19,16 +19,22 @@
 /// Maximum wait that is accepted from a grantor, so that callers always receive a time at which a retry makes sense.
 static constexpr auto MaxRetryAfter = Duration{60'000'000};
 
+// Older versions ignore elements that they don't know at the end of a message, and send none of these.
+
+static constexpr auto OldRequestSize = std::size_t{6};
+static constexpr auto OldGrantSize = std::size_t{6};
+
 static auto toJson(const TokenRequest &it) -> Json
 {
-    return Json::array(
-            {Kind::Request, it.number, it.caller, it.wanted, it.returned, it.hasChangedGrantor});
+    return Json::array({Kind::Request, it.number, it.caller, it.wanted, it.returned,
+                        it.hasChangedGrantor, it.epoch, it.isLeaving,
+                        it.history ? Json(*it.history) : Json()});
 }
 
 static auto toJson(const TokenGrant &it) -> Json
 {
-    return Json::array(
-            {Kind::Grant, it.number, it.caller, it.granted, it.retryAfter.count(), it.isGrantor});
+    return Json::array({Kind::Grant, it.number, it.caller, it.granted, it.retryAfter.count(),
+                        it.isGrantor, it.epoch, it.needsHistory});
 }
 
 static auto readCount(const Json &json) -> std::uint32_t
@@ -39,17 +45,39 @@
     return static_cast<std::uint32_t>(count);
 }
 
+static auto readHistory(const Json &json) -> std::optional<GrantWindow::History>
+{
+    if (json.is_null())
+        return std::nullopt;
+    if (json.size() != GrantWindow::HistoryParts)
+        throw InputError("a quota message has a history of another length", Remedy);
+    auto history = GrantWindow::History();
+    std::ranges::transform(json, history.begin(), readCount);
+    return history;
+}
+
 static auto readRequest(const Json &json) -> TokenRequest
 {
-    return {readUnsigned(json.at(1)), json.at(2), readCount(json.at(3)), readCount(json.at(4)),
-            json.at(5)};
+    auto request = TokenRequest{readUnsigned(json.at(1)), json.at(2), readCount(json.at(3)),
+                                readCount(json.at(4)), json.at(5)};
+    if (json.size() == OldRequestSize)
+        return request;
+    request.epoch = readUnsigned(json.at(6));
+    request.isLeaving = json.at(7);
+    request.history = readHistory(json.at(8));
+    return request;
 }
 
 static auto readGrant(const Json &json) -> TokenGrant
 {
     const auto retryAfter = Duration(readSigned(json.at(4)));
-    return {readUnsigned(json.at(1)), json.at(2), readCount(json.at(3)),
-            std::clamp(retryAfter, Duration::zero(), MaxRetryAfter), json.at(5)};
+    auto grant = TokenGrant{readUnsigned(json.at(1)), json.at(2), readCount(json.at(3)),
+                            std::clamp(retryAfter, Duration::zero(), MaxRetryAfter), json.at(5)};
+    if (json.size() == OldGrantSize)
+        return grant;
+    grant.epoch = readUnsigned(json.at(6));
+    grant.needsHistory = json.at(7);
+    return grant;
 }
 
 auto writeMessage(const Message &message) -> std::string
--- a/source/quota/QuotaHolder.cpp
+++ b/source/quota/QuotaHolder.cpp
@@ -102,6 +102,7 @@
     if (account.shareTokens < 1)
         return refuse(request, UnresponsiveRetryAfter);
     account.shareTokens -= 1;
+    account.used.add(1, now);
     m_decisions.push_back({request, true, Duration::zero(), now});
 }
 
@@ -147,6 +148,14 @@
         requestTokens(caller, account, now, false);
 }
 
+auto QuotaHolder::leaveGrantor(const std::string &caller, const Account &account) -> void
+{
+    auto message = TokenRequest();
+    message.caller = caller;
+    message.isLeaving = true;
+    m_datagrams.push_back({account.grantor, writeMessage(message)});
+}
+
 auto QuotaHolder::requestTokens(const std::string &caller, Account &account, TimePoint now,
                                 bool isRetry) -> void
 {
@@ -164,9 +173,15 @@
     const auto hadOtherGrantor = !account.grantor.empty() && account.grantor != grantor
                                  && now - account.requestedAt < m_settings.idleTime;
     message.hasChangedGrantor = hadOtherGrantor && now - m_startedAt >= StartupTime;
+    if (message.hasChangedGrantor)
+        leaveGrantor(caller, account);
+    if (account.grantedBy == grantor)
+        message.epoch = account.epoch;
+    if (message.epoch == 0)
+        message.history = account.used.history(now);
     account.grantor = grantor;
     account.requestedAt = now;
-    account.pendingRequests.push_back({message.number, now, isRetry});
+    account.pendingRequests.push_back({message.number, grantor, now, isRetry});
     m_datagrams.push_back({grantor, writeMessage(message)});
 }
 
@@ -181,13 +196,19 @@
     if (pending == account.pendingRequests.end())
         return; // The request has timed out; the tokens expire unspent.
     const auto end = pending->sentAt + m_settings.tokenLifetime;
+    account.grantedBy = pending->grantor;
+    account.epoch = grant.needsHistory ? 0 : grant.epoch;
     account.pendingRequests.clear();
+    if (grant.needsHistory)
+        return requestTokens(grant.caller, account, now, false);
     if (!grant.isGrantor)
         switchToEvenShare(account, now);
     else
         account.isUsingEvenShare = false;
-    if (grant.granted > 0)
+    if (grant.granted > 0) {
         account.batches.push_back({grant.granted, end});
+        account.used.add(grant.granted, now);
+    }
     removeExpired(account, now);
     // Requests are refused only for tokens that waiting requests need, not for tokens requested in advance.
     const auto isShort = stockOf(account) < account.waiting.size();
@@ -275,6 +296,7 @@
     removeExpired(account, now);
     if (returned == 0 || account.grantor.empty())
         return;
+    account.used.remove(returned, now);
     auto message = TokenRequest();
     message.caller = caller;
     message.returned = returned;
--- a/tests/fuzz/quota/main.cpp
+++ b/tests/fuzz/quota/main.cpp
@@ -15,14 +15,17 @@
 
 static auto makeSamples() -> std::vector<std::string>
 {
-    return {writeMessage(TokenRequest{1, "kitchen", 2, 3, true}),
-            writeMessage(TokenGrant{1, "kitchen", 2, Duration{7}, true})};
+    auto request = TokenRequest{1, "kitchen", 2, 3, true};
+    const auto first = writeMessage(request);
+    request.history = GrantWindow::History{1, 2, 3};
+    return {first, writeMessage(request),
+            writeMessage(TokenGrant{1, "kitchen", 2, Duration{7}, true, 5, true})};
 }
 
 extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size) -> int
 {
     static const auto start = TimePoint{Duration{1'000'000'000}};
-    auto grantor = QuotaGrantor(QuotaSettings(), start);
+    auto grantor = QuotaGrantor(QuotaSettings(), "a", start, 1);
     auto holder = QuotaHolder(QuotaSettings(), 1, start);
     grantor.setNodes({{"a"}, {"b"}}, start);
     holder.setNodes({{"a"}, {"b"}}, start);
@@ -30,7 +33,7 @@
     try {
         const auto message = readMessage({reinterpret_cast<const char *>(data), size});
         if (const auto *request = std::get_if<TokenRequest>(&message))
-            grantor.grantTokens(*request, Quota, start + std::chrono::seconds(1));
+            grantor.grantTokens("a", *request, Quota, start + std::chrono::seconds(1));
         else
             holder.receive(std::get<TokenGrant>(message), start + std::chrono::seconds(1));
     } catch (const InputError &) {
--- a/tests/node/CallPathHarness.h
+++ b/tests/node/CallPathHarness.h
@@ -101,7 +101,8 @@
         : protocol(ownProtocol)
         , peers(io, {})
         , grantor(
-                  board, "own", [](const auto &, const auto &) {},
+                  grantorBoard, "own", std::chrono::seconds(60), 1,
+                  [](const auto &, const auto &) {},
                   [this](const auto &grant) { entry.didGrant(grant); })
         , entry(
                   io, settings, board, running, metrics, peers, 1, 11,
@@ -109,8 +110,11 @@
                   ownProtocol)
     {
         settings.failureDomain = "centre";
-        auto configuration = config::VersionedConfiguration();
         board.configurationProof.publish({monotonicNow()});
+        auto own = membership::Member();
+        own.node = "own";
+        grantorBoard.members.publish({.members = {own}});
+        auto configuration = config::VersionedConfiguration();
         configuration.version = 1;
         configuration.configuration.classes = {{"orders", 0}, {"browse", 1}};
         configuration.configuration.services = {
@@ -171,6 +175,7 @@
     {
         if (!cancellation)
             cancellation = std::make_shared<transport::Cancellation>();
+        grantorBoard.configuration.publish(*board.configuration.read());
         const auto index = responses.size();
         responses.emplace_back();
         ++waiting;
@@ -231,6 +236,8 @@
     transport::asio::io_context io{1};
     NodeSettings settings;
     NodeBoard board;
+    NodeBoard
+            grantorBoard; ///< In whose view the grantor is the only node, and so grants all quotas.
     NodeMetrics metrics;
     RunningCalls running;
     transport::PeerClient peers;
--- a/tests/quota/TestQuotaGuarantee.cpp
+++ b/tests/quota/TestQuotaGuarantee.cpp
@@ -224,9 +224,11 @@
     static constexpr auto ScalesByAliveHosts = false;
 };
 
+/// Without the histories of its hosts: with them, the window alone limits what a full bucket grants.
 struct StartsFullAtTakeover : GrantorPolicy
 {
     static constexpr auto StartsEmptyAtTakeover = false;
+    static constexpr auto CountsHistories = false;
 };
 
 template <typename Policy>
--- a/tests/quota/TestQuotaHolder.cpp
+++ b/tests/quota/TestQuotaHolder.cpp
@@ -1,6 +1,8 @@
 #include <criterion/criterion.h>
 
+#include <stairspur/core/Cbor.h>
 #include <stairspur/core/Error.h>
+#include <stairspur/quota/QuotaGrantor.h>
 #include <stairspur/quota/QuotaHolder.h>
 
 using namespace stairspur;
@@ -153,3 +155,55 @@
                     InputError);
     cr_expect_throw(readMessage("\x81\x09"), InputError);
 }
+
+Test(QuotaMessages, historyAndEpochArrive)
+{
+    auto request = TokenRequest{1, "kitchen", 2, 0, true, 77, true};
+    request.history = GrantWindow::History{9, 8, 7, 0, 0, 0, 0, 0, MaxTokens};
+    const auto read = std::get<TokenRequest>(readMessage(writeMessage(request)));
+    cr_assert_eq(read.epoch, 77);
+    cr_assert(read.isLeaving);
+    cr_assert(read.history == request.history);
+    const auto grant = std::get<TokenGrant>(readMessage(
+            writeMessage(TokenGrant{1, "kitchen", 0, Duration::zero(), true, 78, true})));
+    cr_assert_eq(grant.epoch, 78);
+    cr_assert(grant.needsHistory);
+    request.history->back() = MaxTokens + 1;
+    cr_expect_throw(readMessage(writeMessage(request)), InputError);
+}
+
+/// Nodes of older versions send neither epoch nor history during an upgrade.
+Test(QuotaMessages, messagesOfOlderVersionsAreRead)
+{
+    const auto request = std::get<TokenRequest>(
+            readMessage(toCbor(nlohmann::json::array({1, 5, "kitchen", 2, 0, true}))));
+    cr_assert_eq(request.wanted, 2);
+    cr_assert_not(request.history);
+    auto grantor = QuotaGrantor(QuotaSettings(), "a", TimePoint(), 1);
+    const auto now = TimePoint() + std::chrono::seconds(60);
+    grantor.setNodes({{"a"}}, now);
+    cr_assert_eq(grantor.grantTokens("b", request, {10, 10}, now).granted, 0,
+                 "the bucket is empty after a takeover");
+    const auto grant = std::get<TokenGrant>(
+            readMessage(toCbor(nlohmann::json::array({2, 5, "kitchen", 2, 0, true}))));
+    cr_assert_eq(grant.granted, 2);
+    cr_assert_eq(grant.epoch, 0);
+}
+
+// A grantor that did not know what its hosts had used before it started granted them its whole quota.
+Test(QuotaGrantor, hostOfAnEarlierEpochMustSendItsHistory)
+{
+    auto grantor = QuotaGrantor(QuotaSettings(), "a", TimePoint(), 2);
+    const auto now = TimePoint() + std::chrono::seconds(60);
+    grantor.setNodes({{"a"}}, now);
+    auto request = TokenRequest{.number = 1, .caller = "kitchen", .wanted = 5, .epoch = 1};
+    const auto refusal = grantor.grantTokens("b", request, {100, 100}, now);
+    cr_assert(refusal.needsHistory);
+    cr_assert_eq(refusal.granted, 0);
+    request.epoch = 0;
+    request.history = GrantWindow::History{600, 16};
+    const auto later = now + std::chrono::seconds(2);
+    grantor.grantTokens("b", request, {100, 100}, now);
+    cr_assert_eq(grantor.grantTokens("b", request, {100, 100}, later).granted, 0,
+                 "the caller has used its quota");
+}
--- a/tests/quota/VirtualHosts.h
+++ b/tests/quota/VirtualHosts.h
@@ -7,11 +7,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include <stairspur/core/Hash.h>
 #include <stairspur/core/Random.h>
+#include <stairspur/core/SuspensionDetector.h>
 #include <stairspur/quota/QuotaGrantor.h>
 #include <stairspur/quota/QuotaHolder.h>
 
@@ -57,6 +60,9 @@
     std::string name;
     config::RequestQuota quota;
     double demand = 0; ///< Current requests per second.
+    /// Share of the demand that arrives at one host, `busyHost`; the rest arrives at all.
+    double busyShare = 0;
+    std::size_t busyHost = 0;
     WindowCounter window{};
     std::uint64_t offered = 0;
     std::uint64_t admitted = 0;
@@ -95,7 +101,9 @@
         host.clockOffset =
                 Duration(static_cast<Duration::rep>(randomBelow(m_random, 1'000'000'000'000ULL)));
         host.holder = std::make_unique<QuotaHolder>(QuotaSettings(), m_random(), clockOf(index));
-        host.grantor = std::make_unique<BasicQuotaGrantor<Policy>>(QuotaSettings(), clockOf(index));
+        host.grantor = std::make_unique<BasicQuotaGrantor<Policy>>(QuotaSettings(), nameOf(index),
+                                                                   clockOf(index), m_random() | 1U);
+        host.suspension.emplace(SuspensionLimit, clockOf(index));
         host.isAlive = true;
         host.startedAtMs = static_cast<Incarnation>(toMilliseconds(m_now.time_since_epoch()));
         setView(index, {index});
@@ -129,6 +137,28 @@
         }
     }
 
+    /// Sets the hosts that are alive in the view of one host.
+    auto setView(std::size_t index, const std::vector<std::size_t> &alive) -> void
+    {
+        auto nodes = std::vector<AliveNode>();
+        for (const auto it : alive)
+            nodes.push_back({nameOf(it), m_hosts[it].startedAtMs});
+        m_hosts[index].holder->setNodes(nodes, clockOf(index));
+        m_hosts[index].grantor->setNodes(nodes, clockOf(index));
+    }
+
+    /// Returns the host that grants the caller's quota when all hosts are alive.
+    [[nodiscard]] auto grantorOf(const std::string &caller) const -> std::size_t
+    {
+        auto grantor = std::size_t{0};
+        for (auto index = std::size_t{1}; index < m_hosts.size(); ++index) {
+            const auto seed = hash64(caller);
+            if (hash64(nameOf(index), seed) > hash64(nameOf(grantor), seed))
+                grantor = index;
+        }
+        return grantor;
+    }
+
     auto run(Duration time) -> void
     {
         static constexpr auto Step = Duration{1'000};
@@ -152,10 +182,13 @@
     double shedShare = 0;
 
 private:
+    static constexpr auto SuspensionLimit = Duration{1'000'000};
+
     struct Host
     {
         std::unique_ptr<QuotaHolder> holder;
         std::unique_ptr<BasicQuotaGrantor<Policy>> grantor;
+        std::optional<SuspensionDetector> suspension;
         Duration clockOffset{0};
         Incarnation startedAtMs = 0;
         bool isAlive = true;
@@ -185,21 +218,15 @@
         return a != b && (isPartitioned || m_hosts[a].isIsolated || m_hosts[b].isIsolated);
     }
 
-    auto setView(std::size_t index, const std::vector<std::size_t> &alive) -> void
-    {
-        auto nodes = std::vector<AliveNode>();
-        for (const auto it : alive)
-            nodes.push_back({nameOf(it), m_hosts[it].startedAtMs});
-        m_hosts[index].holder->setNodes(nodes, clockOf(index));
-        m_hosts[index].grantor->setNodes(nodes, clockOf(index));
-    }
-
     auto offerDemand(VirtualCaller &caller, double seconds) -> void
     {
         auto &due = m_due[caller.name];
         due += caller.demand * seconds;
         for (; due >= 1; due -= 1) {
-            const auto host = randomBelow(m_random, m_hosts.size());
+            const auto isAtBusyHost =
+                    caller.busyShare > 0 && randomUnit(m_random) < caller.busyShare;
+            const auto host =
+                    isAtBusyHost ? caller.busyHost : randomBelow(m_random, m_hosts.size());
             if (!m_hosts[host].isAlive || m_hosts[host].isPaused)
                 continue;
             ++caller.offered;
@@ -267,11 +294,22 @@
         }
         const auto &request = std::get<TokenRequest>(message);
         const auto caller = std::ranges::find(m_callers, request.caller, &VirtualCaller::name);
-        const auto grant = host.grantor->grantTokens(request, caller->quota, clockOf(to));
+        detectSuspension(to);
+        const auto grant =
+                host.grantor->grantTokens(nameOf(from), request, caller->quota, clockOf(to));
         if (request.wanted > 0)
             send(to, from, writeMessage(grant));
     }
 
+    auto detectSuspension(std::size_t index) -> void
+    {
+        auto &host = m_hosts[index];
+        if (!host.suspension->didRun(clockOf(index)))
+            return;
+        host.grantor->didResume(clockOf(index));
+        host.holder->didResume(nameOf(index), clockOf(index));
+    }
+
     auto deliver() -> void
     {
         while (!m_events.empty() && m_events.begin()->first <= m_now) {
@@ -286,6 +324,7 @@
         for (auto index = std::size_t{0}; index < m_hosts.size(); ++index) {
             if (!m_hosts[index].isAlive || m_hosts[index].isPaused)
                 continue;
+            detectSuspension(index);
             m_hosts[index].holder->tick(clockOf(index));
             flush(index);
         }
