--- a/source/node/CallIntake.h
+++ b/source/node/CallIntake.h
@@ -21,7 +21,8 @@
 {
     transport::CallRequest request;
     TimePoint arrivedAt;
-    std::string host{}; ///< Host and path by which the call was routed; empty if it names its service.
+    std::string
+            host{}; ///< Host and path by which the call was routed; empty if it names its service.
     std::string path{};
     TimePoint deadline;
     bool hasDeeperCalls = false; ///< Whether its service calls others according to the call paths.
--- a/source/transport/HttpClientConnection.h
+++ b/source/transport/HttpClientConnection.h
@@ -320,8 +320,8 @@
     asio::ip::tcp::socket m_socket;
     Timer m_timer;
     Duration m_unacknowledgedTimeout;
-    boost::circular_buffer<std::uint64_t> m_carriedIds; ///< Hashes, the latest last.
     std::shared_ptr<AnswerBudget> m_budget; ///< Shared with the other connections of the client.
+    boost::circular_buffer<std::uint64_t> m_carriedIds; ///< Hashes, the latest last.
     boost::beast::flat_buffer m_buffer{MaxUnparsedBytes};
     std::optional<Parser> m_parser;
     std::uint64_t m_generation = 0;
--- a/tests/platform/TestLeavingSoak.cpp
+++ b/tests/platform/TestLeavingSoak.cpp
@@ -80,7 +80,7 @@
     auto act() -> void
     {
         resume();
-        switch (below(6)) {
+        switch (below(7)) {
         case 0:
         case 1:
             return leave();
@@ -95,6 +95,8 @@
             m_isStopped = true;
             m_resumeAt = Clock::now() + std::chrono::milliseconds(100 + below(900));
             return;
+        case 5:
+            return m_fleet.restartNodes(std::chrono::milliseconds(below(500)), below(2));
         default:
             return addSuccessor();
         }
