--- a/tests/platform/TestRepeatGuard.cpp
+++ b/tests/platform/TestRepeatGuard.cpp
@@ -93,7 +93,7 @@
 // A resumed node sent orders of a new unsafe route to a second backend server after the first one had lost its answer.
 Test(RepeatGuard, resumedNodeRunsOrdersOfANewRouteOnce, .timeout = 120)
 {
-    /// Weights of the treatments; see standin::Treatment. A third of the answers is lost.
+    /// Weights of the treatments; see standin::Treatment. Two answers in five are lost.
     static constexpr auto LosesAnswers = FaultPlan{{60, 0, 0, 0, 0, 0, 0, 40, 0, 0}, 0};
     static constexpr auto Orders = 40;
     auto fleet = Fleet(21, configuration(1));
