Transport: Refuse a part of an answer whose connection failed during the upload

What callers saw: an upstream answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection. The client got the part as a complete answer.

Cause: HttpClientConnection goes on to read after a write that failed, since a server may answer before it has read a long body. Linux reports the error of a socket once; the write had consumed it, so that the read returned what had arrived and then an end of file, which ends an answer without a length. The same with a close with unread bytes and with a connection that the kernel gives up as silent.

Change: an answer without a length is whole only if no write of its request failed (hasProvenEnd). Otherwise the request fails as Broken: it may have run, so that one that must run once gets 502. A line answer-refused tells id, reason and bytes. All readers of answers use this client.

Answers to a GET and to small bodies, and cut ones with a length or chunks, were refused before.

--- a/source/transport/HttpClientConnection.h
+++ b/source/transport/HttpClientConnection.h
@@ -75,21 +75,26 @@
                   const HttpClientSettings &settings) -> Task<HttpResponse>
     {
         arm(timeout);
-        if (settings.echoedId)
-            m_carriedIds.push_back(hash64(settings.echoedId(request.headers)));
+        m_port = settings.port;
+        m_requestId.clear();
+        if (settings.echoedId) {
+            m_requestId = settings.echoedId(request.headers);
+            m_carriedIds.push_back(hash64(m_requestId));
+        }
         const auto buffers =
                 std::array<asio::const_buffer, 2>{asio::buffer(head), asio::buffer(request.body)};
         const auto [ec, n] =
                 co_await asio::async_write(m_socket, buffers, asio::as_tuple(asio::use_awaitable));
         if (ec && n == 0)
             fail(HttpFailure::NotConnected, ec.message());
+        m_writeError = ec;
         // A server that refuses a large body answers before it has read it all, so an answer is looked for even after a
         // write that failed (RFC 9112, section 9.6).
         const auto hold = BudgetHold(*this);
         auto response = co_await readOwnAnswer(request, settings);
         disarm();
         // The rest of a body that was not sent whole would be taken for the next request.
-        m_mayBeKept = m_mayBeKept && !ec;
+        m_mayBeKept = m_mayBeKept && !m_writeError;
         m_lastUsed = monotonicNow();
         noteIdleLimit(response);
         co_return response;
@@ -238,12 +243,22 @@
             if (status >= FirstFinalStatus)
                 break;
         }
+        if (!hasProvenEnd())
+            refuse("the connection failed within an answer without a length");
         // Bytes past the answer belong to no request of ours.
         m_isKeptAlive = m_parser->get().keep_alive();
         m_mayBeKept = m_isKeptAlive && m_buffer.size() == 0;
         co_return takeAnswer();
     }
 
+    /// Returns whether the parsed answer is whole. An answer without a length ends with its connection, and only an orderly
+    /// close proves that the server has sent all of it (RFC 9112, section 8). The kernel reports a connection's error once:
+    /// after a write has failed with it, reads see the same end as after an orderly close.
+    [[nodiscard]] auto hasProvenEnd() const -> bool
+    {
+        return !m_parser->need_eof() || !m_writeError;
+    }
+
     /// Reads one message into the parser.
     auto readMessage() -> Task<void>
     {
@@ -298,6 +313,19 @@
         m_timer.cancel();
     }
 
+    /// Fails a request whose answer has come and cannot be used.
+    [[noreturn]] auto refuse(const std::string &reason) -> void
+    {
+        const auto &answer = m_parser->get();
+        log::Line(log::Severity::Warning, "answer-refused", log::LineKind::Audit)
+                .add("id", m_requestId)
+                .add("reason", reason)
+                .add("status", m_parser->is_header_done() ? answer.result_int() : 0)
+                .add("bytes", answer.body().size())
+                .add("port", m_port);
+        fail(HttpFailure::Broken, reason);
+    }
+
     [[noreturn]] auto fail(HttpFailure failure, const std::string &why) -> void
     {
         disarm();
@@ -324,6 +352,10 @@
     boost::circular_buffer<std::uint64_t> m_carriedIds; ///< Hashes, the latest last.
     boost::beast::flat_buffer m_buffer{MaxUnparsedBytes};
     std::optional<Parser> m_parser;
+    std::string m_requestId; ///< Id that the answer repeats; empty if the server repeats none.
+    std::uint16_t m_port = 0;
+    boost::system::error_code
+            m_writeError; ///< Error that the write of the last request ended with.
     std::uint64_t m_generation = 0;
     HttpFailure m_failure = HttpFailure::Broken;
     bool m_isGivenUp = false;
