Transport: Refuse answers whose status is outside 100 to 599

Here a caller of such an upstream waited until its deadline, a second answer behind a 000 was delivered in its place, and 600 and 999 were delivered as they are.

Cause: each status below 200 counted as that of an interim answer, after which the client reads on; nothing checked the upper end of the range.

Change: findFault checks the head of each answer, before its body is read (RFC 9110, section 15). The request fails as Broken, with a line answer-refused.

Sound answers of unusual form are accepted as before (test).

--- a/source/transport/HttpClientConnection.h
+++ b/source/transport/HttpClientConnection.h
@@ -23,6 +23,7 @@
 #include <stairspur/transport/Timer.h>
 
 #include "AnswerBudget.h"
+#include "AnswerHead.h"
 #include "HttpWire.h"
 #include "SilenceDetection.h"
 
@@ -148,8 +149,6 @@
     /// trailers, which its limits don't cover.
     static constexpr auto MaxUnparsedBytes = std::size_t{2} * MaxHeaderBytes;
     static constexpr auto MaxInterimAnswers = 16;
-    static constexpr auto FirstFinalStatus = 200;
-    static constexpr auto SwitchingProtocols = 101;
     /// Answers to other requests that are passed over in search of the right one.
     static constexpr auto MaxForeignAnswers = 2;
     /// Requests that a connection remembers. A server sends in order, and no more than MaxForeignAnswers late answers are
@@ -233,16 +232,13 @@
             m_parser->header_limit(MaxHeaderBytes);
             m_parser->body_limit(maxAnswerBytes);
             m_parser->skip(method == "HEAD");
-            co_await readMessage();
+            co_await readHead();
             if (interim > MaxInterimAnswers)
-                fail(HttpFailure::Broken, "it has too many interim answers");
-            const auto status = m_parser->get().result_int();
-            if (status == SwitchingProtocols)
-                fail(HttpFailure::Broken, "it switched protocols");
-            // An interim answer is followed by the final one (RFC 9110, section 15.2).
-            if (status >= FirstFinalStatus)
+                refuse("it has too many interim answers");
+            if (!isInterim(m_parser->get().result_int()))
                 break;
         }
+        co_await readBody();
         if (!hasProvenEnd())
             refuse("the connection failed within an answer without a length");
         // Bytes past the answer belong to no request of ours.
@@ -259,16 +255,26 @@
         return !m_parser->need_eof() || !m_writeError;
     }
 
-    /// Reads one message into the parser.
-    auto readMessage() -> Task<void>
+    /// Reads the head of one answer into the parser. A final answer may have no end, or only at its timeout, so that a fault of
+    /// the head is found before the body is read.
+    auto readHead() -> Task<void>
+    {
+        const auto [ec, n] = co_await boost::beast::http::async_read_header(
+                m_socket, m_buffer, *m_parser, asio::as_tuple(asio::use_awaitable));
+        if (ec)
+            failRead(ec);
+        if (const auto fault = findFault(m_parser->get()); !fault.empty())
+            refuse(std::string(fault));
+    }
+
+    /// Reads the body of one answer into the parser.
+    auto readBody() -> Task<void>
     {
         while (!m_parser->is_done()) {
             const auto [ec, n] = co_await boost::beast::http::async_read_some(
                     m_socket, m_buffer, *m_parser, asio::as_tuple(asio::use_awaitable));
-            if (ec) {
-                m_hasFallenSilent = ec == asio::error::timed_out;
-                fail(HttpFailure::Broken, ec.message());
-            }
+            if (ec)
+                failRead(ec);
             if (auto *largest = m_budget->setHeld(this, m_parser->get().body().size()))
                 largest->giveUpAnswer();
         }
@@ -313,6 +319,12 @@
         m_timer.cancel();
     }
 
+    [[noreturn]] auto failRead(boost::system::error_code ec) -> void
+    {
+        m_hasFallenSilent = ec == asio::error::timed_out;
+        fail(HttpFailure::Broken, ec.message());
+    }
+
     /// Fails a request whose answer has come and cannot be used.
     [[noreturn]] auto refuse(const std::string &reason) -> void
     {
--- a/tests/platform/TestBrokenAnswers.cpp
+++ b/tests/platform/TestBrokenAnswers.cpp
@@ -2,6 +2,7 @@
 #include <map>
 #include <random>
 
+#include "../standins/platform/MalformedAnswers.h"
 #include "../standins/platform/ScriptedUpstream.h"
 #include "ProcessFleet.h"
 
@@ -75,16 +76,21 @@
     auto awaitService() -> void
     {
         setScript({.answer = standin::wholeAnswer(), .ending = Ending::Close});
-        for (auto &it : m_fleet.hosts)
-            Fleet::beat(it, *it.backends[0], "ready");
         for (const auto &it : m_fleet.hosts) {
             Fleet::waitUntil([&] {
+                sendHeartbeats();
                 const auto response = exchange(it.address, EntryPort, request("GET /v/1", 0));
                 return response && response->result_int() == 200;
             });
         }
     }
 
+    auto sendHeartbeats() -> void
+    {
+        for (auto &it : m_fleet.hosts)
+            Fleet::beat(it, *it.backends[0], "ready");
+    }
+
     auto setScript(const Script &script) -> void
     {
         for (const auto &it : m_fleet.hosts)
@@ -175,3 +181,20 @@
     cr_expect_eq(served.status, 200);
     cr_expect_eq(served.body, "whole");
 }
+
+static auto expectNotForwarded(ScriptedFleet &fleet,
+                               const std::vector<standin::MalformedAnswer> &answers) -> void
+{
+    for (const auto &it : answers) {
+        const auto order = fleet.send({.answer = it.bytes, .ending = Ending::Keep}, "GET /o/1", 0);
+        expectFailure(it.name, order);
+        cr_expect(order.body.find("whole") == std::string::npos, "%s", it.name.c_str());
+    }
+    fleet.expectAllRunning();
+}
+
+Test(BrokenAnswers, malformedStatusLinesAreNotForwarded, .timeout = 600)
+{
+    auto fleet = ScriptedFleet(62);
+    expectNotForwarded(fleet, standin::malformedStatusLines());
+}
--- a/tests/transport/TestBrokenAnswers.cpp
+++ b/tests/transport/TestBrokenAnswers.cpp
@@ -5,6 +5,7 @@
 
 #include <stairspur/transport/HttpClient.h>
 
+#include "../standins/platform/MalformedAnswers.h"
 #include "../standins/platform/ScriptedUpstream.h"
 #include "Loop.h"
 
@@ -165,3 +166,37 @@
     cr_assert(read.response.has_value());
     cr_expect_eq(read.response->body, "whole");
 }
+
+/// Expects that each answer is refused at once, although the server keeps the connection open.
+static auto expectRefused(const std::vector<standin::MalformedAnswer> &answers) -> void
+{
+    static constexpr auto AtOnce = Duration(1'000'000);
+    for (const auto &it : answers) {
+        const auto result = send({.answer = it.bytes, .ending = Ending::Keep}, get());
+        cr_expect(result.failure == HttpFailure::Broken, "%s", it.name.c_str());
+        cr_expect(result.duration < AtOnce, "%s took %lld us", it.name.c_str(),
+                  static_cast<long long>(result.duration.count()));
+    }
+}
+
+Test(BrokenAnswers, malformedStatusLinesAreRefused, .timeout = 300)
+{
+    expectRefused(standin::malformedStatusLines());
+}
+
+Test(BrokenAnswers, soundAnswersOfUnusualFormAreAccepted)
+{
+    for (const auto *it :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+          "HTTP/1.1 200 \r\nContent-Length: 5\r\n\r\nwhole",
+          "HTTP/1.1 599 Own\r\nContent-Length: 5\r\n\r\nwhole",
+          "HTTP/1.1 200 OK\r\nX:\r\ny:  \tz \t\r\nContent-Length: 5\r\n\r\nwhole",
+          "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nwhole",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n5;a=b\r\nwhole\r\n0\r\n\r\n",
+          "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
+          "5\r\n\r\nwhole"}) {
+        const auto result = send({.answer = it, .ending = Ending::Keep}, get());
+        cr_assert(result.response.has_value(), "%s", it);
+        cr_expect_eq(result.response->body, "whole", "%s", it);
+    }
+}
