--- a/tests/platform/TestBrokenAnswers.cpp
+++ b/tests/platform/TestBrokenAnswers.cpp
@@ -215,3 +215,9 @@
     auto fleet = ScriptedFleet(63);
     expectNotForwarded(fleet, standin::malformedFields());
 }
+
+Test(BrokenAnswers, malformedFramingIsNotForwarded, .timeout = 600)
+{
+    auto fleet = ScriptedFleet(64);
+    expectNotForwarded(fleet, standin::malformedFraming());
+}
--- a/tests/standins/platform/MalformedAnswers.h
+++ b/tests/standins/platform/MalformedAnswers.h
@@ -58,4 +58,39 @@
     return answers;
 }
 
+/// Answers whose end two readers may find in two places.
+inline auto malformedFraming() -> std::vector<MalformedAnswer>
+{
+    static constexpr auto Chunks = "5\r\nwhole\r\n0\r\n\r\n";
+    auto answers = std::vector<MalformedAnswer>();
+    for (const auto *it : {"Content-Length: 5\r\nContent-Length: 4\r\n", "Content-Length: 5, 4\r\n",
+                           "Content-Length: +5\r\n", "Content-Length: -5\r\n",
+                           "Content-Length: 0x5\r\n", "Content-Length: 5 5\r\n",
+                           "Content-Length: 99999999999999999999\r\n", "Content-Length:\r\n"})
+        answers.push_back({it, answerOf("HTTP/1.1 200 OK", it, "whole")});
+    for (const auto *it :
+         {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked, chunked\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+          "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked, gzip\r\n", "Transfer-Encoding: gzip\r\n",
+          "Transfer-Encoding: identity\r\n", "Transfer-Encoding: xchunked\r\n",
+          "Transfer-Encoding:\r\n"})
+        answers.push_back({it, answerOf("HTTP/1.1 200 OK", it, Chunks)});
+    answers.push_back({"chunks in HTTP/1.0",
+                       answerOf("HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n", Chunks)});
+    for (const auto *it :
+         {"fffffffffffffffff\r\nwhole\r\n0\r\n\r\n", "-5\r\nwhole\r\n0\r\n\r\n",
+          "0x5\r\nwhole\r\n0\r\n\r\n", "5 \x01\r\nwhole\r\n0\r\n\r\n", "5\nwhole\r\n0\r\n\r\n",
+          "5\r\nwhole!\r\n0\r\n\r\n", "\r\n\r\n", "5\r\nwhole\r\n0\r\nX Y: z\r\n\r\n",
+          "5\r\nwhole\r\n0\r\n: z\r\n\r\n", "5\r\nwhole\r\n0\r\nContent-Length: 3\r\n\r\n"})
+        answers.push_back({"chunks '" + std::string(it) + "'",
+                           answerOf("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n", it)});
+    for (const auto *it : {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"})
+        answers.push_back({"interim answer with " + std::string(it),
+                           answerOf("HTTP/1.1 103 Early Hints", it, "") + wholeAnswer()});
+    return answers;
+}
+
 } // namespace stairspur::standin
--- a/tests/transport/TestBrokenAnswers.cpp
+++ b/tests/transport/TestBrokenAnswers.cpp
@@ -198,6 +198,11 @@
     expectRefused(standin::malformedFields());
 }
 
+Test(BrokenAnswers, malformedFramingIsRefused, .timeout = 300)
+{
+    expectRefused(standin::malformedFraming());
+}
+
 Test(BrokenAnswers, soundAnswersOfUnusualFormAreAccepted)
 {
     for (const auto *it :
@@ -207,6 +212,8 @@
           "HTTP/1.1 200 OK\r\nX:\r\ny:  \tz \t\r\nContent-Length: 5\r\n\r\nwhole",
           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nwhole",
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n5;a=b\r\nwhole\r\n0\r\n\r\n",
+          "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
+          "5\r\n\r\nwhole",
           "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
           "5\r\n\r\nwhole"}) {
         const auto result = send({.answer = it, .ending = Ending::Keep}, get());
