Transport: Drop the trailers of answers

What callers saw: nothing yet; found with the tests of folded lines. The trailers of a chunked answer were delivered as fields of its head, and read as such: the id, X-Not-Executed, Content-Encoding.

Cause: the parser adds the fields of trailers to those of the head, and the client copied all of them when the answer was complete.

Change: the fields are copied before the body is read (RFC 9110, section 6.5.1: trailers are not merged unless a field is known to allow it).

Result: trailersDoNotBecomeFieldsOfTheAnswer fails on the code before, where the answer has the field Y of its trailer.

--- a/source/transport/HttpClientConnection.h
+++ b/source/transport/HttpClientConnection.h
@@ -239,13 +239,15 @@
             if (!isInterim(m_parser->get().result_int()))
                 break;
         }
+        // The parser adds the fields of trailers to those of the head.
+        auto headers = copyFields();
         co_await readBody();
         if (!hasProvenEnd())
             refuse("the connection failed within an answer without a length");
         // Bytes past the answer belong to no request of ours.
         m_isKeptAlive = m_parser->get().keep_alive();
         m_mayBeKept = m_isKeptAlive && m_buffer.size() == 0;
-        co_return takeAnswer();
+        co_return takeAnswer(std::move(headers));
     }
 
     /// Returns whether the parsed answer is whole. An answer without a length ends with its connection, and only an orderly
@@ -318,15 +320,21 @@
         m_budget->release(this);
     }
 
-    auto takeAnswer() -> HttpResponse
+    [[nodiscard]] auto copyFields() const -> HeaderList
+    {
+        auto headers = HeaderList();
+        for (const auto &it : m_parser->get())
+            headers.add(std::string(it.name_string()), std::string(it.value()));
+        return headers;
+    }
+
+    auto takeAnswer(HeaderList headers) -> HttpResponse
     {
         auto message = m_parser->release();
         m_parser.reset();
-        auto response = HttpResponse{
-                .status = message.result_int(), .headers = {}, .body = std::move(message.body())};
-        for (const auto &it : message)
-            response.headers.add(std::string(it.name_string()), std::string(it.value()));
-        return response;
+        return {.status = message.result_int(),
+                .headers = std::move(headers),
+                .body = std::move(message.body())};
     }
 
     auto arm(Duration timeout) -> void
--- a/tests/transport/TestBrokenAnswers.cpp
+++ b/tests/transport/TestBrokenAnswers.cpp
@@ -203,6 +203,20 @@
     expectRefused(standin::malformedFraming());
 }
 
+/// Trailers come after the fields by which an answer is recognized (RFC 9110, section 6.5.1).
+Test(BrokenAnswers, trailersDoNotBecomeFieldsOfTheAnswer)
+{
+    const auto result =
+            send({.answer = "HTTP/1.1 200 OK\r\nX: head\r\nTransfer-Encoding: chunked\r\n"
+                            "\r\n5\r\nwhole\r\n0\r\nX: trailer\r\nY: trailer\r\n\r\n",
+                  .ending = Ending::Keep},
+                 get());
+    cr_assert(result.response.has_value());
+    cr_expect_eq(result.response->body, "whole");
+    cr_expect_eq(result.response->headers.find("X"), "head");
+    cr_expect(!result.response->headers.contains("Y"));
+}
+
 Test(BrokenAnswers, soundAnswersOfUnusualFormAreAccepted)
 {
     for (const auto *it :
