--- a/tests/platform/ProcessFleet.h
+++ b/tests/platform/ProcessFleet.h
@@ -212,6 +212,12 @@
         boost::asio::post(m_io, [this] { m_store.failNext(standin::KvFault::Busy, UINT32_MAX); });
     }
 
+    /// Has another writer of the store do what `write` does.
+    auto writeToStore(std::function<void(standin::KvStandIn &)> write) -> void
+    {
+        boost::asio::post(m_io, [this, write = std::move(write)] { write(m_store); });
+    }
+
     /// Writes a configuration as the operators do.
     auto configure(const std::string &configuration) -> void
     {
--- a/tests/platform/TestKvStore.cpp
+++ b/tests/platform/TestKvStore.cpp
@@ -1,9 +1,11 @@
+#include <map>
 #include <memory>
 #include <optional>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <platform/KvCodec.h>
 #include <platform/KvStore.h>
 #include <stairspur/store/AnyStore.h>
 
@@ -206,3 +208,167 @@
     cr_assert(end.status == StoreStatus::Unreachable);
     cr_assert_eq(end.value.nextRevision, next);
 }
+
+/// Returns items that no reader understands, by what is wrong with them. Each has a key that begins with `prefix`, except where
+/// the key itself is wrong.
+static auto unreadableItems(const std::string &prefix) -> std::map<std::string, nlohmann::json>
+{
+    using Json = nlohmann::json;
+    static constexpr auto Depth = 10'000;
+    const auto good = [&](const std::string &name) {
+        return Json{{"key", prefix + name}, {"value", "dg=="}, {"revision", 101}, {"lease", 0}};
+    };
+    const auto with = [&](const std::string &name, const std::string &field, const Json &value) {
+        auto item = good(name);
+        item[field] = value;
+        return std::pair(name, item);
+    };
+    auto nested = Json::array();
+    for (auto n = 0; n < Depth; ++n) {
+        auto outer = Json::array();
+        outer.push_back(std::move(nested));
+        nested = std::move(outer);
+    }
+    return {
+            with("1-value-no-base64", "value", "*"),
+            with("2-value-number", "value", 7),
+            with("3-revision-too-large", "revision", UINT64_MAX),
+            with("4-revision-fraction", "revision", 1e30),
+            with("5-revision-negative", "revision", -1),
+            with("6-revision-text", "revision", "101"),
+            with("7-lease-too-large", "lease", UINT64_MAX),
+            with("8-lease-list", "lease", Json::array({1})),
+            with("9-created-fraction", "created", 1.5),
+            {"a-nested", {{"key", prefix + "a-nested"}, {"value", std::move(nested)}}},
+            {"b-empty", Json::object()},
+            {"c-no-object", 3},
+            with("d-key-number", "key", 5),
+    };
+}
+
+static auto keysOf(const RangeAnswer &range) -> std::vector<std::string>
+{
+    auto keys = std::vector<std::string>();
+    for (const auto &it : range.pairs)
+        keys.push_back(it.key);
+    return keys;
+}
+
+Test(KvStore, unreadableItemsOfARangeArePassedOver)
+{
+    for (const auto &[name, item] : unreadableItems("/p/")) {
+        auto bench = Bench();
+        for (auto n = 0; n < 9; ++n)
+            bench.server.put("/p/" + std::to_string(n) + "x", "v");
+        bench.server.putItem("/p/" + name, item);
+        const auto all =
+                bench.wait(bench.store.range({.key = "/p/", .rangeEnd = endOfPrefix("/p/")}));
+        cr_expect(all.isOk(), "%s: %s", name.c_str(), all.detail.c_str());
+        cr_expect_eq(all.value.pairs.size(), 9, "%s: %zu items", name.c_str(),
+                     all.value.pairs.size());
+    }
+}
+
+Test(KvStore, pagesOfUnreadableItemsAloneArePassedOver)
+{
+    auto bench = Bench();
+    bench.server.put("/p/first", "v");
+    for (auto n = 0; n < 12; ++n) {
+        const auto key = "/p/m" + std::string(1, static_cast<char>('a' + n));
+        bench.server.putItem(key, {{"key", key}, {"value", "*"}, {"revision", 101}});
+    }
+    bench.server.put("/p/z", "v");
+    const auto all = bench.wait(bench.store.range({.key = "/p/", .rangeEnd = endOfPrefix("/p/")}));
+    cr_assert(all.isOk(), "%s", all.detail.c_str());
+    cr_assert(keysOf(all.value) == (std::vector<std::string>{"/p/first", "/p/z"}));
+}
+
+Test(KvStore, pagesThatDoNotAdvanceEndTheRead, .timeout = 60)
+{
+    auto bench = Bench();
+    for (auto n = 0; n < 8; ++n)
+        bench.server.put("/p/" + std::to_string(n), "v");
+    bench.server.failNext(KvFault::RepeatPage, UINT32_MAX);
+    const auto all = bench.wait(bench.store.range({.key = "/p/", .rangeEnd = endOfPrefix("/p/")}));
+    cr_assert(all.status == StoreStatus::Unknown);
+}
+
+/// A watch of the operators' item, and what it was told.
+struct ConfigurationWatch
+{
+    Bench &bench;
+    std::vector<std::string> seen{};
+    std::optional<StoreResult<WatchEnd>> end{};
+    transport::CancellationPtr cancellation = std::make_shared<transport::Cancellation>();
+
+    auto start(Revision from = 0) -> void
+    {
+        end.reset();
+        auto handler = [this](const WatchMessage &message) {
+            for (const auto &it : message.events)
+                seen.push_back(it.pair.value);
+        };
+        boost::asio::co_spawn(
+                bench.io,
+                bench.store.watch({.key = "op/config", .startRevision = from}, handler,
+                                  cancellation),
+                [this](std::exception_ptr, StoreResult<WatchEnd> it) { end = std::move(it); });
+    }
+};
+
+/// The watch starts anew, so that an item that was spoiled on its way is read once more, and one that is spoiled in the store
+/// is not read again and again.
+Test(KvStore, aWatchThatMeetsAnUnreadableItemStartsAnewAndGoesOn)
+{
+    for (const auto &[name, item] : unreadableItems("op/config")) {
+        auto bench = Bench();
+        bench.server.put("op/config", "one");
+        auto watch = ConfigurationWatch{bench};
+        watch.start();
+        bench.runUntil([&] { return watch.seen.size() == 1; });
+        auto spoiled = item;
+        if (spoiled.is_object() && spoiled.contains("key") && spoiled["key"].is_string())
+            spoiled["key"] = "op/config";
+        bench.server.putItem("op/config", spoiled);
+        bench.runUntil([&] { return watch.end.has_value(); });
+        cr_expect_eq(watch.end->value.nextRevision, 0, "%s", name.c_str());
+        const auto calls = bench.server.calls();
+        watch.start(watch.end->value.nextRevision);
+        bench.runUntil([&] { return bench.server.calls() == calls + 2 || watch.end; });
+        cr_expect(!watch.end, "%s: the watch ends again: %s", name.c_str(),
+                  watch.end ? watch.end->detail.c_str() : "");
+        bench.server.put("op/config", "two");
+        bench.runUntil([&] { return watch.seen.size() == 2 || watch.end; });
+        cr_expect(watch.seen.back() == "two", "%s", name.c_str());
+        watch.cancellation->cancel();
+        bench.runUntil([&] { return watch.end.has_value(); });
+    }
+}
+
+Test(KvStore, aWatchOfOneKeyLeavesOutOthersThatBeginWithIt)
+{
+    auto bench = Bench();
+    bench.server.put("op/config", "one");
+    bench.server.put("op/config-draft", "draft");
+    auto watch = ConfigurationWatch{bench};
+    watch.start();
+    bench.runUntil([&] { return !watch.seen.empty(); });
+    bench.server.put("op/config-draft", "draft");
+    bench.server.putItem("op/config-odd", {{"key", "op/config-odd"}, {"value", "*"}});
+    bench.server.put("op/config", "two");
+    bench.runUntil(
+            [&] { return watch.end || (!watch.seen.empty() && watch.seen.back() == "two"); });
+    cr_expect(!watch.end, "an odd item of another key does not end the watch");
+    cr_expect(watch.seen == (std::vector<std::string>{"one", "two"}));
+    watch.cancellation->cancel();
+    bench.runUntil([&] { return watch.end.has_value(); });
+}
+
+Test(KvStore, aLeaseWithAnImpossibleTimeIsNotTaken)
+{
+    for (const auto *time : {"-1", "1e300", "\"5\"", "[]"}) {
+        const auto answer =
+                nlohmann::json::parse(std::string(R"({"lease": 3, "ttl_s_time": )") + time + "}");
+        cr_expect_throw(platform::kv::decodeLease(answer, 0), std::exception, "%s", time);
+    }
+}
--- /dev/null
+++ b/tests/platform/TestOddEntries.cpp
@@ -0,0 +1,84 @@
+#include "ProcessFleet.h"
+
+/// Real processes: what other writers leave in the platform's store ends no node and stop none from following
+/// the rest.
+using namespace stairspur;
+using namespace stairspur::platform;
+
+static constexpr auto Depth = std::size_t{100'000};
+
+/// Returns values that are no record of a node or a backend server.
+static auto oddValues() -> std::vector<std::string>
+{
+    return {
+            "",
+            "x",
+            "127.0.0.1:0",
+            "127.0.0.1:70000",
+            "127.0.0.1:-1",
+            "127.0.0.1:99999999999999999999",
+            "no address:7104",
+            std::string(Depth, '[') + std::string(Depth, ']'),
+            R"({"port": 1e400, "lease": 18446744073709551616})",
+            std::string(Depth, '\x81'),             // Nested arrays in CBOR.
+            "\x9b\xff\xff\xff\xff\xff\xff\xff\xff", // A CBOR array of 2^64-1 items.
+            std::string("\xff\x00\x7f", 3),
+            std::string(std::size_t{200} << 10U, 'x'),
+    };
+}
+
+/// Writes each odd value under each prefix that nodes read, and beside their configuration.
+static auto writeOddEntries(standin::KvStandIn &store) -> void
+{
+    auto number = 0;
+    for (const auto &value : oddValues()) {
+        for (const auto *prefix : {"/stairspur/rendezvous/other/", "/stairspur/rendezvous/centre/",
+                                   "/stairspur/rendezvous/", "/stairspur/quarantine/menu/",
+                                   "/stairspur/leaving/", "op/config-", "servers/"})
+            store.put(prefix + std::to_string(number), value);
+        ++number;
+    }
+    for (const auto *key : {"/stairspur/rendezvous/centre/odd", "/stairspur/quarantine/menu/odd"}) {
+        store.putItem(key,
+                      {{"key", key}, {"value", "*"}, {"revision", 1e30}, {"lease", UINT64_MAX}});
+        store.putItem(std::string(key) + "2", nlohmann::json::object());
+    }
+}
+
+static auto announceAll(ProcessFleet &fleet) -> void
+{
+    for (auto &it : fleet.hosts)
+        ProcessFleet::beat(it, *it.backends[0], "ready");
+}
+
+Test(OddEntries, storeEntriesEndNoNodeAndHideNoOther, .timeout = 300)
+{
+    auto fleet = ProcessFleet(65);
+    const auto writeAndAnnounce = [&] {
+        fleet.writeToStore(writeOddEntries);
+        announceAll(fleet);
+    };
+    cr_expect_eq(fleet.drive(2s, writeAndAnnounce), 0);
+    fleet.restartNodes(0ms);
+    ProcessFleet::waitUntil([&] {
+        announceAll(fleet);
+        return fleet.send(fleet.hosts[1]) == 200 && fleet.send(fleet.hosts[2]) == 200;
+    });
+    cr_expect_eq(fleet.drive(2s, writeAndAnnounce), 0);
+    fleet.configure(R"({"version": 8, "routes": {
+"added": {"host": "a.example", "prefix": "/added/", "kind": "safe", "timeout_s": 20, "target_latency_s": 1.2, "priority": 1,
+  "service": "menu", "max_attempts": 2}}, "services": {"menu": {"health_path": "/health", "max_connections": 634}},
+"limits": {"max_header_bytes": 4096, "max_body_bytes": 1000, "header_timeout_s": 3, "idle_timeout_s": 15}})");
+    auto requests = 0;
+    for (auto &it : fleet.hosts) {
+        ProcessFleet::waitUntil([&] {
+            announceAll(fleet);
+            const auto response = exchange(
+                    it.address, EntryPort,
+                    "GET /added/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: o"
+                            + std::to_string(++requests) + "\r\nX-Deadline-Ms: 5000\r\n\r\n");
+            return response && response->result_int() == 200;
+        });
+        cr_expect(!it.node->hasEnded());
+    }
+}
--- a/tests/standins/platform/KvStandIn.h
+++ b/tests/standins/platform/KvStandIn.h
@@ -24,6 +24,7 @@
     TooMany,    ///< 429: nothing is done.
     LoseAnswer, ///< The call is carried out, and its connection ends without an answer.
     Garbage,    ///< 200 with a body that is no JSON.
+    RepeatPage, ///< Pages of a range begin anew instead of after the last key.
 };
 
 /// The platform's key-value store as its pages describe it, in memory, on the thread of its io_context.
@@ -60,11 +61,22 @@
         wakeWatches();
     }
 
+    /// Stores an item as it is, readable or not.
+    auto putItem(const std::string &key, nlohmann::json item) -> void
+    {
+        ++m_revision;
+        m_items[key] = item;
+        m_events.push_back({key, m_revision, std::move(item)});
+        wakeWatches();
+    }
+
     auto remove(const std::string &key) -> void
     {
         if (m_items.erase(key) == 0)
             return;
-        m_events.push_back({{"key", key}, {"revision", ++m_revision}, {"deleted", true}});
+        ++m_revision;
+        m_events.push_back(
+                {key, m_revision, {{"key", key}, {"revision", m_revision}, {"deleted", true}}});
         wakeWatches();
     }
 
@@ -95,6 +107,14 @@
     using Json = nlohmann::json;
     using Response = transport::HttpResponse;
 
+    /// One change, with the item that watches are told.
+    struct Event
+    {
+        std::string key;
+        std::int64_t revision = 0;
+        Json item;
+    };
+
     static constexpr auto PageSize = std::size_t{3}; ///< Small, so that tests meet several pages.
 
     static auto reply(std::uint32_t status, const Json &body) -> Response
@@ -144,7 +164,7 @@
             response.body = "<html>";
             co_return response;
         }
-        auto response = co_await carryOut(request);
+        auto response = co_await carryOut(request, fault);
         if (fault == KvFault::LoseAnswer) {
             auto never = boost::asio::steady_timer(m_io, std::chrono::hours(1));
             co_await never.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
@@ -152,7 +172,7 @@
         co_return response;
     }
 
-    auto carryOut(const transport::HttpRequest &request) -> transport::Task<Response>
+    auto carryOut(const transport::HttpRequest &request, KvFault fault) -> transport::Task<Response>
     {
         const auto path = request.target.substr(0, request.target.find('?'));
         const auto body = Json::parse(request.body, nullptr, false);
@@ -162,7 +182,8 @@
             ++m_staleReads;
         if (path == "/v1/kv-range")
             co_return readRange(parameter(request.target, "prefix"),
-                                parameter(request.target, "after"));
+                                fault == KvFault::RepeatPage ? ""
+                                                             : parameter(request.target, "after"));
         if (path == "/v1/kv-watch")
             co_return co_await watch(request.target);
         if (path == "/v1/kv-txn")
@@ -225,8 +246,8 @@
     {
         auto events = Json::array();
         for (const auto &it : m_events) {
-            if (it.at("revision") > after && it.at("key").get<std::string>().starts_with(prefix))
-                events.push_back(it);
+            if (it.revision > after && it.key.starts_with(prefix))
+                events.push_back(it.item);
         }
         return events;
     }
@@ -260,14 +281,14 @@
     {
         const auto known = m_items.find(key);
         ++m_revision;
-        const auto created =
-                known == m_items.end() ? Json(m_revision) : known->second.at("created");
+        const auto isNew = known == m_items.end() || !known->second.is_object();
+        const auto created = isNew ? m_revision : known->second.value("created", m_revision);
         m_items[key] = {{"key", key},
                         {"value", store::toBase64(value)},
                         {"revision", m_revision},
                         {"created", created},
                         {"lease", lease}};
-        m_events.push_back(m_items[key]);
+        m_events.push_back({key, m_revision, m_items[key]});
     }
 
     auto grant(const Json &body) -> Response
@@ -291,7 +312,7 @@
     transport::HttpServer m_server;
     boost::asio::steady_timer m_changed;
     std::map<std::string, Json> m_items;
-    std::vector<Json> m_events;
+    std::vector<Event> m_events;
     std::map<std::int64_t, double> m_leases;
     std::uint32_t m_staleReads = 0;
     std::int64_t m_revision = 100;
