--- a/tests/platform/TestOddEntries.cpp
+++ b/tests/platform/TestOddEntries.cpp
@@ -1,6 +1,6 @@
 #include "ProcessFleet.h"
 
-/// Real processes: what other writers leave in the platform's store ends no node and stop none from following
+/// Real processes: what other writers leave in the platform's store, and odd heartbeats, end no node and stop none from following
 /// the rest.
 using namespace stairspur;
 using namespace stairspur::platform;
@@ -45,12 +45,63 @@
     }
 }
 
+/// Returns heartbeats that are valid but for one field.
+static auto oddHeartbeats() -> std::vector<std::string>
+{
+    const auto with = [](const std::string &field, const std::string &value) {
+        auto text = std::string(
+                R"({"service":"menu","address":"127.0.0.1:9","zone":"centre","version":"v1",)"
+                R"("slots":8,"state":"ready","cold_remaining_s":0,"seq":1000000000})");
+        const auto begin = text.find('"' + field + "\":") + field.size() + 3;
+        const auto end = text.find_first_of(",}", begin);
+        return text.replace(begin, end - begin, value);
+    };
+    auto bodies = std::vector<std::string>{std::string(4'000, '['), "", "null", "{"};
+    for (const auto *it : {R"("127.0.0.1:0")", R"("127.0.0.1:70000")", R"("127.0.0.1:-1")",
+                           R"("127.0.0.1")", R"(":9")", R"("no:9")", R"("127.0.0.256:9")", "7"})
+        bodies.push_back(with("address", it));
+    for (const auto *it :
+         {"1e400", "-1", "18446744073709551616", R"("8")", "[[[[[[]]]]]]", "null"}) {
+        bodies.push_back(with("slots", it));
+        bodies.push_back(with("seq", it));
+        bodies.push_back(with("cold_remaining_s", it));
+    }
+    return bodies;
+}
+
+/// Sends them in the name of the host's backend server, and of another process instance that would replace it. Expects that
+/// they are refused.
+static auto sendOddHeartbeats(const ProcessFleet::Host &host) -> void
+{
+    for (const auto &instance : {host.backends[0]->instance, std::string("i-odd")}) {
+        for (const auto &it : oddHeartbeats()) {
+            const auto response = exchange(host.address, ControlPort,
+                                           "PUT /v1/instances/" + instance
+                                                   + " HTTP/1.1\r\nHost: c\r\nContent-Length: "
+                                                   + std::to_string(it.size()) + "\r\n\r\n" + it);
+            cr_expect(response && response->result_int() == 400, "%s: %s", instance.c_str(),
+                      it.substr(0, 200).c_str());
+        }
+    }
+}
+
 static auto announceAll(ProcessFleet &fleet) -> void
 {
     for (auto &it : fleet.hosts)
         ProcessFleet::beat(it, *it.backends[0], "ready");
 }
 
+Test(OddEntries, heartbeatsAreRefusedAndTheServerIsServedOn, .timeout = 300)
+{
+    auto fleet = ProcessFleet(66);
+    cr_expect_eq(fleet.drive(1s, [&] { sendOddHeartbeats(fleet.hosts[1]); }), 0);
+    const auto runs = fleet.hosts[1].backends[0]->server->runs();
+    cr_expect_eq(fleet.drive(500ms), 0);
+    cr_expect_gt(fleet.hosts[1].backends[0]->server->runs(), runs);
+    for (auto &it : fleet.hosts)
+        cr_expect(!it.node->hasEnded());
+}
+
 Test(OddEntries, storeEntriesEndNoNodeAndHideNoOther, .timeout = 300)
 {
     auto fleet = ProcessFleet(65);
