Core: Return large blocks of memory to the system when they are freed

What callers saw: nothing yet. On other systems a node that kept the endless bytes of a faulty upstream ran out of memory, and the requests of others ended with it.

Cause: with three more endless answers in its list, EndlessBytes::manyAnswersStayWithinTheBudget grew by 174 MB where 160 are allowed, six of six runs, though the account of unfinished answers held its 64 MB. Bodies without a length grow in strings that double. glibc raises the size from which it maps blocks one by one to that of the largest freed one; smaller ones then come from the heap, and each doubling leaves a gap there.

Evidence: the same binary with that size fixed by MALLOC_MMAP_THRESHOLD_: 72 MB at 128 KiB, 75 MB at 1 MiB, 97 MB at 4 MiB.

Change: a node fixes it at 1 MiB. The test does as a node does.

Two new tests guard the limits of heads that arrive in pieces, of answers and of requests; they passed on the code before.

--- a/source/node/RunNode.cpp
+++ b/source/node/RunNode.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include <stairspur/core/Memory.h>
 #include <stairspur/log/Log.h>
 #include <stairspur/node/NodeAdapter.h>
 #include <stairspur/node/NodeSettings.h>
@@ -36,6 +37,7 @@
 auto runAdaptedNode(const NodeSettings &settings, const NodeAdapter &adapter) -> int
 {
     static constexpr auto DrainTimedOut = 1;
+    returnLargeBlocks();
     const auto logging =
             log::Session({fromName<log::Severity>(settings.logLevel).value_or(log::Severity::Info),
                           settings.nodeId(), settings.logDecisionSample});
--- a/tests/transport/TestEndlessBytes.cpp
+++ b/tests/transport/TestEndlessBytes.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <stairspur/core/Memory.h>
 #include <stairspur/transport/HttpClient.h>
 #include <stairspur/transport/HttpServer.h>
 
@@ -39,6 +40,10 @@
             {"chunk extension", chunked + "1;", "x"},
             {"trailer", chunked + "0\r\nX: ", "x"},
             {"trailers", chunked + "0\r\n", "X: y\r\n"},
+            {"fields in pieces", "HTTP/1.1 200 OK\r\n", "X: " + std::string(4'000, 'x') + "\r\n"},
+            {"trailers in pieces", chunked + "0\r\n", "X: " + std::string(4'000, 'x') + "\r\n"},
+            {"interim answers in pieces", "",
+             "HTTP/1.1 100 Continue\r\nX: " + std::string(4'000, 'x') + "\r\n\r\n"},
     };
 }
 
@@ -174,6 +179,22 @@
     }
 }
 
+// Guards against a limit that holds for each piece of a head alone.
+Test(EndlessBytes, piecesEndAtTheLimitBeforeTheyTimeOut, .timeout = 300)
+{
+    auto io = asio::io_context();
+    auto server = EndlessServer(io, Duration(1'000));
+    auto client = HttpClient(io, {.port = server.port()});
+    const auto answers = endlessAnswers();
+    for (auto index = std::size_t{0}; index < answers.size(); ++index) {
+        if (!std::string_view(answers[index].name).ends_with("in pieces"))
+            continue;
+        const auto failure = failureOf(io, client, index, Duration(5'000'000));
+        cr_expect(failure == HttpFailure::Broken, "%s", answers[index].name);
+        runUntil(io, [&] { return server.sending() == 0; });
+    }
+}
+
 // A hundred endless answers at once, each within its own limit, filled the memory of a node.
 Test(EndlessBytes, manyAnswersStayWithinTheBudget, .timeout = 300)
 {
@@ -181,6 +202,7 @@
     static constexpr auto EventsPerSample = 100;
     /// The memory of the smallest hosts is 160 MB.
     static constexpr auto MaxGrowth = std::uint64_t{160'000'000};
+    returnLargeBlocks(); // As a node does.
     auto io = asio::io_context();
     auto server = EndlessServer(io);
     auto settings = HttpClientSettings{.port = server.port()};
@@ -231,3 +253,23 @@
         cr_expect(answer.starts_with("HTTP/1.1 431"), "%s", answer.c_str());
     }
 }
+
+// The same for the header fields of a request.
+Test(EndlessBytes, requestInPiecesEndsAtItsLimit, .timeout = 300)
+{
+    static constexpr auto Pieces = 200;
+    auto io = asio::io_context();
+    auto server =
+            HttpServer(io, {}, [](auto, auto) -> Task<HttpResponse> { co_return HttpResponse(); });
+    server.start();
+    auto peer = RawPeer(io, server.port());
+    peer.write("GET / HTTP/1.1\r\nHost: a\r\n");
+    const auto piece = "X: " + std::string(1'000, 'x') + "\r\n";
+    for (auto n = 0; n < Pieces; ++n) {
+        peer.write(piece);
+        io.run_for(std::chrono::milliseconds(1));
+    }
+    peer.write("\r\n");
+    const auto answer = peer.readUntil("\r\n");
+    cr_expect(answer.starts_with("HTTP/1.1 431"), "%s", answer.c_str());
+}
