--- a/tests/platform/TestStoppingNode.cpp
+++ b/tests/platform/TestStoppingNode.cpp
@@ -74,6 +74,24 @@
         start(m_host, "POST /o/order", work, deadline);
     }
 
+    /// Sends an order through the stopping node whose last byte follows at `end`.
+    auto sendOrderSlowly(Clock::time_point end) -> void
+    {
+        const auto attempt = "slow" + std::to_string(m_requests.size());
+        {
+            const auto lock = std::scoped_lock(m_mutex);
+            m_sent[attempt] = 0;
+        }
+        const auto head =
+                "POST /o/slow HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + attempt
+                + "\r\nX-Deadline-Ms: 9000\r\nX-Work-Ms: 20\r\nContent-Length: 100\r\n\r\n";
+        m_requests.push_back(std::async(std::launch::async, [this, attempt, head, end] {
+            const auto status = exchangeSlowly(m_host.address, head, std::string(100, 'u'), end);
+            const auto lock = std::scoped_lock(m_mutex);
+            m_sent[attempt] = status;
+        }));
+    }
+
     /// Expects that each request through the stopping node that was begun has a response, and none a promise that is untrue.
     auto expectNothingLost() -> void
     {
@@ -101,6 +119,28 @@
     ProcessFleet fleet;
 
 private:
+    /// Returns the status of the response; 0 without one. The body's bytes are sent one by one until `end`.
+    static auto exchangeSlowly(const std::string &address, const std::string &head,
+                               const std::string &body, Clock::time_point end) -> unsigned
+    {
+        auto io = boost::asio::io_context();
+        auto socket = boost::asio::ip::tcp::socket(io);
+        auto ec = boost::system::error_code();
+        socket.connect({boost::asio::ip::make_address(address), EntryPort}, ec);
+        const auto timeout = timeval{60, 0};
+        ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+        boost::asio::write(socket, boost::asio::buffer(head), ec);
+        const auto begin = Clock::now();
+        for (auto n = std::size_t{0}; n < body.size() && !ec; ++n) {
+            std::this_thread::sleep_until(begin + (end - begin) * (n + 1) / body.size());
+            boost::asio::write(socket, boost::asio::buffer(&body[n], 1), ec);
+        }
+        auto buffer = boost::beast::flat_buffer();
+        auto response = PlatformResponse();
+        boost::beast::http::read(socket, buffer, response, ec);
+        return ec ? 0 : response.result_int();
+    }
+
     auto start(const ProcessFleet::Host &host, const std::string &target,
                std::chrono::milliseconds work, std::chrono::milliseconds deadline) -> void
     {
@@ -157,6 +197,20 @@
                  "nobody can promise that they did not run");
 }
 
+/// Guards against requests whose upload ends shortly before the process and that end with it.
+Test(StoppingNode, uploadsThatEndLateInTheGraceTimeAreAnswered)
+{
+    auto test = StoppingNode(113);
+    for (auto n = 0; n < 3; ++n)
+        test.sendOrder(20ms, 5s);
+    const auto begin = Clock::now();
+    for (auto end = 500ms; end < 5'900ms; end += 200ms)
+        test.sendOrderSlowly(begin + end);
+    test.stop(6500ms, [] {});
+    test.expectNothingLost();
+    cr_expect_gt(test.countOf(200), 3, "those that end early are served");
+}
+
 /// Guards against requests that are lost because the process is suspended, or gets other signals, while it stops.
 Test(StoppingNode, answersAllBesideASuspensionAndFurtherSignals)
 {
