Tests: Announce the backend servers until a fleet serves

Cause: ProcessFleet sent one heartbeat for each server and then waited until each node saw all of them serve. A node that learned of another one late found its heartbeat expired (1.5 s), so that the fleet never came up: the known failure of AcknowledgedLeaving::outlastsAKillOfAllNodes.

Change: heartbeats go on while it waits. The entries in KNOWN-RED.txt stay until the whole suite has run beside load several times without them.

--- a/tests/platform/ProcessFleet.h
+++ b/tests/platform/ProcessFleet.h
@@ -71,8 +71,7 @@
             waitUntil([&] { return isReady(it); });
         for (auto &it : hosts)
             cr_assert_eq(beat(it, *it.backends[0], "ready"), 200);
-        for (auto &it : hosts)
-            waitUntil([&] { return servingMembers(it) == HostCount; });
+        waitUntilServing();
     }
 
     ~BasicProcessFleet()
@@ -244,6 +243,23 @@
         host.node = std::make_unique<NodeProcess>(base.string() + ".yaml", base.string() + ".log");
     }
 
+    /// Waits until each node sees all backend servers serve. They announce themselves all the while, since a node that learns of
+    /// the others late would find the first heartbeats expired.
+    auto waitUntilServing() -> void
+    {
+        auto nextHeartbeat = std::chrono::steady_clock::now() + HeartbeatInterval;
+        for (const auto &host : hosts) {
+            waitUntil([&] {
+                if (std::chrono::steady_clock::now() >= nextHeartbeat) {
+                    nextHeartbeat += HeartbeatInterval;
+                    for (const auto &it : hosts)
+                        beat(it, *it.backends[0], "ready");
+                }
+                return servingMembers(host) == HostCount;
+            });
+        }
+    }
+
     /// Returns how many serving members the node of `host` has in its table.
     static auto servingMembers(const Host &host) -> std::ptrdiff_t
     {
