--- a/source/transport/HttpClientConnection.h
+++ b/source/transport/HttpClientConnection.h
@@ -400,10 +400,9 @@
     boost::circular_buffer<std::uint64_t> m_carriedIds; ///< Hashes, the latest last.
     boost::beast::flat_buffer m_buffer{MaxUnparsedBytes};
     std::optional<Parser> m_parser;
-    std::string m_requestId; ///< Id that the answer repeats; empty if the server repeats none.
+    std::string m_requestId; ///< Empty if the server repeats no id.
     std::uint16_t m_port = 0;
-    boost::system::error_code
-            m_writeError; ///< Error that the write of the last request ended with.
+    boost::system::error_code m_writeError; ///< Of the write of the last request.
     std::uint64_t m_generation = 0;
     HttpFailure m_failure = HttpFailure::Broken;
     bool m_isGivenUp = false;
--- a/tests/platform/TestOddEntries.cpp
+++ b/tests/platform/TestInvalidEntries.cpp
@@ -1,6 +1,6 @@
 #include "ProcessFleet.h"
 
-/// Real processes: what other writers leave in the platform's store, and odd heartbeats, end no node and stop none from following
+/// Real processes: what other writers leave in the platform's store, and invalid heartbeats, end no node and stop none from following
 /// the rest.
 using namespace stairspur;
 using namespace stairspur::platform;
@@ -8,7 +8,7 @@
 static constexpr auto Depth = std::size_t{100'000};
 
 /// Returns values that are no record of a node or a backend server.
-static auto oddValues() -> std::vector<std::string>
+static auto invalidValues() -> std::vector<std::string>
 {
     return {
             "",
@@ -27,18 +27,19 @@
     };
 }
 
-/// Writes each odd value under each prefix that nodes read, and beside their configuration.
-static auto writeOddEntries(standin::KvStandIn &store) -> void
+/// Writes each invalid value under each prefix that nodes read, and beside their configuration.
+static auto writeInvalidEntries(standin::KvStandIn &store) -> void
 {
     auto number = 0;
-    for (const auto &value : oddValues()) {
+    for (const auto &value : invalidValues()) {
         for (const auto *prefix : {"/stairspur/rendezvous/other/", "/stairspur/rendezvous/centre/",
                                    "/stairspur/rendezvous/", "/stairspur/quarantine/menu/",
                                    "/stairspur/leaving/", "op/config-", "servers/"})
             store.put(prefix + std::to_string(number), value);
         ++number;
     }
-    for (const auto *key : {"/stairspur/rendezvous/centre/odd", "/stairspur/quarantine/menu/odd"}) {
+    for (const auto *key :
+         {"/stairspur/rendezvous/centre/invalid", "/stairspur/quarantine/menu/invalid"}) {
         store.putItem(key,
                       {{"key", key}, {"value", "*"}, {"revision", 1e30}, {"lease", UINT64_MAX}});
         store.putItem(std::string(key) + "2", nlohmann::json::object());
@@ -46,7 +47,7 @@
 }
 
 /// Returns heartbeats that are valid but for one field.
-static auto oddHeartbeats() -> std::vector<std::string>
+static auto invalidHeartbeats() -> std::vector<std::string>
 {
     const auto with = [](const std::string &field, const std::string &value) {
         auto text = std::string(
@@ -71,10 +72,10 @@
 
 /// Sends them in the name of the host's backend server, and of another process instance that would replace it. Expects that
 /// they are refused.
-static auto sendOddHeartbeats(const ProcessFleet::Host &host) -> void
+static auto sendInvalidHeartbeats(const ProcessFleet::Host &host) -> void
 {
-    for (const auto &instance : {host.backends[0]->instance, std::string("i-odd")}) {
-        for (const auto &it : oddHeartbeats()) {
+    for (const auto &instance : {host.backends[0]->instance, std::string("i-other")}) {
+        for (const auto &it : invalidHeartbeats()) {
             const auto response = exchange(host.address, ControlPort,
                                            "PUT /v1/instances/" + instance
                                                    + " HTTP/1.1\r\nHost: c\r\nContent-Length: "
@@ -91,10 +92,10 @@
         ProcessFleet::beat(it, *it.backends[0], "ready");
 }
 
-Test(OddEntries, heartbeatsAreRefusedAndTheServerIsServedOn, .timeout = 300)
+Test(InvalidEntries, heartbeatsAreRefusedAndTheServerIsServedOn, .timeout = 300)
 {
     auto fleet = ProcessFleet(66);
-    cr_expect_eq(fleet.drive(1s, [&] { sendOddHeartbeats(fleet.hosts[1]); }), 0);
+    cr_expect_eq(fleet.drive(1s, [&] { sendInvalidHeartbeats(fleet.hosts[1]); }), 0);
     const auto runs = fleet.hosts[1].backends[0]->server->runs();
     cr_expect_eq(fleet.drive(500ms), 0);
     cr_expect_gt(fleet.hosts[1].backends[0]->server->runs(), runs);
@@ -102,11 +103,11 @@
         cr_expect(!it.node->hasEnded());
 }
 
-Test(OddEntries, storeEntriesEndNoNodeAndHideNoOther, .timeout = 300)
+Test(InvalidEntries, storeEntriesEndNoNodeAndHideNoOther, .timeout = 300)
 {
     auto fleet = ProcessFleet(65);
     const auto writeAndAnnounce = [&] {
-        fleet.writeToStore(writeOddEntries);
+        fleet.writeToStore(writeInvalidEntries);
         announceAll(fleet);
     };
     cr_expect_eq(fleet.drive(2s, writeAndAnnounce), 0);
--- a/tests/platform/TestKvStore.cpp
+++ b/tests/platform/TestKvStore.cpp
@@ -316,7 +316,7 @@
     }
 };
 
-/// The watch starts anew, so that an item that was spoiled on its way is read once more, and one that is spoiled in the store
+/// The watch starts anew, so that an item that was corrupted on its way is read once more, and one that is corrupted in the store
 /// is not read again and again.
 Test(KvStore, aWatchThatMeetsAnUnreadableItemStartsAnewAndGoesOn)
 {
@@ -326,10 +326,10 @@
         auto watch = ConfigurationWatch{bench};
         watch.start();
         bench.runUntil([&] { return watch.seen.size() == 1; });
-        auto spoiled = item;
-        if (spoiled.is_object() && spoiled.contains("key") && spoiled["key"].is_string())
-            spoiled["key"] = "op/config";
-        bench.server.putItem("op/config", spoiled);
+        auto corrupted = item;
+        if (corrupted.is_object() && corrupted.contains("key") && corrupted["key"].is_string())
+            corrupted["key"] = "op/config";
+        bench.server.putItem("op/config", corrupted);
         bench.runUntil([&] { return watch.end.has_value(); });
         cr_expect_eq(watch.end->value.nextRevision, 0, "%s", name.c_str());
         const auto calls = bench.server.calls();
@@ -354,11 +354,11 @@
     watch.start();
     bench.runUntil([&] { return !watch.seen.empty(); });
     bench.server.put("op/config-draft", "draft");
-    bench.server.putItem("op/config-odd", {{"key", "op/config-odd"}, {"value", "*"}});
+    bench.server.putItem("op/config-other", {{"key", "op/config-other"}, {"value", "*"}});
     bench.server.put("op/config", "two");
     bench.runUntil(
             [&] { return watch.end || (!watch.seen.empty() && watch.seen.back() == "two"); });
-    cr_expect(!watch.end, "an odd item of another key does not end the watch");
+    cr_expect(!watch.end, "an invalid item of another key does not end the watch");
     cr_expect(watch.seen == (std::vector<std::string>{"one", "two"}));
     watch.cancellation->cancel();
     bench.runUntil([&] { return watch.end.has_value(); });
