--- a/source/transport/HttpClientConnection.h
+++ b/source/transport/HttpClientConnection.h
@@ -365,7 +365,7 @@
     [[noreturn]] auto refuse(const std::string &reason) -> void
     {
         const auto &answer = m_parser->get();
-        log::Line(log::Severity::Warning, "answer-refused", log::LineKind::Audit)
+        log::Line(log::Severity::Warning, "backend-answer-refused", log::LineKind::Audit)
                 .add("id", m_requestId)
                 .add("reason", reason)
                 .add("status", m_parser->is_header_done() ? answer.result_int() : 0)
--- a/tests/platform/TestInvalidEntries.cpp
+++ b/tests/platform/TestInvalidEntries.cpp
@@ -1,7 +1,7 @@
 #include "ProcessFleet.h"
 
-/// Real processes: what other writers leave in the platform's store, and invalid heartbeats, end no node and stop none from following
-/// the rest.
+/// Real processes: what other writers leave in the platform's store, and invalid heartbeats, end no node and stop none from
+/// following the rest.
 using namespace stairspur;
 using namespace stairspur::platform;
 
