--- a/tests/standins/platform/KvStandIn.h
+++ b/tests/standins/platform/KvStandIn.h
@@ -107,7 +107,7 @@
     using Json = nlohmann::json;
     using Response = transport::HttpResponse;
 
-    /// One change, with the item that watches are told.
+    /// One change, with the item that a watch returns.
     struct Event
     {
         std::string key;
